Lay the workspace: lints, wire types, result codes, the log's page

Cause: nothing stands yet; every slice needs the same ids, codes and messages. Ruled out: one shared crate a role (more crates than the code has parts); positional MessagePack (a new field would break the older release). Before: nothing. Conclusion: the contracts that the slices are written against.

--- /dev/null
+++ b/measure/src/main.rs
@@ -0,0 +1,3 @@
+//! Deterministic measurements over the pure decision modules.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/bulrushtiller.rs
@@ -0,0 +1,3 @@
+//! The operators' and callers' tool.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/bulrushtillerd.rs
@@ -0,0 +1,3 @@
+//! The daemon.
+
+fn main() {}
--- /dev/null
+++ b/src/codes.rs
@@ -0,0 +1,254 @@
+//! Numbered result codes, shared by callers, operators, logs and the tool.
+//!
+//! The hundreds digit is the class; `docs/RESULT-CODES.md` is the table.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// What a class of result codes promises.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Class {
+    /// Everything ran and the whole answer is there.
+    Complete,
+    /// Nothing of the submission was started, and nothing of it will be.
+    NotRun,
+    /// The submission ended without a complete answer; some of it ran.
+    Failed,
+    /// Some of it may have run; it will not be started again.
+    MayHaveRun,
+    /// The request itself was unacceptable; nothing was started because of it.
+    BadRequest,
+    /// A settings change was not accepted.
+    Settings,
+    /// The tool could not do its work.
+    Tool,
+}
+
+macro_rules! result_codes {
+    ($($(#[doc = $doc:literal])+ $name:ident = $number:literal, $text:literal;)+) => {
+        /// A numbered result.
+        #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+        #[derive(Deserialize, Serialize)]
+        #[serde(into = "u16", try_from = "u16")]
+        pub enum Code {
+            $($(#[doc = $doc])+ $name,)+
+        }
+
+        impl Code {
+            /// Every code, in the order of the table.
+            pub const ALL: &'static [Self] = &[$(Self::$name,)+];
+
+            /// The number as it stands in answers, logs and the table.
+            pub const fn number(self) -> u16 {
+                match self { $(Self::$name => $number,)+ }
+            }
+
+            /// A short sentence for people.
+            pub const fn text(self) -> &'static str {
+                match self { $(Self::$name => $text,)+ }
+            }
+        }
+    };
+}
+
+result_codes! {
+    /// Every task ran and succeeded.
+    Complete = 0, "complete";
+    /// Accepted, not finished yet.
+    Pending = 1, "accepted and not finished yet; ask again";
+
+    /// The team's queue is full.
+    TeamQueueFull = 100, "the team's queue is full";
+    /// The entry's queue is full.
+    EntryQueueFull = 101, "the entry's queue is full";
+    /// The deadline can't be met with the work already waiting.
+    DeadlineUnreachable = 102, "the deadline can't be met with the work already waiting";
+    /// No worker is large enough.
+    NeverFits = 103, "no worker is large enough for a task of it";
+    /// The process is stopping and takes no new work.
+    Leaving = 104, "the process is stopping and takes no new work";
+    /// No backend server is in service.
+    NoCapacity = 105, "no backend server is in service";
+    /// The claim on the client's own submission id could not be made.
+    ClaimUnavailable = 106, "the submission id could not be claimed; use a ticket";
+    /// Cancelled before anything started.
+    CancelledNotRun = 107, "cancelled before anything started";
+    /// The deadline passed before anything started.
+    DeadlineNotRun = 108, "the deadline passed before anything started";
+    /// A job larger than the team's quota would never run.
+    OverQuota = 109, "the job is larger than the team's quota allows";
+    /// The availability zone is out of service.
+    ZoneOut = 110, "the availability zone is out of service";
+    /// The process has lost touch and can't know that it may start work.
+    NotFresh = 111, "the process lost touch with the settings and starts nothing";
+    /// The dispatch is too old to be checked against what was started.
+    StaleDispatch = 112, "the dispatch is too old to be accepted";
+    /// The runner's queue is full.
+    RunnerFull = 113, "the runner is full";
+    /// A promise was given never to start this.
+    Fenced = 114, "it was promised that this would never start";
+    /// Waited longer at the runner than the dispatch allowed.
+    WaitedTooLong = 115, "no slot came free in the time allowed";
+
+    /// A task ran and failed.
+    TaskFailed = 200, "a task ran and failed";
+    /// A task ran longer than its limit and was stopped.
+    TaskTimedOut = 201, "a task ran over its limit and was stopped";
+    /// Cancelled after some of it had started.
+    Cancelled = 202, "cancelled after some of it had started";
+    /// The deadline passed after some of it had started.
+    DeadlinePassed = 203, "the deadline passed after some of it had started";
+    /// Some tasks ran, others could not be started.
+    PartlyNotRun = 204, "some tasks ran and others could not be started";
+    /// The backend server could not be reached by its runner.
+    BackendUnreachable = 205, "the backend server could not be reached";
+
+    /// A runner was lost with tasks on it.
+    RunnerLost = 300, "a runner was lost while it may have been running a task";
+    /// The owner of the submission is gone.
+    OwnerGone = 301, "the entry that owned the submission is gone";
+    /// The owner of the submission does not answer at the moment.
+    OwnerSilent = 302, "the entry that owns the submission does not answer now; ask again";
+    /// The answer is no longer kept.
+    AnswerExpired = 303, "the answer is no longer kept";
+    /// The backend server broke off after the task had begun.
+    BackendLost = 304, "the backend server broke off after the task had begun";
+
+    /// The body is not what the page describes.
+    BadBody = 400, "the body can't be read";
+    /// The bearer token is missing or unknown.
+    BadToken = 401, "the bearer token is missing or unknown";
+    /// The body is larger than allowed.
+    TooLarge = 402, "the body is larger than allowed";
+    /// The version is not spoken here.
+    UnknownVersion = 403, "this version is not spoken here";
+    /// Nothing is known under this id.
+    UnknownSubmission = 404, "nothing is known under this submission id";
+    /// The ticket is malformed or another team's.
+    BadTicket = 405, "the ticket is malformed";
+    /// The ticket is older than what is remembered.
+    TicketExpired = 406, "the ticket has expired";
+    /// The body came too slowly.
+    TooSlow = 407, "the body came too slowly";
+    /// The same submission id came with other content.
+    ContentConflict = 408, "the submission id is taken by other content";
+    /// No such page.
+    NoSuchPage = 409, "no such page";
+
+    /// The file is not TOML.
+    SettingsSyntax = 500, "the file is not valid TOML";
+    /// A key is unknown.
+    SettingsUnknownKey = 501, "a key is unknown";
+    /// A value has the wrong type.
+    SettingsWrongType = 502, "a value has the wrong type";
+    /// A value is impossible.
+    SettingsImpossible = 503, "a value is impossible";
+    /// The change was based on an older revision.
+    SettingsConflict = 504, "another change came first";
+    /// The record was already applied.
+    SettingsRepeated = 505, "the change had been made already";
+    /// The record can't be read.
+    SettingsBadRecord = 506, "the record can't be read";
+    /// The file name is not acceptable.
+    SettingsBadName = 507, "the file name is not acceptable";
+    /// The file to remove is not there.
+    SettingsNoFile = 508, "there is no such file";
+    /// The folder or the file is too large.
+    SettingsTooLarge = 509, "the file or the folder is too large";
+
+    /// The command line is wrong.
+    Usage = 600, "the command line is wrong";
+    /// Nothing could be reached.
+    Unreachable = 601, "no process could be reached";
+    /// It took too long.
+    TimedOut = 602, "it took too long";
+    /// A file could not be read or written.
+    Io = 603, "a file could not be read or written";
+    /// The log service does not answer.
+    LogUnavailable = 604, "the log service does not answer";
+    /// The other side answered something unexpected.
+    BadAnswer = 605, "the other side answered something unexpected";
+}
+
+impl Code {
+    /// The promise made by this code's hundreds digit.
+    pub const fn class(self) -> Class {
+        match self.number() {
+            0..=99 => Class::Complete,
+            100..=199 => Class::NotRun,
+            200..=299 => Class::Failed,
+            300..=399 => Class::MayHaveRun,
+            400..=499 => Class::BadRequest,
+            500..=599 => Class::Settings,
+            _ => Class::Tool,
+        }
+    }
+
+    /// The exit status that the tool ends with for this code.
+    pub const fn exit_status(self) -> i32 {
+        match self.class() {
+            Class::Complete => 0,
+            Class::Failed => 1,
+            Class::NotRun => 3,
+            Class::MayHaveRun => 4,
+            Class::BadRequest => 5,
+            Class::Settings => 6,
+            Class::Tool => match self {
+                Self::Usage => 2,
+                _ => 7,
+            },
+        }
+    }
+
+    /// The HTTP status that carries this code to a caller.
+    pub const fn http_status(self) -> u16 {
+        match self {
+            Self::Pending => 202,
+            Self::NeverFits | Self::OverQuota => 422,
+            Self::BadToken => 401,
+            Self::TooLarge => 413,
+            Self::UnknownSubmission | Self::NoSuchPage => 404,
+            Self::TicketExpired => 410,
+            Self::TooSlow => 408,
+            Self::ContentConflict => 409,
+            Self::TeamQueueFull => 429,
+            _ => match self.class() {
+                Class::NotRun | Class::MayHaveRun => 503,
+                Class::BadRequest | Class::Settings => 400,
+                _ => 200,
+            },
+        }
+    }
+}
+
+impl From<Code> for u16 {
+    fn from(code: Code) -> Self {
+        code.number()
+    }
+}
+
+quick_error! {
+    /// A number that stands for no result.
+    #[derive(Clone, Debug, Eq, PartialEq)]
+    pub enum CodeError {
+        /// No code has this number.
+        Unknown(number: u16) {
+            display("no result code has the number {number}")
+        }
+    }
+}
+
+impl TryFrom<u16> for Code {
+    type Error = CodeError;
+
+    fn try_from(number: u16) -> Result<Self, CodeError> {
+        let found = Self::ALL.iter().find(|code| code.number() == number);
+        found.copied().ok_or(CodeError::Unknown(number))
+    }
+}
+
+impl std::fmt::Display for Code {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{} ({})", self.number(), self.text())
+    }
+}
--- /dev/null
+++ b/src/wire.rs
@@ -0,0 +1,333 @@
+//! What the processes say to each other: `MessagePack` maps over HTTP POST.
+//!
+//! Fields are named on the wire and unknown ones are passed over, so that two
+//! releases can run side by side; `docs/PROTOCOL.md` is the page for strangers.
+
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de;
+use smol_str::SmolStr;
+
+use crate::api;
+use crate::codes;
+use crate::ids;
+use crate::settings;
+
+/// The version that this release speaks, carried in every message.
+pub const VERSION: u32 = 1;
+
+/// A runner or entry tells an entry that it is there.
+pub const HEARTBEAT_PATH: &str = "/rmp/v1/heartbeat";
+/// An entry hands a task to a runner and waits for its end.
+pub const DISPATCH_PATH: &str = "/rmp/v1/dispatch";
+/// An entry asks a runner about attempts, and has the unstarted ones barred.
+pub const FENCE_PATH: &str = "/rmp/v1/fence";
+/// Any process fetches the settings in force from another.
+pub const SETTINGS_PATH: &str = "/rmp/v1/settings";
+/// An entry passes a caller's call to the entry that owns the submission.
+pub const FORWARD_PATH: &str = "/rmp/v1/forward";
+
+/// Which part a process plays.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Role {
+    /// Takes calls from callers.
+    Entry,
+    /// Sits beside one backend server.
+    Runner,
+}
+
+/// Who a process is.
+#[derive(Clone, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+pub struct Peer {
+    /// Its part.
+    pub role: Role,
+    /// Its name.
+    pub name: SmolStr,
+    /// Its life.
+    pub incarnation: ids::Incarnation,
+    /// Its availability zone.
+    pub zone: SmolStr,
+    /// Its rack.
+    pub rack: SmolStr,
+    /// Where it listens, `IP:PORT`.
+    pub address: SmolStr,
+}
+
+/// How recently the sender could have learned of a settings change.
+///
+/// Ages and not times, since clocks are not compared between machines; the
+/// receiver adds the time since it sent the request that this answers.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Evidence {
+    /// Milliseconds since the log was read to its end.
+    pub log_age_ms: Option<u64>,
+    /// Milliseconds since a process of another availability zone was heard.
+    pub foreign_age_ms: Option<u64>,
+}
+
+/// Amounts of what a worker has and a task takes.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Resources {
+    /// Thousandths of a core.
+    pub cpu_milli: u32,
+    /// Mebibytes.
+    pub memory_mib: u32,
+    /// Whole accelerators.
+    pub accelerators: u32,
+}
+
+/// A runner's load; rides on heartbeats and on every answer to a dispatch.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Load {
+    /// Slots in all.
+    pub slots: u32,
+    /// Slots in use.
+    pub busy: u32,
+    /// Accepted dispatches that wait for a slot.
+    pub parked: u32,
+    /// Size of the worker.
+    pub size: Resources,
+    /// What is in use, by the greater of declared and observed.
+    pub used: Resources,
+    /// The runner's epoch, to be stamped on dispatches.
+    pub epoch: u64,
+    /// Increases with each load this runner sends, so that late ones are told.
+    pub sequence: u64,
+}
+
+/// Body of [`HEARTBEAT_PATH`].
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct Heartbeat {
+    /// See [`VERSION`].
+    pub version: u32,
+    /// The sender.
+    pub sender: Peer,
+    /// Whether the sender is stopping and takes no new work.
+    pub leaving: bool,
+    /// Revision of the settings in force at the sender.
+    pub revision: Option<u64>,
+    /// The sender's evidence.
+    pub evidence: Evidence,
+    /// The load, from a runner.
+    pub load: Option<Load>,
+}
+
+/// Answer to a [`Heartbeat`].
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct HeartbeatReply {
+    /// See [`VERSION`].
+    pub version: u32,
+    /// The answering entry.
+    pub sender: Peer,
+    /// Whether it is stopping.
+    pub leaving: bool,
+    /// Revision of the settings in force there.
+    pub revision: Option<u64>,
+    /// Its evidence.
+    pub evidence: Evidence,
+    /// The entries it knows to be alive, itself left out.
+    pub entries: Vec<Peer>,
+}
+
+/// Body of [`DISPATCH_PATH`].
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct Dispatch {
+    /// See [`VERSION`].
+    pub version: u32,
+    /// The attempt, unique for ever.
+    pub attempt: ids::Attempt,
+    /// The life of the runner that is meant; another life refuses.
+    pub incarnation: ids::Incarnation,
+    /// The runner's epoch as the entry last heard it; an old one is refused.
+    pub epoch: u64,
+    /// The entry's name, for logs and for shares of the runner's queue.
+    pub entry: SmolStr,
+    /// The team that pays.
+    pub team: SmolStr,
+    /// The task's kind.
+    pub kind: SmolStr,
+    /// Passed to the backend server.
+    pub payload: String,
+    /// What it is expected to take.
+    pub resources: Resources,
+    /// Longest wait for a slot before it is handed back, in milliseconds.
+    pub wait_ms: u64,
+    /// Longest run before it is stopped, in milliseconds.
+    pub limit_ms: u64,
+    /// The submission's id, for logs.
+    pub submission: SmolStr,
+    /// The task's place in its submission, for logs.
+    pub index: u32,
+}
+
+/// How an attempt stands or ended.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Outcome {
+    /// It was not started, and never will be under this attempt.
+    NotStarted {
+        /// Why.
+        code: codes::Code,
+    },
+    /// It waits for a slot.
+    Parked,
+    /// It runs.
+    Running {
+        /// For so many milliseconds.
+        run_ms: u64,
+    },
+    /// It ended.
+    Ended {
+        /// [`codes::Code::Complete`], or why it failed.
+        code: codes::Code,
+        /// What the backend server answered.
+        output: String,
+        /// Milliseconds it ran for.
+        run_ms: u64,
+        /// The most it was seen to use.
+        peak: Resources,
+    },
+}
+
+/// Answer to a [`Dispatch`].
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct DispatchReply {
+    /// See [`VERSION`].
+    pub version: u32,
+    /// The attempt that this answers.
+    pub attempt: ids::Attempt,
+    /// Its end.
+    pub outcome: Outcome,
+    /// The runner's load now.
+    pub load: Load,
+}
+
+/// Body of [`FENCE_PATH`].
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct Fence {
+    /// See [`VERSION`].
+    pub version: u32,
+    /// The life of the runner that is meant.
+    pub incarnation: ids::Incarnation,
+    /// The attempts asked about.
+    pub attempts: Vec<ids::Attempt>,
+    /// Whether those not started must never start.
+    pub bar: bool,
+    /// Whether those running are to be stopped.
+    pub stop: bool,
+}
+
+/// Answer to a [`Fence`].
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct FenceReply {
+    /// See [`VERSION`].
+    pub version: u32,
+    /// One per attempt, in order; absent where this life never heard of it.
+    pub outcomes: Vec<Option<Outcome>>,
+    /// The runner's load now.
+    pub load: Load,
+}
+
+/// Body of [`SETTINGS_PATH`].
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct SettingsQuery {
+    /// See [`VERSION`].
+    pub version: u32,
+    /// The revision that the asker has.
+    pub revision: Option<u64>,
+}
+
+/// Answer to a [`SettingsQuery`]; the folder only when it is newer.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct SettingsReply {
+    /// See [`VERSION`].
+    pub version: u32,
+    /// The whole state, where it is newer than the asker's.
+    pub state: Option<settings::Checkpoint>,
+}
+
+/// A caller's call on its way to the owner.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Call {
+    /// Submit, or attach to the same submission made before.
+    Submit(api::Submission),
+    /// Fetch the answer.
+    Fetch {
+        /// Which.
+        submission: ids::SubmissionId,
+        /// How long to wait for it, in milliseconds.
+        wait_ms: u64,
+    },
+    /// Cancel.
+    Cancel {
+        /// Which.
+        submission: ids::SubmissionId,
+    },
+}
+
+/// Body of [`FORWARD_PATH`].
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct Forward {
+    /// See [`VERSION`].
+    pub version: u32,
+    /// The life of the entry that is meant.
+    pub incarnation: ids::Incarnation,
+    /// The caller's team, as checked by the forwarding entry.
+    pub team: SmolStr,
+    /// The call.
+    pub call: Call,
+}
+
+/// Answer to a [`Forward`].
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct ForwardReply {
+    /// See [`VERSION`].
+    pub version: u32,
+    /// The owner's answer.
+    pub answer: api::Answer,
+}
+
+quick_error! {
+    /// Why bytes are not a message.
+    #[derive(Debug)]
+    pub enum WireError {
+        /// Not `MessagePack`, or not this message.
+        Decode(err: rmp_serde::decode::Error) {
+            from()
+            display("can't be read: {err}")
+            source(err)
+        }
+        /// Can't be written.
+        Encode(err: rmp_serde::encode::Error) {
+            from()
+            display("can't be written: {err}")
+            source(err)
+        }
+        /// A version not spoken here.
+        Version(version: u32) {
+            display("version {version} is not spoken here")
+        }
+    }
+}
+
+/// Writes a message.
+pub fn encode<T: Serialize>(message: &T) -> Result<Vec<u8>, WireError> {
+    Ok(rmp_serde::to_vec_named(message)?)
+}
+
+/// The part that every message has.
+#[derive(Deserialize)]
+struct Versioned {
+    version: u32,
+}
+
+/// Reads a message, its version first, so that a later one is told apart from garbage.
+pub fn decode<T: de::DeserializeOwned>(bytes: &[u8]) -> Result<T, WireError> {
+    let Versioned { version } = rmp_serde::from_slice(bytes)?;
+    if version != VERSION {
+        return Err(WireError::Version(version));
+    }
+    Ok(rmp_serde::from_slice(bytes)?)
+}
--- /dev/null
+++ b/tests/unit/main.rs
@@ -0,0 +1,1 @@
+//! Tests of the pure modules.
