Decide in pure modules what an entry and a runner do

Cause: the whole path needs its decisions before its processes. Ruled out: deciding inside the HTTP handlers (not testable without a network). Before: wire types only. Conclusion: thin versions, to be deepened slice by slice.

--- a/src/codes.rs
+++ b/src/codes.rs
@@ -89,6 +89,10 @@
     Fenced = 114, "it was promised that this would never start";
     /// Waited longer at the runner than the dispatch allowed.
     WaitedTooLong = 115, "no slot came free in the time allowed";
+    /// The backend server could not be reached by its runner.
+    BackendUnreachable = 116, "the backend server could not be reached";
+    /// The submission had failed already, so the rest of it was not started.
+    NotNeeded = 117, "the submission had failed already";
 
     /// A task ran and failed.
     TaskFailed = 200, "a task ran and failed";
@@ -100,8 +104,6 @@
     DeadlinePassed = 203, "the deadline passed after some of it had started";
     /// Some tasks ran, others could not be started.
     PartlyNotRun = 204, "some tasks ran and others could not be started";
-    /// The backend server could not be reached by its runner.
-    BackendUnreachable = 205, "the backend server could not be reached";
 
     /// A runner was lost with tasks on it.
     RunnerLost = 300, "a runner was lost while it may have been running a task";
@@ -113,6 +115,8 @@
     AnswerExpired = 303, "the answer is no longer kept";
     /// The backend server broke off after the task had begun.
     BackendLost = 304, "the backend server broke off after the task had begun";
+    /// It was given up while it may have been running.
+    StillRunning = 305, "given up while a task may still have been running";
 
     /// The body is not what the page describes.
     BadBody = 400, "the body can't be read";
--- /dev/null
+++ b/src/entry/attempts.rs
@@ -0,0 +1,319 @@
+//! What becomes of a task that was handed to a runner.
+//!
+//! A task is handed out again only when it is *known* that the attempt before did
+//! not start and never will: the connection was never made, the runner said so,
+//! or it promised so when asked on a fresh connection. Where none of these can be
+//! had, the truth is "may have run".
+
+use crate::api;
+use crate::codes;
+use crate::entry::core;
+use crate::ids;
+use crate::jobs;
+use crate::membership;
+use crate::queue;
+use crate::wire;
+
+/// Why a dispatch brought no answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fault {
+    /// The connection was not made: nothing was sent.
+    NotSent,
+    /// Something was sent; what came of it is not known.
+    Lost,
+}
+
+/// Pause after a runner said that it is full, in milliseconds: the time in which
+/// one of eight slots comes free when tasks take about 200 ms.
+const FULL_PAUSE_MS: u64 = 25;
+
+/// Time between two questions about the same attempt, in milliseconds.
+const ASK_AGAIN_MS: u64 = 500;
+
+impl core::Core {
+    /// A runner answered a dispatch, perhaps late or twice.
+    pub fn dispatch_answered(
+        &mut self,
+        now_ms: u64,
+        reply: wire::DispatchReply,
+    ) -> Vec<core::Action> {
+        let number = reply.attempt.number;
+        let is_ours = reply.attempt.owner == self.me.incarnation;
+        let Some(flight) = self.in_flight.get(&number).filter(|_| is_ours) else {
+            self.counts.wasted += 1;
+            return Vec::new();
+        };
+        self.hear_load(flight.runner, now_ms, reply.load);
+        let mut actions = self.outcome(now_ms, number, reply.outcome);
+        actions.extend(self.pump(now_ms));
+        actions
+    }
+
+    fn hear_load(&mut self, key: membership::RunnerKey, now_ms: u64, load: wire::Load) {
+        if let Some(runner) = self.members.runner_mut(key) {
+            runner.heard_ms = runner.heard_ms.max(now_ms);
+            runner.hear_load(load);
+        }
+    }
+
+    /// A dispatch brought no answer.
+    pub fn dispatch_failed(
+        &mut self,
+        now_ms: u64,
+        attempt: ids::Attempt,
+        fault: Fault,
+    ) -> Vec<core::Action> {
+        let Some(flight) = self.in_flight.get_mut(&attempt.number) else {
+            return Vec::new();
+        };
+        match fault {
+            Fault::NotSent => {
+                let code = codes::Code::BackendUnreachable;
+                let mut actions = self.not_started(now_ms, attempt.number, code);
+                actions.extend(self.pump(now_ms));
+                actions
+            }
+            Fault::Lost => {
+                flight.is_lost = true;
+                flight.ask_ms = now_ms;
+                self.ask(now_ms, attempt.number).into_iter().collect()
+            }
+        }
+    }
+
+    /// Keeps work from a runner for a while, so that a refusal that will be
+    /// repeated is not asked for again and again.
+    fn close(&mut self, now_ms: u64, key: membership::RunnerKey, code: codes::Code) {
+        let heartbeat_ms = u64::from(self.settings.timeouts.heartbeat_ms);
+        let Some(runner) = self.members.runner_mut(key) else {
+            return;
+        };
+        let pause_ms = match code {
+            codes::Code::Leaving => {
+                runner.is_leaving = true;
+                return;
+            }
+            codes::Code::RunnerFull | codes::Code::WaitedTooLong => FULL_PAUSE_MS,
+            codes::Code::Fenced | codes::Code::NeverFits => return,
+            _ => heartbeat_ms,
+        };
+        runner.closed_until_ms = now_ms + pause_ms;
+    }
+
+    /// A runner answered a question.
+    pub fn fence_answered(
+        &mut self,
+        now_ms: u64,
+        fence: &wire::Fence,
+        reply: wire::FenceReply,
+    ) -> Vec<core::Action> {
+        let is_same_life = reply.incarnation == fence.incarnation;
+        let mut actions = Vec::new();
+        for (attempt, outcome) in fence.attempts.iter().zip(reply.outcomes) {
+            let Some(flight) = self.in_flight.get(&attempt.number) else {
+                continue;
+            };
+            let runner = flight.runner;
+            match outcome {
+                Some(outcome) if is_same_life => {
+                    self.hear_load(runner, now_ms, reply.load);
+                    actions.extend(self.outcome(now_ms, attempt.number, outcome));
+                }
+                None if is_same_life => {}
+                _ => actions.extend(self.runner_over(now_ms, runner)),
+            }
+        }
+        actions.extend(self.pump(now_ms));
+        actions
+    }
+
+    fn outcome(&mut self, now_ms: u64, number: u64, outcome: wire::Outcome) -> Vec<core::Action> {
+        match outcome {
+            wire::Outcome::Parked => Vec::new(),
+            wire::Outcome::Running { .. } => {
+                if let Some(flight) = self.in_flight.get_mut(&number) {
+                    flight.ask_ms = now_ms + u64::from(self.settings.timeouts.query_after_ms);
+                }
+                Vec::new()
+            }
+            wire::Outcome::NotStarted { code } => {
+                self.counts.wasted += 1;
+                self.not_started(now_ms, number, code)
+            }
+            wire::Outcome::Ended {
+                code,
+                output,
+                run_ms,
+                ..
+            } => self.ended(now_ms, number, code, output, run_ms),
+        }
+    }
+
+    /// The attempt will never start: the task may be handed out again.
+    fn not_started(&mut self, now_ms: u64, number: u64, code: codes::Code) -> Vec<core::Action> {
+        let Some(flight) = self.take(number) else {
+            return Vec::new();
+        };
+        self.close(now_ms, flight.runner, code);
+        let Some(open) = self.jobs.open_mut(flight.task.submission) else {
+            return Vec::new();
+        };
+        let verdict = open.verdict();
+        if verdict.is_some() || code == codes::Code::NeverFits {
+            let code = verdict.map_or(code, |verdict| verdict.code);
+            return self.decide(now_ms, flight.task, jobs::Decided::not_run(code));
+        }
+        open.requeued(flight.task.index);
+        let team = open.header.team.clone();
+        let since_ms = open.header.arrived_ms;
+        let expected_ms = open
+            .task(flight.task.index)
+            .map_or(0, super::calls::expected_ms);
+        let item = queue::Item {
+            task: flight.task,
+            team,
+            expected_ms,
+            since_ms,
+        };
+        self.queue.push_front(item);
+        Vec::new()
+    }
+
+    fn ended(
+        &mut self,
+        now_ms: u64,
+        number: u64,
+        code: codes::Code,
+        output: String,
+        run_ms: u64,
+    ) -> Vec<core::Action> {
+        let Some(flight) = self.take(number) else {
+            return Vec::new();
+        };
+        self.counts.started += 1;
+        let place = self.place_of(flight.runner);
+        let fate = match code.class() {
+            codes::Class::Complete => api::Fate::Ran,
+            codes::Class::MayHaveRun => return self.lost(now_ms, &flight, code),
+            _ => api::Fate::Failed,
+        };
+        let code = self.cause_of(flight.task, code);
+        let decided = jobs::Decided {
+            fate,
+            code,
+            output,
+            run_ms,
+            place,
+        };
+        self.decide(now_ms, flight.task, decided)
+    }
+
+    /// A task that was stopped for the deadline failed for the deadline.
+    fn cause_of(&self, task: jobs::TaskKey, code: codes::Code) -> codes::Code {
+        let open = self.jobs.open_at(task.submission);
+        let verdict = open
+            .and_then(jobs::Open::verdict)
+            .map(|verdict| verdict.code);
+        match (code, verdict) {
+            (codes::Code::Cancelled, Some(codes::Code::DeadlineNotRun)) => {
+                codes::Code::DeadlinePassed
+            }
+            _ => code,
+        }
+    }
+
+    /// The attempt may have started and nothing more will be heard of it.
+    fn lost(
+        &mut self,
+        now_ms: u64,
+        flight: &core::InFlight,
+        code: codes::Code,
+    ) -> Vec<core::Action> {
+        let place = self.place_of(flight.runner);
+        self.decide(
+            now_ms,
+            flight.task,
+            jobs::Decided::may_have_run(code, place),
+        )
+    }
+
+    fn place_of(&self, key: membership::RunnerKey) -> Option<jobs::Place> {
+        let peer = &self.members.runner(key)?.peer;
+        Some(jobs::Place {
+            runner: peer.name.clone(),
+            zone: peer.zone.clone(),
+        })
+    }
+
+    /// Takes an attempt off the books.
+    fn take(&mut self, number: u64) -> Option<core::InFlight> {
+        let flight = self.in_flight.remove(&number)?;
+        if let Some(runner) = self.members.runner_mut(flight.runner) {
+            runner.settled(&flight.need);
+        }
+        let team = self
+            .jobs
+            .get(flight.task.submission)
+            .map(|known| known.header().team.clone());
+        if let Some(count) = team.and_then(|team| self.running_by_team.get_mut(&team)) {
+            *count = count.saturating_sub(1);
+        }
+        Some(flight)
+    }
+
+    /// A life of a runner is over: what it may have been running is lost.
+    pub(crate) fn runner_over(
+        &mut self,
+        now_ms: u64,
+        key: membership::RunnerKey,
+    ) -> Vec<core::Action> {
+        let on_it = self
+            .in_flight
+            .iter()
+            .filter(|(_, flight)| flight.runner == key);
+        let numbers: Vec<u64> = on_it.map(|(number, _)| *number).collect();
+        let mut actions = Vec::new();
+        for number in numbers {
+            let Some(flight) = self.take(number) else {
+                continue;
+            };
+            actions.extend(self.lost(now_ms, &flight, codes::Code::RunnerLost));
+        }
+        actions
+    }
+
+    /// Has an attempt stopped, or barred if it has not started.
+    pub(crate) fn stop(&mut self, now_ms: u64, attempt: ids::Attempt) -> Option<core::Action> {
+        let flight = self.in_flight.get_mut(&attempt.number)?;
+        if flight.is_stopping {
+            return None;
+        }
+        flight.is_stopping = true;
+        self.ask(now_ms, attempt.number)
+    }
+
+    /// Asks the runner about an attempt, on a fresh connection.
+    ///
+    /// The answer to a dispatch that went silent tells nothing; the question has
+    /// the attempt barred if it never started, so "not run" is true from then on.
+    pub(crate) fn ask(&mut self, now_ms: u64, number: u64) -> Option<core::Action> {
+        let flight = self.in_flight.get_mut(&number)?;
+        flight.ask_ms = now_ms + ASK_AGAIN_MS;
+        let peer = &self.members.runner(flight.runner)?.peer;
+        let fence = wire::Fence {
+            version: wire::VERSION,
+            incarnation: peer.incarnation,
+            attempts: vec![ids::Attempt {
+                owner: self.me.incarnation,
+                number,
+            }],
+            bar: flight.is_lost || flight.is_stopping,
+            stop: flight.is_stopping,
+        };
+        self.counts.wasted += 1;
+        Some(core::Action::Fence {
+            address: peer.address.clone(),
+            fence,
+        })
+    }
+}
--- /dev/null
+++ b/src/entry/core.rs
@@ -0,0 +1,296 @@
+//! An entry's state and what it is to do, without network, clock or randomness.
+//!
+//! What happens comes in as method calls with the monotonic time in milliseconds;
+//! what is to be done goes out as [`Action`]s. The methods stand in the modules
+//! beside this one: [`crate::entry::calls`] for callers, [`crate::entry::attempts`]
+//! for what becomes of dispatches, [`crate::entry::pump`] for handing out work and
+//! [`crate::entry::tick`] for time.
+
+use std::collections;
+use std::sync;
+
+use rand::SeedableRng;
+use smol_str::SmolStr;
+
+use crate::api;
+use crate::freshness;
+use crate::ids;
+use crate::jobs;
+use crate::membership;
+use crate::queue;
+use crate::settings;
+use crate::wire;
+
+/// What the entry's surroundings must do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send this to a runner and report how it ended.
+    Dispatch {
+        /// The runner's address.
+        address: SmolStr,
+        /// The message.
+        dispatch: Box<wire::Dispatch>,
+    },
+    /// Ask a runner on a fresh connection and report its answer.
+    Fence {
+        /// The runner's address.
+        address: SmolStr,
+        /// The message.
+        fence: wire::Fence,
+    },
+    /// Tell all who wait for this submission.
+    Answer {
+        /// Which.
+        submission: jobs::Key,
+        /// The final answer.
+        answer: Box<api::Answer>,
+    },
+}
+
+/// An attempt that was handed to a runner and is not settled.
+#[derive(Clone, Debug)]
+pub struct InFlight {
+    /// The task.
+    pub task: jobs::TaskKey,
+    /// The runner.
+    pub runner: membership::RunnerKey,
+    /// What it is expected to take.
+    pub need: wire::Resources,
+    /// When it was handed over.
+    pub sent_ms: u64,
+    /// When to ask about it if nothing is heard.
+    pub ask_ms: u64,
+    /// Whether the answer to its dispatch can't come any more.
+    pub is_lost: bool,
+    /// Whether it is to be stopped.
+    pub is_stopping: bool,
+}
+
+/// Counts for the metrics.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Counts {
+    /// Dispatches sent.
+    pub dispatches: u64,
+    /// Tasks known to have started.
+    pub started: u64,
+    /// Messages that moved nothing forward: refused dispatches, fences, late answers.
+    pub wasted: u64,
+    /// Submissions taken in.
+    pub accepted: u64,
+    /// Submissions refused.
+    pub refused: u64,
+    /// Answers complete.
+    pub complete: u64,
+    /// Answers failed.
+    pub failed: u64,
+    /// Retries of idempotent tasks that may have run.
+    pub retries: u64,
+}
+
+/// The state of one life of one entry.
+#[derive(Debug)]
+pub struct Core {
+    pub(crate) me: wire::Peer,
+    pub(crate) settings: sync::Arc<settings::Settings>,
+    pub(crate) revision: Option<u64>,
+    pub(crate) freshness: freshness::Freshness,
+    pub(crate) members: membership::Members,
+    pub(crate) jobs: jobs::Table,
+    pub(crate) queue: queue::Queue,
+    pub(crate) in_flight: collections::BTreeMap<u64, InFlight>,
+    pub(crate) running_by_team: collections::HashMap<SmolStr, u32>,
+    pub(crate) next_attempt: u64,
+    pub(crate) next_ticket: u64,
+    pub(crate) is_leaving: bool,
+    pub(crate) last_tick_ms: u64,
+    pub(crate) counts: Counts,
+    pub(crate) rng: rand_chacha::ChaCha8Rng,
+}
+
+impl Core {
+    /// An entry that knows of no runner yet; `seed` feeds the breaking of ties.
+    pub fn new(
+        me: wire::Peer,
+        settings: sync::Arc<settings::Settings>,
+        now_ms: u64,
+        seed: u64,
+    ) -> Self {
+        Self {
+            me,
+            settings,
+            revision: None,
+            freshness: freshness::Freshness::default(),
+            members: membership::Members::default(),
+            jobs: jobs::Table::new(now_ms),
+            queue: queue::Queue::default(),
+            in_flight: collections::BTreeMap::new(),
+            running_by_team: collections::HashMap::new(),
+            next_attempt: 1,
+            next_ticket: 1,
+            is_leaving: false,
+            last_tick_ms: now_ms,
+            counts: Counts::default(),
+            rng: rand_chacha::ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// Who this is.
+    pub const fn me(&self) -> &wire::Peer {
+        &self.me
+    }
+
+    /// The settings in force here.
+    pub const fn settings(&self) -> &sync::Arc<settings::Settings> {
+        &self.settings
+    }
+
+    /// What was heard of the settings' freshness.
+    pub const fn freshness(&mut self) -> &mut freshness::Freshness {
+        &mut self.freshness
+    }
+
+    /// The processes known.
+    pub const fn members(&self) -> &membership::Members {
+        &self.members
+    }
+
+    /// The counts so far.
+    pub const fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Whether the entry is stopping.
+    pub const fn is_leaving(&self) -> bool {
+        self.is_leaving
+    }
+
+    /// How many submissions are open.
+    pub const fn open(&self) -> usize {
+        self.jobs.open()
+    }
+
+    /// How many tasks wait here.
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// How many tasks are handed out.
+    pub fn handed_out(&self) -> usize {
+        self.in_flight.len()
+    }
+
+    /// The entry is to stop: it takes nothing new and brings to an end what it has.
+    pub const fn leave(&mut self) {
+        self.is_leaving = true;
+    }
+
+    /// New settings are in force; what waits may have somewhere else to go.
+    pub fn set_settings(
+        &mut self,
+        now_ms: u64,
+        settings: sync::Arc<settings::Settings>,
+        revision: Option<u64>,
+    ) -> Vec<Action> {
+        self.settings = settings;
+        self.revision = revision;
+        self.pump(now_ms)
+    }
+
+    /// A runner or another entry said that it is there.
+    pub fn heartbeat(
+        &mut self,
+        now_ms: u64,
+        heartbeat: &wire::Heartbeat,
+    ) -> (wire::HeartbeatReply, Vec<Action>) {
+        let mut actions = Vec::new();
+        match heartbeat.sender.role {
+            wire::Role::Runner => {
+                let heard = self.members.hear_runner(now_ms, heartbeat);
+                if let membership::Heard::Replaced(old) = heard {
+                    actions.extend(self.runner_over(now_ms, old));
+                }
+                actions.extend(self.pump(now_ms));
+            }
+            wire::Role::Entry => {
+                let heartbeat = heartbeat.clone();
+                let wire::Heartbeat {
+                    sender,
+                    leaving,
+                    revision,
+                    ..
+                } = heartbeat;
+                self.members.hear_entry(now_ms, &sender, leaving, revision);
+            }
+        }
+        (self.heartbeat_reply(now_ms), actions)
+    }
+
+    fn heartbeat_reply(&self, now_ms: u64) -> wire::HeartbeatReply {
+        wire::HeartbeatReply {
+            version: wire::VERSION,
+            sender: self.me.clone(),
+            leaving: self.is_leaving,
+            revision: self.revision,
+            evidence: self.freshness.evidence(now_ms),
+            entries: self.live_entries(now_ms),
+        }
+    }
+
+    /// Entries heard of lately that are not stopping.
+    pub fn live_entries(&self, now_ms: u64) -> Vec<wire::Peer> {
+        let bound = u64::from(self.settings.timeouts.dead_after_ms);
+        let live = self
+            .members
+            .entries()
+            .filter(|entry| !entry.is_leaving && entry.heard_ms.saturating_add(bound) > now_ms);
+        live.map(|entry| entry.peer.clone()).collect()
+    }
+
+    /// Another entry answered a heartbeat of this one.
+    pub fn heartbeat_answered(
+        &mut self,
+        now_ms: u64,
+        asked_ms: u64,
+        reply: &wire::HeartbeatReply,
+    ) -> bool {
+        if reply.sender.role == wire::Role::Entry {
+            self.members
+                .hear_entry(now_ms, &reply.sender, reply.leaving, reply.revision);
+        }
+        for peer in reply
+            .entries
+            .iter()
+            .filter(|peer| peer.name != self.me.name)
+        {
+            self.members.hear_of_entry(now_ms, peer);
+        }
+        if reply.revision > self.revision {
+            return true;
+        }
+        let is_foreign = reply.sender.zone != self.me.zone;
+        self.freshness
+            .hear_process(asked_ms, is_foreign, reply.evidence);
+        false
+    }
+
+    /// The heartbeat to send to other processes.
+    pub fn heartbeat_to_send(&self, now_ms: u64) -> wire::Heartbeat {
+        wire::Heartbeat {
+            version: wire::VERSION,
+            sender: self.me.clone(),
+            leaving: self.is_leaving,
+            revision: self.revision,
+            evidence: self.freshness.evidence(now_ms),
+            load: None,
+        }
+    }
+
+    pub(crate) const fn attempt(&mut self) -> ids::Attempt {
+        let number = self.next_attempt;
+        self.next_attempt += 1;
+        ids::Attempt {
+            owner: self.me.incarnation,
+            number,
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/report.rs
@@ -0,0 +1,79 @@
+//! What an entry tells operators of itself.
+
+use smol_str::SmolStr;
+
+use crate::api;
+use crate::entry::core;
+use crate::membership;
+
+impl core::Core {
+    /// The answer to `GET /status`.
+    pub fn status(&self, now_ms: u64) -> api::Status {
+        let fresh_ms = self.settings.timeouts.fresh_ms.into();
+        api::Status {
+            role: SmolStr::new_static("entry"),
+            name: self.me.name.clone(),
+            incarnation: smol_str::format_smolstr!("{}", self.me.incarnation),
+            zone: self.me.zone.clone(),
+            leaving: self.is_leaving,
+            revision: self.revision,
+            log_age_ms: self.freshness.evidence(now_ms).log_age_ms,
+            fresh: self.freshness.is_fresh(now_ms, fresh_ms),
+            zones_out: self.settings.zones_out(),
+            queued: self.queue.len() as u64,
+            running: self.in_flight.len() as u64,
+            peers: self.peers(now_ms),
+        }
+    }
+
+    fn peers(&self, now_ms: u64) -> Vec<api::PeerStatus> {
+        let runners = self
+            .members
+            .runners()
+            .map(|(_, runner)| self.runner_status(now_ms, runner));
+        let entries = self
+            .members
+            .entries()
+            .map(|entry| self.entry_status(now_ms, entry));
+        let mut peers: Vec<_> = entries.chain(runners).collect();
+        peers.sort_by(|a, b| (&a.role, &a.name).cmp(&(&b.role, &b.name)));
+        peers
+    }
+
+    fn runner_status(&self, now_ms: u64, runner: &membership::Runner) -> api::PeerStatus {
+        api::PeerStatus {
+            role: SmolStr::new_static("runner"),
+            name: runner.peer.name.clone(),
+            address: runner.peer.address.clone(),
+            zone: runner.peer.zone.clone(),
+            state: self.state(now_ms, runner.heard_ms, runner.is_leaving),
+            revision: runner.revision,
+            busy: runner.load.busy,
+            slots: runner.load.slots,
+        }
+    }
+
+    fn entry_status(&self, now_ms: u64, entry: &membership::Entry) -> api::PeerStatus {
+        api::PeerStatus {
+            role: SmolStr::new_static("entry"),
+            name: entry.peer.name.clone(),
+            address: entry.peer.address.clone(),
+            zone: entry.peer.zone.clone(),
+            state: self.state(now_ms, entry.heard_ms, entry.is_leaving),
+            revision: entry.revision,
+            busy: 0,
+            slots: 0,
+        }
+    }
+
+    fn state(&self, now_ms: u64, heard_ms: u64, is_leaving: bool) -> SmolStr {
+        let dead_after = u64::from(self.settings.timeouts.dead_after_ms);
+        let is_silent = heard_ms.saturating_add(dead_after) <= now_ms;
+        let word = match (is_leaving, is_silent) {
+            (true, _) => "leaving",
+            (false, true) => "silent",
+            (false, false) => "alive",
+        };
+        SmolStr::new_static(word)
+    }
+}
--- /dev/null
+++ b/src/entry/tick.rs
@@ -0,0 +1,120 @@
+//! What time brings: deadlines, silence, dead runners, forgetting.
+
+use crate::codes;
+use crate::entry::core;
+use crate::jobs;
+use crate::membership;
+
+/// A gap between two ticks that means this process itself stood still.
+const PAUSE_MS: u64 = 1_000;
+
+/// Longest wait for the fate of what ran when a submission was given up: a
+/// question to a runner and its answer, with room for a busy one.
+const SETTLE_MS: u64 = 200;
+
+/// Silent processes are forgotten after so many times the time after which they
+/// count as dead.
+const FORGET_FACTOR: u64 = 20;
+
+impl core::Core {
+    /// Time passes; called several times a second.
+    pub fn tick(&mut self, now_ms: u64) -> Vec<core::Action> {
+        self.mind_pause(now_ms);
+        let timeouts = self.settings.timeouts;
+        self.jobs.advance(now_ms, timeouts.retain_ms.into());
+        let dead_after = u64::from(timeouts.dead_after_ms);
+        let mut actions = self.end_overdue(now_ms);
+        actions.extend(self.end_unsettled(now_ms));
+        actions.extend(self.end_dead_runners(now_ms, dead_after));
+        actions.extend(self.ask_silent(now_ms));
+        self.members
+            .forget_silent(now_ms, dead_after * FORGET_FACTOR);
+        actions.extend(self.pump(now_ms));
+        actions
+    }
+
+    /// A process that was frozen wakes up to old times of hearing. Taking its own
+    /// pause for everybody's silence it would give up all that runs; so the pause
+    /// is taken out of the silence.
+    fn mind_pause(&mut self, now_ms: u64) {
+        let gap = now_ms.saturating_sub(self.last_tick_ms);
+        self.last_tick_ms = now_ms;
+        if gap > PAUSE_MS {
+            self.members.forgive(gap);
+        }
+    }
+
+    fn end_overdue(&mut self, now_ms: u64) -> Vec<core::Action> {
+        let mut actions = Vec::new();
+        for key in self.overdue(now_ms) {
+            actions.extend(self.give_up(now_ms, key, codes::Code::DeadlineNotRun));
+        }
+        actions
+    }
+
+    fn overdue(&self, now_ms: u64) -> Vec<jobs::Key> {
+        let is_overdue = |key: &jobs::Key| {
+            let open = self.jobs.open_at(*key);
+            open.is_some_and(|open| open.header.deadline_ms <= now_ms && open.verdict().is_none())
+        };
+        self.jobs
+            .open_keys()
+            .into_iter()
+            .filter(is_overdue)
+            .collect()
+    }
+
+    /// A submission that was given up gets its answer at once: the fate of what
+    /// was running is waited for only so long as a question to its runner takes.
+    fn end_unsettled(&mut self, now_ms: u64) -> Vec<core::Action> {
+        let is_due = |open: &jobs::Open| {
+            open.verdict()
+                .is_some_and(|verdict| verdict.at_ms + SETTLE_MS <= now_ms)
+        };
+        let keys = self.jobs.open_keys();
+        let due = keys
+            .into_iter()
+            .filter(|key| self.jobs.open_at(*key).is_some_and(is_due));
+        let due: Vec<_> = due.collect();
+        due.into_iter()
+            .flat_map(|key| self.end_unknown(now_ms, key))
+            .collect()
+    }
+
+    fn end_unknown(&mut self, now_ms: u64, key: jobs::Key) -> Vec<core::Action> {
+        let Some(open) = self.jobs.open_mut(key) else {
+            return Vec::new();
+        };
+        let undecided = open
+            .all()
+            .filter(|(_, p)| !matches!(p, jobs::Progress::Decided(_)));
+        let undecided: Vec<u32> = undecided.map(|(index, _)| index).collect();
+        for index in undecided {
+            let decided = jobs::Decided::may_have_run(codes::Code::StillRunning, None);
+            open.decide(now_ms, index, decided);
+        }
+        self.settle(now_ms, key)
+    }
+
+    fn end_dead_runners(&mut self, now_ms: u64, dead_after: u64) -> Vec<core::Action> {
+        let is_dead = |runner: &membership::Runner| {
+            runner.in_flight > 0 && runner.heard_ms.saturating_add(dead_after) <= now_ms
+        };
+        let dead = self.members.runners().filter(|(_, runner)| is_dead(runner));
+        let dead: Vec<_> = dead.map(|(key, _)| key).collect();
+        dead.into_iter()
+            .flat_map(|key| self.runner_over(now_ms, key))
+            .collect()
+    }
+
+    fn ask_silent(&mut self, now_ms: u64) -> Vec<core::Action> {
+        let due = self
+            .in_flight
+            .iter()
+            .filter(|(_, flight)| flight.ask_ms <= now_ms);
+        let due: Vec<u64> = due.map(|(number, _)| *number).collect();
+        due.into_iter()
+            .filter_map(|number| self.ask(now_ms, number))
+            .collect()
+    }
+}
--- /dev/null
+++ b/src/jobs/table.rs
@@ -0,0 +1,168 @@
+//! All submissions of one life of an entry, under small keys.
+
+use std::collections;
+
+use smol_str::SmolStr;
+
+use crate::api;
+use crate::ids;
+use crate::jobs;
+use crate::window;
+
+slotmap::new_key_type! {
+    /// Key of a submission; never valid for another one.
+    pub struct Key;
+}
+
+/// A submission in either part of its life.
+#[derive(Clone, Debug)]
+pub enum Submission {
+    /// Not all tasks are decided.
+    Open(jobs::Open),
+    /// Over.
+    Ended(jobs::Ended),
+}
+
+impl Submission {
+    /// What stays the same through both parts.
+    pub const fn header(&self) -> &jobs::Header {
+        match self {
+            Self::Open(open) => &open.header,
+            Self::Ended(ended) => &ended.header,
+        }
+    }
+}
+
+/// Ids are a team's own: the same text from two teams names two submissions, so
+/// no team can read or hit upon another's.
+type Name = (SmolStr, ids::SubmissionId);
+
+#[derive(Debug)]
+struct Line {
+    submission: Submission,
+    tag: u64,
+}
+
+/// The submissions.
+#[derive(Debug)]
+pub struct Table {
+    epochs: window::Epochs,
+    lines: slotmap::SlotMap<Key, Line>,
+    names: collections::HashMap<Name, Key>,
+    open: usize,
+}
+
+impl Table {
+    /// Starts empty, in the first epoch.
+    pub fn new(now_ms: u64) -> Self {
+        Self {
+            epochs: window::Epochs::new(now_ms),
+            lines: slotmap::SlotMap::with_key(),
+            names: collections::HashMap::new(),
+            open: 0,
+        }
+    }
+
+    /// The epochs by which tickets are minted and checked.
+    pub const fn epochs(&self) -> window::Epochs {
+        self.epochs
+    }
+
+    /// How many submissions are remembered.
+    pub fn len(&self) -> usize {
+        self.lines.len()
+    }
+
+    /// Whether none is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.lines.is_empty()
+    }
+
+    /// How many are open.
+    pub const fn open(&self) -> usize {
+        self.open
+    }
+
+    /// Finds a submission by its id.
+    pub fn find(&self, team: &SmolStr, id: &ids::SubmissionId) -> Option<Key> {
+        self.names.get(&(team.clone(), id.clone())).copied()
+    }
+
+    /// Looks at a submission.
+    pub fn get(&self, key: Key) -> Option<&Submission> {
+        self.lines.get(key).map(|line| &line.submission)
+    }
+
+    /// Looks at an open submission.
+    pub fn open_at(&self, key: Key) -> Option<&jobs::Open> {
+        match self.get(key)? {
+            Submission::Open(open) => Some(open),
+            Submission::Ended(_) => None,
+        }
+    }
+
+    /// Changes an open submission.
+    pub fn open_mut(&mut self, key: Key) -> Option<&mut jobs::Open> {
+        match &mut self.lines.get_mut(key)?.submission {
+            Submission::Open(open) => Some(open),
+            Submission::Ended(_) => None,
+        }
+    }
+
+    /// Keys of all open submissions.
+    pub fn open_keys(&self) -> Vec<Key> {
+        let is_open = |line: &Line| matches!(line.submission, Submission::Open(_));
+        self.lines
+            .iter()
+            .filter(|(_, line)| is_open(line))
+            .map(|(key, _)| key)
+            .collect()
+    }
+
+    /// Takes in a new submission.
+    pub fn insert(&mut self, open: jobs::Open) -> Key {
+        let name = (open.header.team.clone(), open.header.id.clone());
+        let tag = self.epochs.current();
+        let submission = Submission::Open(open);
+        let key = self.lines.insert(Line { submission, tag });
+        self.names.insert(name, key);
+        self.open += 1;
+        key
+    }
+
+    /// Ends a submission if all its tasks are decided, and gives its answer then.
+    pub fn settle(&mut self, key: Key, now_ms: u64) -> Option<api::Answer> {
+        if !self.open_at(key)?.is_decided() {
+            return None;
+        }
+        let line = self.lines.get_mut(key)?;
+        let Submission::Open(open) = &line.submission else {
+            return None;
+        };
+        let ended = open.clone().settle(now_ms).ok()?;
+        let answer = ended.answer.clone();
+        line.submission = Submission::Ended(ended);
+        line.tag = self.epochs.current();
+        self.open -= 1;
+        Some(answer)
+    }
+
+    /// Begins another epoch when it is time, and forgets what may be forgotten:
+    /// what is over, and whose ticket would be refused if it came again.
+    pub fn advance(&mut self, now_ms: u64, retain_ms: u64) {
+        if !self.epochs.advance(now_ms, retain_ms) {
+            return;
+        }
+        let epochs = self.epochs;
+        let names = &mut self.names;
+        self.lines.retain(|_, line| {
+            let is_open = matches!(line.submission, Submission::Open(_));
+            let is_kept = is_open || epochs.contains(line.tag);
+            if !is_kept {
+                let header = line.submission.header();
+                names.remove(&(header.team.clone(), header.id.clone()));
+            }
+            is_kept
+        });
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,15 @@
 
 pub mod api;
 pub mod codes;
+pub mod entry;
+pub mod freshness;
 pub mod ids;
+pub mod jobs;
+pub mod membership;
+pub mod placement;
+pub mod queue;
+pub mod runner;
 pub mod settings;
+pub mod starts;
+pub mod window;
 pub mod wire;
--- a/src/settings/checked.rs
+++ b/src/settings/checked.rs
@@ -26,6 +26,12 @@
     pub fn is_zone_out(&self, zone: &str) -> bool {
         self.zones.get(zone).is_some_and(|zone| zone.out)
     }
+
+    /// Names of the availability zones out of service.
+    pub fn zones_out(&self) -> Vec<SmolStr> {
+        let out = self.zones.iter().filter(|(_, zone)| zone.out);
+        out.map(|(name, _)| name.clone()).collect()
+    }
 }
 
 /// One team: who may call, and its share and quota.
--- /dev/null
+++ b/src/window.rs
@@ -0,0 +1,45 @@
+//! Epochs: remembering exactly enough to refuse what is too old to be checked.
+//!
+//! A process hands out its current epoch (on tickets, on heartbeats) and takes in
+//! only what carries the current or the previous one. Whatever it records is
+//! tagged with the epoch of the recording, which is never below the epoch that
+//! the recorded message carried. A record may therefore be dropped once its tag
+//! has left the window: a repeat of its message would be refused by its epoch
+//! alone. This needs no clock that two machines share.
+
+/// Epochs of one life of a process; the first is 1.
+#[derive(Clone, Copy, Debug)]
+pub struct Epochs {
+    current: u64,
+    began_ms: u64,
+}
+
+impl Epochs {
+    /// Starts the first epoch.
+    pub const fn new(now_ms: u64) -> Self {
+        Self {
+            current: 1,
+            began_ms: now_ms,
+        }
+    }
+
+    /// The epoch to hand out and to tag records with.
+    pub const fn current(&self) -> u64 {
+        self.current
+    }
+
+    /// Whether a message of this epoch, or a record with this tag, still counts.
+    pub const fn contains(&self, epoch: u64) -> bool {
+        epoch <= self.current && epoch + 1 >= self.current
+    }
+
+    /// Begins another epoch when this one has lasted `length_ms`; says whether it did.
+    pub const fn advance(&mut self, now_ms: u64, length_ms: u64) -> bool {
+        if now_ms.saturating_sub(self.began_ms) < length_ms {
+            return false;
+        }
+        self.current += 1;
+        self.began_ms = now_ms;
+        true
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -77,6 +77,45 @@
     pub accelerators: u32,
 }
 
+impl Resources {
+    /// The sum, bounded.
+    #[must_use]
+    pub const fn plus(&self, other: &Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.saturating_add(other.cpu_milli),
+            memory_mib: self.memory_mib.saturating_add(other.memory_mib),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
+        }
+    }
+
+    /// The difference, not below nothing.
+    #[must_use]
+    pub const fn minus(&self, other: &Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.saturating_sub(other.cpu_milli),
+            memory_mib: self.memory_mib.saturating_sub(other.memory_mib),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+        }
+    }
+
+    /// The greater of each.
+    #[must_use]
+    pub fn max(&self, other: Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.max(other.cpu_milli),
+            memory_mib: self.memory_mib.max(other.memory_mib),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
+    /// Whether all of it is there.
+    pub const fn fits_in(&self, room: &Self) -> bool {
+        self.cpu_milli <= room.cpu_milli
+            && self.memory_mib <= room.memory_mib
+            && self.accelerators <= room.accelerators
+    }
+}
+
 /// A runner's load; rides on heartbeats and on every answer to a dispatch.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Load {
@@ -90,6 +129,12 @@
     pub size: Resources,
     /// What is in use, by the greater of declared and observed.
     pub used: Resources,
+    /// Of `busy` and `parked` together, those of the entry that this is sent to.
+    #[serde(default)]
+    pub mine: u32,
+    /// Of `used`, what those take.
+    #[serde(default)]
+    pub mine_used: Resources,
     /// The runner's epoch, to be stamped on dispatches.
     pub epoch: u64,
     /// Increases with each load this runner sends, so that late ones are told.
@@ -223,6 +268,8 @@
 pub struct FenceReply {
     /// See [`VERSION`].
     pub version: u32,
+    /// The life that answers; of another life's attempts it knows nothing.
+    pub incarnation: ids::Incarnation,
     /// One per attempt, in order; absent where this life never heard of it.
     pub outcomes: Vec<Option<Outcome>>,
     /// The runner's load now.
