Merge, check and follow the settings folder in pure modules

Cause: operators' files have to come to the same settings, and the same refusals, in every process.

The merge keeps the file and line of each key, so that a refusal names its place.

Ruled out: revisions per file, since the last file by name settles disagreements and so a change to one file alters what another one means; counting the folder in plain bytes, since a checkpoint has to fit one record of the log as JSON.

`Checkpoint::recent` now holds the verdict with each id, so that the author of a repeated append learns what became of the first.

--- /dev/null
+++ b/src/settings/merge.rs
@@ -0,0 +1,248 @@
+//! Merges a folder of TOML files in the order of their names.
+//!
+//! Tables merge key by key, at every depth. Anything else is replaced whole by the
+//! later file, arrays too. Each key remembers the file and line that set it.
+
+use std::collections;
+
+use smol_str::SmolStr;
+use toml::Spanned;
+use toml::de;
+
+use super::problem;
+use crate::codes;
+
+/// Deepest nesting of tables and arrays in a file; the settings need four.
+pub const MAX_DEPTH: usize = 8;
+
+/// The files of a folder by name.
+pub type Files = collections::BTreeMap<SmolStr, String>;
+
+/// The keys of one table.
+pub type Table = collections::BTreeMap<SmolStr, Node>;
+
+/// Where a key was set.
+#[derive(Clone, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Origin {
+    /// The file's name.
+    pub file: SmolStr,
+    /// The line, from 1.
+    pub line: u32,
+}
+
+/// A value and where it was set.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Node {
+    /// The last file that set it; of a table, the last that opened it.
+    pub origin: Origin,
+    /// The value.
+    pub value: Value,
+}
+
+/// A TOML value.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Value {
+    /// A string.
+    Text(SmolStr),
+    /// An integer that fits 64 bits.
+    Integer(i64),
+    /// Any other number.
+    Float(f64),
+    /// A truth value.
+    Boolean(bool),
+    /// A date or time; no key of ours takes one.
+    Datetime(SmolStr),
+    /// An array.
+    Array(Vec<Node>),
+    /// A table.
+    Table(Table),
+}
+
+impl Value {
+    /// The type's name, for messages.
+    pub const fn type_name(&self) -> &'static str {
+        match self {
+            Self::Text(_) => "a string",
+            Self::Integer(_) => "an integer",
+            Self::Float(_) => "a float",
+            Self::Boolean(_) => "a boolean",
+            Self::Datetime(_) => "a date or time",
+            Self::Array(_) => "an array",
+            Self::Table(_) => "a table",
+        }
+    }
+}
+
+/// A merged folder, not checked yet.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Merged {
+    /// The keys at the top.
+    pub root: Table,
+}
+
+impl Merged {
+    /// Finds the value at a path of keys.
+    pub fn get(&self, path: &[&str]) -> Option<&Node> {
+        let (last, parents) = path.split_last()?;
+        let mut table = &self.root;
+        for &key in parents {
+            let Value::Table(inner) = &table.get(key)?.value else {
+                return None;
+            };
+            table = inner;
+        }
+        table.get(*last)
+    }
+}
+
+/// Merges all files; the problems are those of files that are not TOML.
+pub fn merge(files: &Files) -> Result<Merged, Vec<problem::Problem>> {
+    let mut merged = Merged::default();
+    let mut problems = Vec::new();
+    for (name, text) in files {
+        match parse(name, text) {
+            Ok(table) => overlay(&mut merged.root, table),
+            Err(problem) => problems.push(problem),
+        }
+    }
+    if problems.is_empty() {
+        Ok(merged)
+    } else {
+        Err(problems)
+    }
+}
+
+/// Reads one file.
+pub fn parse(name: &SmolStr, text: &str) -> Result<Table, problem::Problem> {
+    let source = Source::new(name, text);
+    match de::DeTable::parse(text) {
+        Ok(table) => source.table(table.get_ref(), 1),
+        Err(e) => {
+            let at = e.span().map_or(0, |span| span.start);
+            Err(source.problem(at, e.message().to_owned()))
+        }
+    }
+}
+
+/// Lays a later table over an earlier one.
+fn overlay(under: &mut Table, over: Table) {
+    for (key, node) in over {
+        match under.get_mut(&key) {
+            Some(Node {
+                origin,
+                value: Value::Table(inner),
+            }) if matches!(node.value, Value::Table(_)) => {
+                *origin = node.origin;
+                if let Value::Table(later) = node.value {
+                    overlay(inner, later);
+                }
+            }
+            _ => {
+                under.insert(key, node);
+            }
+        }
+    }
+}
+
+/// Path of a key for people, quoted where TOML would want it quoted.
+pub fn join_path(parent: &str, key: &str) -> SmolStr {
+    let bare = |b: u8| b.is_ascii_alphanumeric() || b == b'_' || b == b'-';
+    let key = if !key.is_empty() && key.bytes().all(bare) {
+        SmolStr::new(key)
+    } else {
+        smol_str::format_smolstr!("{key:?}")
+    };
+    if parent.is_empty() {
+        key
+    } else {
+        smol_str::format_smolstr!("{parent}.{key}")
+    }
+}
+
+/// A file being read, with its line starts.
+struct Source<'a> {
+    name: &'a SmolStr,
+    line_ends: Vec<usize>,
+}
+
+impl<'a> Source<'a> {
+    fn new(name: &'a SmolStr, text: &str) -> Self {
+        let line_ends = text.match_indices('\n').map(|(at, _)| at).collect();
+        Self { name, line_ends }
+    }
+
+    fn origin(&self, at: usize) -> Origin {
+        let before = self.line_ends.partition_point(|&end| end < at);
+        Origin {
+            file: self.name.clone(),
+            line: u32::try_from(before + 1).unwrap_or(u32::MAX),
+        }
+    }
+
+    fn problem(&self, at: usize, reason: String) -> problem::Problem {
+        let Origin { file, line } = self.origin(at);
+        problem::Problem {
+            file,
+            line,
+            key: SmolStr::default(),
+            code: codes::Code::SettingsSyntax,
+            reason,
+        }
+    }
+
+    fn table(&self, table: &de::DeTable<'_>, depth: usize) -> Result<Table, problem::Problem> {
+        let mut out = Table::new();
+        for (key, value) in table {
+            let at = key.span().start;
+            let value = self.value(value, at, depth)?;
+            let origin = self.origin(at);
+            out.insert(SmolStr::new(key.get_ref()), Node { origin, value });
+        }
+        Ok(out)
+    }
+
+    fn array(&self, array: &de::DeArray<'_>, depth: usize) -> Result<Vec<Node>, problem::Problem> {
+        let mut out = Vec::with_capacity(array.len());
+        for value in array {
+            let at = value.span().start;
+            let origin = self.origin(at);
+            let value = self.value(value, at, depth)?;
+            out.push(Node { origin, value });
+        }
+        Ok(out)
+    }
+
+    fn value(
+        &self,
+        value: &Spanned<de::DeValue<'_>>,
+        at: usize,
+        depth: usize,
+    ) -> Result<Value, problem::Problem> {
+        if depth > MAX_DEPTH {
+            return Err(self.problem(at, format!("nested deeper than {MAX_DEPTH}")));
+        }
+        Ok(match value.get_ref() {
+            de::DeValue::String(text) => Value::Text(SmolStr::new(text)),
+            de::DeValue::Integer(integer) => self.integer(integer, at)?,
+            de::DeValue::Float(float) => self.float(float, at)?,
+            de::DeValue::Boolean(flag) => Value::Boolean(*flag),
+            de::DeValue::Datetime(time) => Value::Datetime(smol_str::format_smolstr!("{time}")),
+            de::DeValue::Array(array) => Value::Array(self.array(array, depth + 1)?),
+            de::DeValue::Table(table) => Value::Table(self.table(table, depth + 1)?),
+        })
+    }
+
+    fn integer(&self, integer: &de::DeInteger<'_>, at: usize) -> Result<Value, problem::Problem> {
+        i64::from_str_radix(integer.as_str(), integer.radix())
+            .map(Value::Integer)
+            .map_err(|e| self.problem(at, format!("integer out of bounds: {e}")))
+    }
+
+    fn float(&self, float: &de::DeFloat<'_>, at: usize) -> Result<Value, problem::Problem> {
+        float
+            .as_str()
+            .parse()
+            .map(Value::Float)
+            .map_err(|e| self.problem(at, format!("not a float: {e}")))
+    }
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,14 +1,26 @@
 //! Settings that operators write: a folder of TOML files, merged in the order of
 //! their names, published as records on the log, checked the same way everywhere.
 
+pub mod check;
 pub mod checked;
+pub mod diff;
+mod fields;
+pub mod merge;
+pub mod problem;
+pub mod ranges;
 pub mod record;
+pub mod state;
 
+pub use check::check_folder;
 pub use checked::Limits;
 pub use checked::Policy;
 pub use checked::Settings;
 pub use checked::Team;
 pub use checked::Timeouts;
 pub use checked::Zone;
+pub use problem::Problem;
+pub use record::Change;
 pub use record::Checkpoint;
 pub use record::Record;
+pub use state::State;
+pub use state::Verdict;
--- a/src/settings/record.rs
+++ b/src/settings/record.rs
@@ -6,12 +6,34 @@
 use serde::Serialize;
 use smol_str::SmolStr;
 
+use crate::codes;
+
 /// Version of the record format.
 pub const VERSION: u32 = 1;
 
 /// The log stream on which settings are published.
 pub const STREAM: &str = "settings";
 
+/// [`Change::base`] of a change that was made when no revision was in force yet.
+pub const BEFORE_FIRST: u64 = u64::MAX;
+
+/// The [`Change::base`] that names a revision.
+pub fn base_of(revision: Option<u64>) -> u64 {
+    revision.unwrap_or(BEFORE_FIRST)
+}
+
+/// The revision that a [`Change::base`] names.
+pub fn revision_of(base: u64) -> Option<u64> {
+    (base != BEFORE_FIRST).then_some(base)
+}
+
+/// A revision for people.
+pub fn show_revision(revision: Option<u64>) -> SmolStr {
+    revision.map_or(SmolStr::new_static("none"), |revision| {
+        smol_str::format_smolstr!("{revision}")
+    })
+}
+
 /// One record; its offset on the log is the revision it makes.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 #[serde(tag = "type", rename_all = "snake_case")]
@@ -37,10 +59,22 @@
     pub file: SmolStr,
     /// The file's new text; absent: the file is removed.
     pub text: Option<String>,
-    /// The revision that the change was based on; absent: it is made in any case.
+    /// The revision that the change was based on, or [`BEFORE_FIRST`]; absent: it is
+    /// made in any case.
     pub base: Option<u64>,
 }
 
+/// The verdict on a recent change.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Recent {
+    /// The change's id.
+    pub id: SmolStr,
+    /// Its offset on the log.
+    pub offset: u64,
+    /// [`codes::Code::Complete`] where it was accepted, else why it was rejected.
+    pub code: codes::Code,
+}
+
 /// The whole folder after all records below `position`.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Checkpoint {
@@ -52,8 +86,8 @@
     pub revision: Option<u64>,
     /// The files and their texts.
     pub files: collections::BTreeMap<SmolStr, String>,
-    /// Ids of the latest changes, oldest first, so that repeats are told.
-    pub recent: Vec<SmolStr>,
+    /// The latest changes, oldest first, so that repeats are told.
+    pub recent: Vec<Recent>,
     /// Who wrote the checkpoint, for people only.
     #[serde(default)]
     pub author: SmolStr,
--- a/tests/unit/main.rs
+++ b/tests/unit/main.rs
@@ -1,1 +1,3 @@
 //! Tests of the pure modules.
+
+mod settings;
