Follow the log, keep the audit trail, test both against naive versions

Cause: records expire, arrive twice, late and out of order, and processes start from each other's states; every one has to come to the same settings.

`Reader` turns answers of the log into verdicts and a standing. Missing records are never jumped: it looks for a checkpoint on the log that bridges them, or asks for a peer's. It says when a checkpoint is to be written; how long the log keeps records is not known, so besides age and count the movement of the log's front is the warning. `Audit` keeps a bounded trail whose events derive from the records.

Ruled out: taking any later checkpoint from a peer as good when its revision is older than ours; it is refused as contradicting itself.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 extern crate quick_error;
 
 pub mod api;
+pub mod audit;
 pub mod codes;
 pub mod ids;
 pub mod settings;
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -16,12 +16,10 @@
 use super::merge;
 use super::problem;
 use super::ranges;
+use super::relations;
 use crate::codes;
 use crate::ids;
 
-/// SHA-256 of the empty text, which must not open anything.
-const EMPTY_TOKEN_SHA256: &str = "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855";
-
 /// Merges and checks a folder; all problems are given, in the order of file and line.
 pub fn check_folder(files: &merge::Files) -> Result<Settings, Vec<problem::Problem>> {
     merge_checked(files).map(|(settings, _merged)| settings)
@@ -80,7 +78,10 @@
 
 /// Checks one file's name and size.
 fn check_file(name: &str, text: &str) -> Option<problem::Problem> {
-    let shown: SmolStr = name.chars().take(ranges::MAX_FILE_NAME_BYTES).collect();
+    let shown: SmolStr = name
+        .escape_debug()
+        .take(ranges::MAX_FILE_NAME_BYTES)
+        .collect();
     if !is_file_name(name) {
         let most = ranges::MAX_FILE_NAME_BYTES;
         let reason = format!("a file is named [a-z0-9][a-z0-9._-]*.toml, at most {most} bytes");
@@ -133,11 +134,11 @@
     fn try_from(merged: &merge::Merged) -> Result<Self, Vec<problem::Problem>> {
         let mut findings = fields::Findings::default();
         let settings = read_sections(&merged.root, &mut findings);
-        check_tokens(&settings, merged, &mut findings);
+        relations::check_tokens(&settings, merged, &mut findings);
         // Values that were refused read as their defaults, so relations between keys
         // are looked at only when each is good by itself.
         if findings.problems.is_empty() {
-            check_relations(&settings, merged, &mut findings);
+            relations::check_relations(&settings, merged, &mut findings);
         }
         refuse_any(findings.problems)?;
         Ok(settings)
@@ -207,11 +208,7 @@
         &ranges::TEAM_MAX_RUNNING,
     );
     fields.whole("max_queued", &mut team.max_queued, &ranges::TEAM_MAX_QUEUED);
-    let hashes = fields.texts("token_sha256");
-    team.token_sha256 = hashes
-        .into_iter()
-        .map(|(_origin, hash)| hash.clone())
-        .collect();
+    team.token_sha256 = fields.texts("token_sha256");
     fields.refuse_unknown();
     team
 }
@@ -330,108 +327,3 @@
     fields.refuse_unknown();
     policy
 }
-
-/// Checks the token hashes of all teams against each other.
-fn check_tokens(settings: &Settings, merged: &merge::Merged, findings: &mut fields::Findings) {
-    let mut owners = collections::BTreeMap::<&str, &str>::new();
-    for (name, team) in &settings.teams {
-        let path = merge::join_path("teams", name);
-        let path = merge::join_path(&path, "token_sha256");
-        let node = merged.get(&["teams", name, "token_sha256"]);
-        let origin = node.map(|node| node.origin.clone()).unwrap_or_default();
-        if team.token_sha256.len() > ranges::MAX_TOKENS {
-            let most = ranges::MAX_TOKENS;
-            findings.impossible(&origin, &path, format_args!("has more than {most} hashes"));
-        }
-        for hash in &team.token_sha256 {
-            if let Some(why) = token_fault(hash) {
-                findings.impossible(&origin, &path, why);
-            } else if let Some(owner) = owners.insert(hash, name) {
-                let why = format!("has a hash that team `{owner}` has already");
-                findings.impossible(&origin, &path, why);
-            }
-        }
-    }
-}
-
-fn token_fault(hash: &str) -> Option<&'static str> {
-    let hex = |b: u8| b.is_ascii_digit() || (b'a'..=b'f').contains(&b);
-    if hash.len() != ranges::TOKEN_HASH_DIGITS || !hash.bytes().all(hex) {
-        return Some("must have hashes of 64 lower-case hexadecimal digits");
-    }
-    (hash == EMPTY_TOKEN_SHA256).then_some("has the hash of the empty token")
-}
-
-/// Checks keys against each other.
-fn check_relations(settings: &Settings, merged: &merge::Merged, findings: &mut fields::Findings) {
-    let Settings {
-        limits, timeouts, ..
-    } = settings;
-    let mut require = |holds: bool, section: &str, keys: &[&str], rule: &str| {
-        if !holds {
-            report_relation(merged, section, keys, rule, findings);
-        }
-    };
-
-    require(
-        limits.max_payload_bytes <= limits.max_body_bytes,
-        "limits",
-        &["max_payload_bytes", "max_body_bytes"],
-        "must be at most max_body_bytes, or the largest payload could never be sent",
-    );
-    require(
-        limits.max_job_tasks <= limits.max_queued,
-        "limits",
-        &["max_job_tasks", "max_queued"],
-        "must be at most max_queued, or the largest job could never be taken in",
-    );
-    require(
-        timeouts.dead_after_ms >= 2 * timeouts.heartbeat_ms,
-        "timeouts",
-        &["dead_after_ms", "heartbeat_ms"],
-        "must be at least twice heartbeat_ms, or one lost heartbeat looks like a death",
-    );
-    require(
-        timeouts.fresh_ms >= 2 * timeouts.heartbeat_ms,
-        "timeouts",
-        &["fresh_ms", "heartbeat_ms"],
-        "must be at least twice heartbeat_ms, or one lost heartbeat stops all work",
-    );
-    require(
-        timeouts.drain_ms >= timeouts.run_limit_ms + timeouts.park_ms,
-        "timeouts",
-        &["drain_ms", "run_limit_ms", "park_ms"],
-        "must be at least run_limit_ms + park_ms, or a planned stop cuts tasks",
-    );
-    require(
-        timeouts.retain_ms
-            >= timeouts.run_limit_ms
-                + timeouts.park_ms
-                + timeouts.dead_after_ms
-                + timeouts.query_after_ms,
-        "timeouts",
-        &[
-            "retain_ms",
-            "run_limit_ms",
-            "park_ms",
-            "dead_after_ms",
-            "query_after_ms",
-        ],
-        "must be at least run_limit_ms + park_ms + dead_after_ms + query_after_ms, or a \
-         runner forgets a task before its entry has asked about it",
-    );
-}
-
-/// Reports a broken relation at the key that was set last, by the order of names.
-fn report_relation(
-    merged: &merge::Merged,
-    section: &str,
-    keys: &[&str],
-    rule: &str,
-    findings: &mut fields::Findings,
-) {
-    let origins = keys.iter().filter_map(|key| merged.get(&[section, key]));
-    let origin = origins.map(|node| &node.origin).max();
-    let origin = origin.cloned().unwrap_or_default();
-    findings.impossible(&origin, &merge::join_path(section, keys[0]), rule);
-}
--- a/src/settings/diff.rs
+++ b/src/settings/diff.rs
@@ -78,7 +78,7 @@
 /// Writes a value as TOML on one line.
 pub fn to_toml(value: &merge::Value) -> String {
     match value {
-        merge::Value::Text(text) => format!("{text:?}"),
+        merge::Value::Text(text) => merge::quote(text),
         merge::Value::Integer(number) => number.to_string(),
         merge::Value::Float(number) => format!("{number:?}"),
         merge::Value::Boolean(flag) => flag.to_string(),
--- a/src/settings/fields.rs
+++ b/src/settings/fields.rs
@@ -132,8 +132,8 @@
         }
     }
 
-    /// Reads an array of strings, each with its place.
-    pub(super) fn texts(&mut self, key: &'static str) -> Vec<(&'a merge::Origin, &'a SmolStr)> {
+    /// Reads an array of strings.
+    pub(super) fn texts(&mut self, key: &'static str) -> Vec<SmolStr> {
         let Some((node, path)) = self.find(key) else {
             return Vec::new();
         };
@@ -144,7 +144,7 @@
         let mut texts = Vec::with_capacity(items.len());
         for item in items {
             if let merge::Value::Text(text) = &item.value {
-                texts.push((&item.origin, text));
+                texts.push(text.clone());
             } else {
                 self.findings.wrong_type(item, &path, "an array of strings");
             }
--- a/src/settings/merge.rs
+++ b/src/settings/merge.rs
@@ -150,7 +150,7 @@
     let key = if !key.is_empty() && key.bytes().all(bare) {
         SmolStr::new(key)
     } else {
-        smol_str::format_smolstr!("{key:?}")
+        SmolStr::from(quote(key))
     };
     if parent.is_empty() {
         key
@@ -159,6 +159,28 @@
     }
 }
 
+/// Writes a text as a TOML string on one line.
+pub fn quote(text: &str) -> String {
+    let mut out = String::with_capacity(text.len() + 2);
+    out.push('"');
+    for c in text.chars() {
+        match c {
+            '"' | '\\' => out.extend(['\\', c]),
+            '\n' => out.push_str("\\n"),
+            '\r' => out.push_str("\\r"),
+            '\t' => out.push_str("\\t"),
+            c if c.is_control() => out.push_str(&escape(c)),
+            c => out.push(c),
+        }
+    }
+    out.push('"');
+    out
+}
+
+fn escape(c: char) -> String {
+    format!("\\u{:04X}", u32::from(c))
+}
+
 /// A file being read, with its line starts.
 struct Source<'a> {
     name: &'a SmolStr,
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -8,7 +8,9 @@
 pub mod merge;
 pub mod problem;
 pub mod ranges;
+pub mod reader;
 pub mod record;
+mod relations;
 pub mod state;
 
 pub use check::check_folder;
@@ -19,6 +21,8 @@
 pub use checked::Timeouts;
 pub use checked::Zone;
 pub use problem::Problem;
+pub use reader::Batch;
+pub use reader::Reader;
 pub use record::Change;
 pub use record::Checkpoint;
 pub use record::Record;
--- a/src/settings/state.rs
+++ b/src/settings/state.rs
@@ -50,6 +50,8 @@
         position: u64,
         /// The checkpoint's revision.
         revision: Option<u64>,
+        /// The revision in force, which stays.
+        in_force: Option<u64>,
     },
     /// Records between the position and this one are missing; nothing was applied.
     Gap {
@@ -255,7 +257,11 @@
         if revision == self.revision && checkpoint.files != self.files {
             return bad_record("the checkpoint has other files at the same revision".to_owned());
         }
-        Verdict::Checkpoint { position, revision }
+        Verdict::Checkpoint {
+            position,
+            revision,
+            in_force: self.revision,
+        }
     }
 
     /// This state as a record for the log or for a peer.
--- a/tests/unit/main.rs
+++ b/tests/unit/main.rs
@@ -1,3 +1,4 @@
 //! Tests of the pure modules.
 
+mod audit;
 mod settings;
--- a/tests/unit/settings/check.rs
+++ b/tests/unit/settings/check.rs
@@ -8,12 +8,8 @@
 use bulrushtiller::settings::merge;
 use bulrushtiller::settings::ranges;
 use rstest::rstest;
-use smol_str::SmolStr;
 
-fn folder(files: &[(&str, &str)]) -> merge::Files {
-    let own = |(name, text): &(&str, &str)| (SmolStr::new(name), (*text).to_owned());
-    files.iter().map(own).collect()
-}
+use super::fixtures;
 
 fn hash(digit: char) -> String {
     digit.to_string().repeat(ranges::TOKEN_HASH_DIGITS)
@@ -26,7 +22,7 @@
 
 #[test]
 fn empty_folder_is_the_defaults() {
-    let files = folder(&[]);
+    let files = fixtures::folder(&[]);
 
     let settings = settings::check_folder(&files).expect("nothing is wrong");
 
@@ -40,7 +36,7 @@
          [policy]\nretry_ratio = 0\n",
         hash('a')
     );
-    let files = folder(&[("10.toml", &text)]);
+    let files = fixtures::folder(&[("10.toml", &text)]);
 
     let settings = settings::check_folder(&files).expect("nothing is wrong");
 
@@ -102,7 +98,7 @@
     #[case] code: codes::Code,
     #[case] line: u32,
 ) {
-    let files = folder(&[("10-good.toml", "[zones.x]\n"), ("20-bad.toml", text)]);
+    let files = fixtures::folder(&[("10-good.toml", "[zones.x]\n"), ("20-bad.toml", text)]);
 
     let problems = settings::check_folder(&files).expect_err("the file is bad");
 
@@ -118,7 +114,7 @@
 
 #[test]
 fn all_problems_are_listed_in_order() {
-    let files = folder(&[
+    let files = fixtures::folder(&[
         ("20.toml", "[limits]\nmax_queued = 0\nnone = 1\n"),
         ("10.toml", "[zones]\na = 1\n\n[policy]\nage_ms = \"x\"\n"),
     ]);
@@ -136,7 +132,7 @@
 
 #[test]
 fn relation_is_reported_where_it_was_set_last() {
-    let files = folder(&[
+    let files = fixtures::folder(&[
         ("10.toml", "[timeouts]\nfresh_ms = 900\n"),
         ("20.toml", "\n\n[timeouts]\nheartbeat_ms = 460\n"),
     ]);
@@ -150,7 +146,7 @@
 
 #[test]
 fn overridden_fault_is_no_fault() {
-    let files = folder(&[
+    let files = fixtures::folder(&[
         ("10.toml", "[limits]\nmax_queued = 0\n"),
         ("20.toml", "[limits]\nmax_queued = 900\n"),
     ]);
@@ -163,12 +159,16 @@
 #[test]
 fn shared_token_is_refused_at_the_second_team() {
     let one = format!("[teams.a]\ntoken_sha256 = [\"{}\"]\n", hash('1'));
-    let two = format!("[teams.b]\ntoken_sha256 = [\"{}\"]\n", hash('1'));
-    let files = folder(&[("10.toml", &one), ("20.toml", &two)]);
+    let two = format!(
+        "[teams.b]\ntoken_sha256 = [\n\"{}\",\n\"{}\"]\n",
+        hash('2'),
+        hash('1')
+    );
+    let files = fixtures::folder(&[("10.toml", &one), ("20.toml", &two)]);
 
     let refusals = refusals(&files);
 
-    let text = "20.toml:2: `teams.b.token_sha256` has a hash that team `a` has already";
+    let text = "20.toml:4: `teams.b.token_sha256` has a hash that team `a` has already";
     assert_eq!(refusals, [text]);
 }
 
@@ -176,7 +176,7 @@
 fn empty_token_opens_nothing() {
     let empty = "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855";
     let text = format!("[teams.a]\ntoken_sha256 = [\"{empty}\"]\n");
-    let files = folder(&[("10.toml", &text)]);
+    let files = fixtures::folder(&[("10.toml", &text)]);
 
     let refusals = refusals(&files);
 
@@ -200,7 +200,7 @@
 #[case::empty("", false)]
 #[case::accent("é.toml", false)]
 fn file_names(#[case] name: &str, #[case] good: bool) {
-    let files = folder(&[(name, "")]);
+    let files = fixtures::folder(&[(name, "")]);
 
     let result = settings::check_folder(&files);
 
@@ -245,7 +245,7 @@
     }
     write!(text, "a").expect("a string takes all");
     text.push_str(if start == "[" { "]" } else { " = 1" });
-    let files = folder(&[("10.toml", &text)]);
+    let files = fixtures::folder(&[("10.toml", &text)]);
 
     let problems = settings::check_folder(&files).expect_err("it is too deep");
 
