Add the tool's submit, fetch, cancel, status and token

Callers need a client that repeats a lost call without a second start, and operators a view of every process. submit takes a ticket first and repeats the same ticket through the next entry; status follows the peers that the given entries name. Exit statuses come from the result codes. Tried by hand only, against addresses where nothing listens; tests follow.

--- a/src/bin/bulrushtiller.rs
+++ b/src/bin/bulrushtiller.rs
@@ -1,3 +1,12 @@
 //! The operators' and callers' tool.
 
-fn main() {}
+use std::env;
+use std::process;
+
+use bulrushtiller::cli;
+use bulrushtiller::cmd;
+
+fn main() {
+    let result = cmd::run(env::args_os().skip(1).collect());
+    process::exit(result.map_or_else(|err| cli::error::report(&err), |()| 0));
+}
--- /dev/null
+++ b/src/cli/config.rs
@@ -0,0 +1,164 @@
+//! Where the tool finds the entries and the log, and whom it speaks for.
+//!
+//! Flags go first, then the environment, then the TOML file given by `--config`.
+
+use std::env;
+use std::fs;
+use std::path;
+
+use serde::Deserialize;
+use smol_str::SmolStr;
+
+use crate::cli;
+use crate::cli::flags;
+
+/// Environment variable with the entries, separated by commas.
+pub const ENTRIES_VAR: &str = "BULRUSHTILLER_ENTRIES";
+/// Environment variable with the team's bearer token.
+pub const TOKEN_VAR: &str = "BULRUSHTILLER_TOKEN";
+/// Environment variable with the address of the log service.
+pub const LOG_VAR: &str = "BULRUSHTILLER_LOG";
+
+/// The tool's own settings, checked.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Config {
+    entries: Vec<SmolStr>,
+    token: Option<SmolStr>,
+    log: Option<SmolStr>,
+}
+
+/// The settings as one source gives them.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawConfig {
+    /// Entries, each `HOST:PORT`.
+    #[serde(default)]
+    pub entries: Vec<SmolStr>,
+    /// The team's bearer token.
+    pub token: Option<SmolStr>,
+    /// The log service, `HOST:PORT`.
+    pub log: Option<SmolStr>,
+}
+
+impl RawConfig {
+    /// What the flags say.
+    fn from_flags(args: &mut pico_args::Arguments) -> cli::CliResult<Self> {
+        let lists: Vec<String> = args.values_from_str("--entries")?;
+        Ok(Self {
+            entries: lists.iter().flat_map(|list| split_list(list)).collect(),
+            token: args.opt_value_from_str("--token")?,
+            log: args.opt_value_from_str("--log")?,
+        })
+    }
+
+    /// What the environment says.
+    fn from_env() -> Self {
+        let var = |name| env::var(name).ok().filter(|value| !value.is_empty());
+        Self {
+            entries: var(ENTRIES_VAR).map_or_else(Vec::new, |list| split_list(&list)),
+            token: var(TOKEN_VAR).map(SmolStr::from),
+            log: var(LOG_VAR).map(SmolStr::from),
+        }
+    }
+
+    /// What the file says.
+    fn from_file(path: &path::Path) -> cli::CliResult<Self> {
+        let shown = path.display();
+        let text =
+            fs::read_to_string(path).map_err(|err| cli::CliError::Io(shown.to_string(), err))?;
+        toml::from_str(&text).map_err(|err| cli::CliError::Usage(format!("{shown}: {err}")))
+    }
+
+    /// Fills what is missing here from a source of lower rank.
+    fn or(self, other: Self) -> Self {
+        Self {
+            entries: if self.entries.is_empty() {
+                other.entries
+            } else {
+                self.entries
+            },
+            token: self.token.or(other.token),
+            log: self.log.or(other.log),
+        }
+    }
+}
+
+impl TryFrom<RawConfig> for Config {
+    type Error = cli::CliError;
+
+    fn try_from(raw: RawConfig) -> cli::CliResult<Self> {
+        for address in raw.entries.iter().chain(&raw.log) {
+            flags::check_address(address)?;
+        }
+        if raw.token.as_ref().is_some_and(|token| !is_token(token)) {
+            let text = "a token has no blanks and nothing but visible ASCII";
+            return Err(cli::CliError::Usage(text.to_owned()));
+        }
+        Ok(Self {
+            entries: raw.entries,
+            token: raw.token,
+            log: raw.log,
+        })
+    }
+}
+
+impl Config {
+    /// Takes the common flags and reads the other sources.
+    pub fn take(args: &mut pico_args::Arguments) -> cli::CliResult<Self> {
+        let path: Option<path::PathBuf> = args.opt_value_from_str("--config")?;
+        let given = RawConfig::from_flags(args)?.or(RawConfig::from_env());
+        let file = match path {
+            Some(path) => RawConfig::from_file(&path)?,
+            None => RawConfig::default(),
+        };
+        Self::try_from(given.or(file))
+    }
+
+    /// The entries; at least one.
+    pub fn entries(&self) -> cli::CliResult<&[SmolStr]> {
+        if self.entries.is_empty() {
+            return Err(missing("an entry", "--entries", ENTRIES_VAR));
+        }
+        Ok(&self.entries)
+    }
+
+    /// The entries, where the command can do without.
+    pub fn known_entries(&self) -> &[SmolStr] {
+        &self.entries
+    }
+
+    /// The team's bearer token.
+    pub fn token(&self) -> cli::CliResult<&SmolStr> {
+        let token = self.token.as_ref();
+        token.ok_or_else(|| missing("a token", "--token", TOKEN_VAR))
+    }
+
+    /// The address of the log service.
+    pub fn log(&self) -> cli::CliResult<&SmolStr> {
+        let log = self.log.as_ref();
+        log.ok_or_else(|| missing("the log's address", "--log", LOG_VAR))
+    }
+
+    /// The address of the log service, where the command can do without.
+    pub const fn known_log(&self) -> Option<&SmolStr> {
+        self.log.as_ref()
+    }
+}
+
+fn split_list(list: &str) -> Vec<SmolStr> {
+    let parts = list.split(',').map(str::trim);
+    parts
+        .filter(|part| !part.is_empty())
+        .map(SmolStr::new)
+        .collect()
+}
+
+fn is_token(token: &str) -> bool {
+    !token.is_empty() && token.bytes().all(|b| b.is_ascii_graphic())
+}
+
+fn missing(what: &str, flag: &str, var: &str) -> cli::CliError {
+    cli::CliError::Usage(format!(
+        "{what} is needed: {flag}, {var} or the --config file"
+    ))
+}
--- /dev/null
+++ b/src/client/mod.rs
@@ -0,0 +1,12 @@
+//! The tool's side of the calls to entries, other daemons and the log service.
+
+pub mod entries;
+pub mod http;
+pub mod log;
+pub mod settle;
+pub mod survey;
+
+pub use entries::Entries;
+pub use http::ClientError;
+pub use http::Http;
+pub use log::Log;
--- /dev/null
+++ b/src/client/survey.rs
@@ -0,0 +1,176 @@
+//! What the daemons say of themselves and of each other.
+
+use std::collections;
+use std::time;
+
+use futures_util::StreamExt as _;
+use futures_util::stream;
+use serde::Serialize;
+use smol_str::SmolStr;
+
+use crate::api;
+use crate::client;
+use crate::client::http;
+
+/// Longest wait for one daemon's status.
+const STATUS_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+
+/// Daemons that are asked at the same time.
+const AT_ONCE: usize = 64;
+
+/// State of a process that answers for itself.
+const ALIVE: &str = "alive";
+/// State of a process that says it is stopping.
+const LEAVING: &str = "leaving";
+/// State of a process that does not answer.
+const UNREACHABLE: &str = "unreachable";
+
+/// One process, by its own word where it answers, else by that of its peers.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Process {
+    /// `entry` or `runner`; empty when nobody knows.
+    pub role: SmolStr,
+    /// Its name; empty when nobody knows.
+    pub name: SmolStr,
+    /// Where it was asked.
+    pub address: SmolStr,
+    /// Its availability zone.
+    pub zone: SmolStr,
+    /// What its peers say (`silent`, `ejected`, `probing`), or `alive`, `leaving`,
+    /// `unreachable`.
+    pub state: SmolStr,
+    /// Whether it answered for itself.
+    pub answered: bool,
+    /// Revision of the settings in force there.
+    pub revision: Option<u64>,
+    /// Slots in use.
+    pub busy: Option<u32>,
+    /// Slots in all.
+    pub slots: Option<u32>,
+    /// Tasks waiting there.
+    pub queued: Option<u64>,
+    /// Tasks running there, or handed out by it.
+    pub running: Option<u64>,
+    /// Whether it may start or hand out work now.
+    pub fresh: Option<bool>,
+    /// Availability zones that it takes to be out of service.
+    pub zones_out: Vec<SmolStr>,
+}
+
+impl Process {
+    fn unknown(address: &SmolStr) -> Self {
+        Self {
+            role: SmolStr::default(),
+            name: SmolStr::default(),
+            address: address.clone(),
+            zone: SmolStr::default(),
+            state: SmolStr::new_static(UNREACHABLE),
+            answered: false,
+            revision: None,
+            busy: None,
+            slots: None,
+            queued: None,
+            running: None,
+            fresh: None,
+            zones_out: Vec::new(),
+        }
+    }
+
+    /// Takes over what another process says of this one.
+    fn hear(&mut self, peer: &api::PeerStatus) {
+        self.busy = self.busy.or(Some(peer.busy));
+        self.slots = self.slots.or(Some(peer.slots));
+        if self.answered {
+            if self.state == ALIVE && peer.state != ALIVE {
+                self.state = peer.state.clone();
+            }
+            return;
+        }
+        self.role = peer.role.clone();
+        self.name = peer.name.clone();
+        self.zone = peer.zone.clone();
+        self.revision = self.revision.max(peer.revision);
+        if peer.state != ALIVE {
+            self.state = peer.state.clone();
+        }
+    }
+
+    /// Takes over what this process says of itself.
+    fn answer(&mut self, status: &api::Status) {
+        self.answered = true;
+        self.role = status.role.clone();
+        self.name = status.name.clone();
+        self.zone = status.zone.clone();
+        self.state = SmolStr::new_static(if status.leaving { LEAVING } else { ALIVE });
+        self.revision = status.revision;
+        self.queued = Some(status.queued);
+        self.running = Some(status.running);
+        self.fresh = Some(status.fresh);
+        self.zones_out.clone_from(&status.zones_out);
+    }
+}
+
+/// Asks every given entry and the processes that they name.
+///
+/// Gives the processes by role, zone and name.
+pub async fn survey(http: &http::Http, entries: &[SmolStr]) -> Vec<Process> {
+    let mut processes = collections::BTreeMap::new();
+    let mut told = Vec::new();
+    let mut ask: collections::BTreeSet<SmolStr> = entries.iter().cloned().collect();
+    while !ask.is_empty() {
+        let answers = ask_all(http, &ask).await;
+        for address in &ask {
+            processes.insert(address.clone(), Process::unknown(address));
+        }
+        for (address, status) in answers {
+            if let Some(process) = processes.get_mut(&address) {
+                process.answer(&status);
+            }
+            told.extend(status.peers);
+        }
+        let named = told.iter().map(|peer| &peer.address);
+        ask = named
+            .filter(|address| !processes.contains_key(*address))
+            .cloned()
+            .collect();
+    }
+    for peer in &told {
+        if let Some(process) = processes.get_mut(&peer.address) {
+            process.hear(peer);
+        }
+    }
+    sorted(processes)
+}
+
+fn sorted(processes: collections::BTreeMap<SmolStr, Process>) -> Vec<Process> {
+    let mut list: Vec<Process> = processes.into_values().collect();
+    list.sort_by(|a, b| (&a.role, &a.zone, &a.name).cmp(&(&b.role, &b.zone, &b.name)));
+    list
+}
+
+/// Asks many at once; those that don't answer are left out.
+async fn ask_all(
+    http: &http::Http,
+    addresses: &collections::BTreeSet<SmolStr>,
+) -> Vec<(SmolStr, api::Status)> {
+    let asked = stream::iter(addresses).map(|address| async move {
+        let status = status(http, address).await;
+        status.ok().map(|status| (address.clone(), status))
+    });
+    let answers = asked.buffer_unordered(AT_ONCE);
+    answers
+        .filter_map(|answer| async { answer })
+        .collect()
+        .await
+}
+
+/// Asks one daemon.
+pub async fn status(
+    http: &http::Http,
+    address: &SmolStr,
+) -> Result<api::Status, client::ClientError> {
+    let reply = http
+        .call(http::Call::get(address, "/status", STATUS_TIMEOUT))
+        .await?;
+    reply.json()
+}
--- /dev/null
+++ b/src/cmd/fetch.rs
@@ -0,0 +1,77 @@
+//! `fetch`: the answer to a submission made before.
+
+use std::ffi;
+use std::time;
+
+use smol_str::SmolStr;
+
+use crate::api;
+use crate::cli;
+use crate::cli::flags;
+use crate::client;
+use crate::client::entries;
+use crate::client::settle;
+use crate::cmd;
+use crate::cmd::answer;
+use crate::ids;
+
+const USAGE: &str = "
+Gets the answer to a submission made before, through any entry.
+
+Usage:
+    bulrushtiller fetch ID [options]
+
+Options:
+    --wait-ms N     How long to wait for the final answer (default 0)
+    --json          Print the answer as JSON
+";
+
+/// Connections to each entry.
+const CONNECTIONS: usize = 2;
+
+/// Time in which the other entries are tried if one does not answer.
+const CALL_PATIENCE: time::Duration = time::Duration::from_secs(3);
+
+struct Args {
+    config: cli::Config,
+    id: ids::SubmissionId,
+    wait: time::Duration,
+    json: bool,
+}
+
+impl Args {
+    fn parse(mut args: pico_args::Arguments) -> cli::CliResult<Self> {
+        Ok(Self {
+            config: cli::Config::take(&mut args)?,
+            wait: flags::millis(&mut args, "--wait-ms")?.unwrap_or_default(),
+            json: args.contains("--json"),
+            id: ids::SubmissionId::try_from(SmolStr::from(flags::one(args, "submission id")?))?,
+        })
+    }
+}
+
+/// Runs `fetch`.
+pub fn run(argv: Vec<ffi::OsString>) -> cli::CliResult<()> {
+    let Some(args) = flags::start(argv, USAGE)? else {
+        return Ok(());
+    };
+    let args = Args::parse(args)?;
+    let token = args.config.token()?;
+    let addresses = args.config.entries()?;
+    let answer = cmd::block_on(async {
+        let http = client::Http::new(CONNECTIONS);
+        let entries = entries::Entries::new(http, addresses, token);
+        fetch(&entries, &args).await
+    })?;
+    answer::print(&answer, args.json)
+}
+
+async fn fetch(entries: &entries::Entries, args: &Args) -> cli::CliResult<api::Answer> {
+    let now = time::Instant::now();
+    let patience = settle::Patience {
+        answer_by: now + args.wait,
+        repeat_until: now + args.wait.max(CALL_PATIENCE),
+    };
+    let subject = settle::Subject::Fetch(&args.id);
+    Ok(settle::settle(entries, 0, subject, patience).await?.answer)
+}
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,67 @@
+//! The tool's subcommands, one file each.
+
+use std::ffi;
+use std::future;
+
+use crate::cli;
+
+pub mod answer;
+pub mod cancel;
+pub mod fetch;
+pub mod status;
+pub mod submit;
+pub mod token;
+
+const USAGE: &str = "
+bulrushtiller, the callers' and operators' tool
+
+Usage:
+    bulrushtiller <command> [options]
+
+Callers:
+    submit      Submit a job or a single request and wait for its answer
+    fetch       Get the answer to a submission made before
+    cancel      Cancel submissions
+
+Operators:
+    status      Show entries, runners and the settings in force at each
+    token       Hash a token for the settings
+
+Exit status: 0 complete, 1 failed, 2 wrong command line, 3 not run, 4 may have run,
+5 bad request, 6 settings not accepted, 7 the tool could not do its work.
+
+'bulrushtiller <command> --help' tells more.
+";
+
+/// Runs the subcommand that the command line names.
+pub fn run(argv: Vec<ffi::OsString>) -> cli::CliResult<()> {
+    let mut args = argv.into_iter();
+    let name = args.next().unwrap_or_default();
+    let rest = args.collect();
+    match name.to_str() {
+        Some("cancel") => cancel::run(rest),
+        Some("fetch") => fetch::run(rest),
+        Some("status") => status::run(rest),
+        Some("submit") => submit::run(rest),
+        Some("token") => token::run(rest),
+        Some("-h" | "--help" | "help") => cli::out::print(USAGE.trim_start()),
+        Some("-V" | "--version") => cli::out::line(env!("CARGO_PKG_VERSION")),
+        _ => Err(unknown(&name, USAGE)),
+    }
+}
+
+/// Complains about a subcommand.
+fn unknown(name: &ffi::OsStr, usage: &str) -> cli::CliError {
+    let name = name.to_string_lossy();
+    let complaint = if name.is_empty() {
+        "a command is needed".to_owned()
+    } else {
+        format!("there is no command '{name}'")
+    };
+    cli::CliError::Usage(format!("{complaint}\n\n{}", usage.trim()))
+}
+
+/// Runs the calls of a subcommand on this thread.
+fn block_on<F: future::Future>(calls: F) -> F::Output {
+    actix_rt::System::new().block_on(calls)
+}
--- /dev/null
+++ b/src/cmd/status.rs
@@ -0,0 +1,102 @@
+//! `status`: every process that can be found.
+
+use std::ffi;
+
+use crate::cli;
+use crate::cli::flags;
+use crate::client;
+use crate::client::survey;
+use crate::cmd;
+use crate::codes;
+
+const USAGE: &str = "
+Shows every process that the given entries and their peers know.
+
+Usage:
+    bulrushtiller status [options]
+
+Columns: role, name, availability zone, state, revision of the settings in force
+there, slots in use, tasks waiting, tasks running, and whether it may start work.
+
+Options:
+    --json          Print a JSON array, one object a process
+";
+
+/// Connections to each process.
+const CONNECTIONS: usize = 1;
+
+struct Args {
+    config: cli::Config,
+    json: bool,
+}
+
+impl Args {
+    fn parse(mut args: pico_args::Arguments) -> cli::CliResult<Self> {
+        let parsed = Self {
+            config: cli::Config::take(&mut args)?,
+            json: args.contains("--json"),
+        };
+        flags::finish(args)?;
+        Ok(parsed)
+    }
+}
+
+/// Runs `status`.
+pub fn run(argv: Vec<ffi::OsString>) -> cli::CliResult<()> {
+    let Some(args) = flags::start(argv, USAGE)? else {
+        return Ok(());
+    };
+    let args = Args::parse(args)?;
+    let entries = args.config.entries()?;
+    let processes = cmd::block_on(async {
+        let http = client::Http::new(CONNECTIONS);
+        survey::survey(&http, entries).await
+    });
+    if args.json {
+        cli::out::json(&processes)?;
+    } else {
+        cli::out::print(&render(&processes))?;
+    }
+    if processes.iter().any(|process| process.answered) {
+        return Ok(());
+    }
+    Err(cli::CliError::failed(
+        codes::Code::Unreachable,
+        "none of the given entries answers",
+    ))
+}
+
+fn render(processes: &[survey::Process]) -> String {
+    let heading = [
+        "role", "name", "zone", "state", "revision", "busy", "queued", "running", "fresh",
+    ];
+    let mut table = cli::out::Table::new(&heading);
+    for process in processes {
+        table.row(row(process));
+    }
+    table.to_string()
+}
+
+fn row(process: &survey::Process) -> Vec<String> {
+    let name = if process.name.is_empty() {
+        &process.address
+    } else {
+        &process.name
+    };
+    let slots = process
+        .busy
+        .zip(process.slots)
+        .filter(|(_, slots)| *slots > 0);
+    let fresh = process.fresh.map(|fresh| if fresh { "yes" } else { "no" });
+    vec![
+        cli::out::cell(Some(&process.role).filter(|role| !role.is_empty())),
+        name.to_string(),
+        cli::out::cell(Some(&process.zone).filter(|zone| !zone.is_empty())),
+        process.state.to_string(),
+        cli::out::cell(process.revision),
+        cli::out::cell(slots.map(|(busy, slots)| format!("{busy}/{slots}"))),
+        cli::out::cell(process.queued),
+        cli::out::cell(process.running),
+        cli::out::cell(fresh),
+    ]
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,9 @@
 extern crate quick_error;
 
 pub mod api;
+pub mod cli;
+pub mod client;
+pub mod cmd;
 pub mod codes;
 pub mod ids;
 pub mod settings;
