Add the tool's config and zone commands

Operators change the settings only through the log, and have to learn what became of each change. The tool reads the stream into the same state machine as the daemons, rehearses a change before it appends it, repeats a lost append under the same id and reads on until its own record's verdict. sync bases each change on the one before, so that a race stops it instead of mixing two folders; it refuses an empty folder unless told, since that would remove every team.

--- a/src/client/log.rs
+++ b/src/client/log.rs
@@ -87,6 +87,16 @@
         reply.json()
     }
 
+    /// Where the log service is.
+    pub const fn address(&self) -> &SmolStr {
+        &self.address
+    }
+
+    /// Says that the stream is not what was expected.
+    pub fn bad(&self, why: &str) -> client::ClientError {
+        client::ClientError::BadAnswer(self.address.clone(), 200, SmolStr::new(why))
+    }
+
     async fn call(&self, call: http::Call<'_>) -> Result<http::Reply, client::ClientError> {
         let down = |why| client::ClientError::LogDown(self.address.clone(), why);
         let reply = self
@@ -97,6 +107,10 @@
         if reply.is_ok() {
             return Ok(reply);
         }
+        // A refusal stays one however often it is repeated; an outage does not.
+        if (400..500).contains(&reply.status) {
+            return Err(reply.bad("refused by the log service"));
+        }
         Err(down(format_smolstr!("HTTP {}", reply.status)))
     }
 }
--- a/src/client/mod.rs
+++ b/src/client/mod.rs
@@ -1,8 +1,11 @@
 //! The tool's side of the calls to entries, other daemons and the log service.
 
 pub mod entries;
+pub mod follow;
 pub mod http;
 pub mod log;
+pub mod publish;
+pub mod rollout;
 pub mod settle;
 pub mod survey;
 
--- /dev/null
+++ b/src/client/publish.rs
@@ -0,0 +1,123 @@
+//! Putting a change on the log and learning what became of it.
+
+use std::time;
+
+use actix_rt::time as rt_time;
+use rand::Rng as _;
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+
+use crate::client;
+use crate::client::follow;
+use crate::client::settle;
+use crate::settings;
+use crate::settings::record;
+
+/// Longest wait of one read for the verdict.
+const READ_WAIT: time::Duration = time::Duration::from_secs(2);
+
+/// What an operator asks for.
+#[derive(Clone, Debug)]
+pub struct Order {
+    /// Who asks.
+    pub author: SmolStr,
+    /// The id of the change; a repeat under the same id does no harm.
+    pub id: SmolStr,
+    /// The file.
+    pub file: SmolStr,
+    /// Its new text; absent: it is removed.
+    pub text: Option<String>,
+    /// What the change is based on, see [`record::Change::base`].
+    pub base: Option<u64>,
+}
+
+impl From<Order> for record::Change {
+    fn from(order: Order) -> Self {
+        Self {
+            version: record::VERSION,
+            id: order.id,
+            author: order.author,
+            time_ms: unix_millis(),
+            file: order.file,
+            text: order.text,
+            base: order.base,
+        }
+    }
+}
+
+/// An id that no other change has.
+pub fn random_id() -> SmolStr {
+    format_smolstr!("{:032x}", rand::rng().random::<u128>())
+}
+
+/// Says beforehand what would become of a change, if no other comes first.
+pub fn rehearse(state: &settings::State, change: &record::Change) -> settings::Verdict {
+    let mut trial = state.clone();
+    trial.apply(trial.position(), &settings::Record::Change(change.clone()))
+}
+
+/// Appends a change and reads the log until its verdict is there.
+///
+/// An append whose answer is lost may have taken effect; it is repeated under the
+/// same id, and readers pass the second by.
+pub async fn publish(
+    follower: &mut follow::Follower,
+    change: &record::Change,
+    until: time::Instant,
+) -> Result<settings::Verdict, client::ClientError> {
+    append(follower, change, until).await?;
+    let mut pauses = settle::pauses();
+    loop {
+        let pause = match follower.next(READ_WAIT).await {
+            Ok(applied) => match verdict_on(change, applied) {
+                Some(verdict) => return Ok(verdict),
+                None => time::Duration::ZERO,
+            },
+            Err(err) if is_last_word(&err) => return Err(err),
+            Err(_down) => pauses.next().unwrap_or(READ_WAIT),
+        };
+        if time::Instant::now() >= until {
+            let why = format_smolstr!(
+                "the change {} is on the log, its verdict was not seen",
+                change.id
+            );
+            return Err(client::ClientError::Lost(
+                follower.log().address().clone(),
+                why,
+            ));
+        }
+        rt_time::sleep(pause).await;
+    }
+}
+
+async fn append(
+    follower: &follow::Follower,
+    change: &record::Change,
+    until: time::Instant,
+) -> Result<(), client::ClientError> {
+    let document = settings::Record::Change(change.clone());
+    let mut pauses = settle::pauses();
+    loop {
+        match follower.log().append(&document).await {
+            Ok(_offset) => return Ok(()),
+            Err(err) if is_last_word(&err) || time::Instant::now() >= until => return Err(err),
+            Err(_lost) => rt_time::sleep(pauses.next().unwrap_or(READ_WAIT)).await,
+        }
+    }
+}
+
+const fn is_last_word(err: &client::ClientError) -> bool {
+    matches!(err, client::ClientError::BadAnswer(..))
+}
+
+fn verdict_on(change: &record::Change, applied: Vec<follow::Applied>) -> Option<settings::Verdict> {
+    let is_it = |one: &follow::Applied| one.change().is_some_and(|found| found.id == change.id);
+    applied.into_iter().find(is_it).map(|one| one.verdict)
+}
+
+fn unix_millis() -> u64 {
+    let since = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
+    since.map_or(0, |since| {
+        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    })
+}
--- a/src/client/survey.rs
+++ b/src/client/survey.rs
@@ -76,6 +76,15 @@
         }
     }
 
+    /// Its name, or its address while the name is not known.
+    pub fn shown_name(&self) -> &SmolStr {
+        if self.name.is_empty() {
+            &self.address
+        } else {
+            &self.name
+        }
+    }
+
     /// Takes over what another process says of this one.
     fn hear(&mut self, peer: &api::PeerStatus) {
         self.busy = self.busy.or(Some(peer.busy));
--- /dev/null
+++ b/src/cmd/config/check.rs
@@ -0,0 +1,77 @@
+//! `config check`: a folder, without calling anyone.
+
+use std::ffi;
+use std::path;
+
+use serde::Serialize;
+
+use crate::cli;
+use crate::cli::flags;
+use crate::cmd::answer;
+use crate::settings;
+use crate::settings::problem;
+
+const USAGE: &str = "
+Checks a folder of settings the way every process does, without calling anyone.
+
+Usage:
+    bulrushtiller config check FOLDER [options]
+
+Each problem is printed as FILE:LINE: REASON (NUMBER).
+
+Options:
+    --json          Print {\"ok\": ..., \"files\": N, \"problems\": [...]}
+";
+
+struct Args {
+    folder: path::PathBuf,
+    json: bool,
+}
+
+impl Args {
+    fn parse(mut args: pico_args::Arguments) -> cli::CliResult<Self> {
+        Ok(Self {
+            json: args.contains("--json"),
+            folder: flags::one(args, "folder")?.into(),
+        })
+    }
+}
+
+#[derive(Serialize)]
+struct Report<'a> {
+    ok: bool,
+    files: usize,
+    problems: &'a [problem::Problem],
+}
+
+/// Runs `config check`.
+pub fn run(argv: Vec<ffi::OsString>) -> cli::CliResult<()> {
+    let Some(args) = flags::start(argv, USAGE)? else {
+        return Ok(());
+    };
+    let args = Args::parse(args)?;
+    let files = cli::folder::read(&args.folder)?;
+    let problems = settings::check_folder(&files).err().unwrap_or_default();
+    if args.json {
+        let report = Report {
+            ok: problems.is_empty(),
+            files: files.len(),
+            problems: &problems,
+        };
+        cli::out::json(&report)?;
+    } else {
+        print_text(files.len(), &problems)?;
+    }
+    let code = problems.first().map(|problem| problem.code);
+    code.map_or(Ok(()), answer::end)
+}
+
+fn print_text(files: usize, problems: &[problem::Problem]) -> cli::CliResult<()> {
+    if problems.is_empty() {
+        return cli::out::line(format_args!("{files} files, no problems"));
+    }
+    for problem in problems {
+        cli::out::line(format_args!("{problem} ({})", problem.code.number()))?;
+    }
+    Ok(())
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -7,10 +7,13 @@
 
 pub mod answer;
 pub mod cancel;
+pub mod change;
+pub mod config;
 pub mod fetch;
 pub mod status;
 pub mod submit;
 pub mod token;
+pub mod zone;
 
 const USAGE: &str = "
 bulrushtiller, the callers' and operators' tool
@@ -25,6 +28,8 @@
 
 Operators:
     status      Show entries, runners and the settings in force at each
+    config      Check, compare, show and change the settings
+    zone        Take availability zones out of service and bring them back
     token       Hash a token for the settings
 
 Exit status: 0 complete, 1 failed, 2 wrong command line, 3 not run, 4 may have run,
@@ -40,10 +45,12 @@
     let rest = args.collect();
     match name.to_str() {
         Some("cancel") => cancel::run(rest),
+        Some("config") => config::run(rest),
         Some("fetch") => fetch::run(rest),
         Some("status") => status::run(rest),
         Some("submit") => submit::run(rest),
         Some("token") => token::run(rest),
+        Some("zone") => zone::run(rest),
         Some("-h" | "--help" | "help") => cli::out::print(USAGE.trim_start()),
         Some("-V" | "--version") => cli::out::line(env!("CARGO_PKG_VERSION")),
         _ => Err(unknown(&name, USAGE)),
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -78,11 +78,6 @@
 }
 
 fn row(process: &survey::Process) -> Vec<String> {
-    let name = if process.name.is_empty() {
-        &process.address
-    } else {
-        &process.name
-    };
     let slots = process
         .busy
         .zip(process.slots)
@@ -90,7 +85,7 @@
     let fresh = process.fresh.map(|fresh| if fresh { "yes" } else { "no" });
     vec![
         cli::out::cell(Some(&process.role).filter(|role| !role.is_empty())),
-        name.to_string(),
+        process.shown_name().to_string(),
         cli::out::cell(Some(&process.zone).filter(|zone| !zone.is_empty())),
         process.state.to_string(),
         cli::out::cell(process.revision),
