Add the tool's audit and load commands

The audit shows what the log still keeps, with the verdict that every reader comes to; load sends a seeded plan of jobs when they are due and reports what callers received. Times that come from flags and other processes are bounded, since adding them to a clock would panic.

--- a/src/cli/config.rs
+++ b/src/cli/config.rs
@@ -122,11 +122,6 @@
         Ok(&self.entries)
     }
 
-    /// The entries, where the command can do without.
-    pub fn known_entries(&self) -> &[SmolStr] {
-        &self.entries
-    }
-
     /// The team's bearer token.
     pub fn token(&self) -> cli::CliResult<&SmolStr> {
         let token = self.token.as_ref();
@@ -139,9 +134,16 @@
         log.ok_or_else(|| missing("the log's address", "--log", LOG_VAR))
     }
 
-    /// The address of the log service, where the command can do without.
-    pub const fn known_log(&self) -> Option<&SmolStr> {
-        self.log.as_ref()
+    /// Where the settings in force can be read: the log, else the entries; one at least.
+    pub fn sources(&self) -> cli::CliResult<(Option<&SmolStr>, &[SmolStr])> {
+        if self.log.is_none() && self.entries.is_empty() {
+            return Err(missing(
+                "the log's address or an entry",
+                "--log, --entries",
+                LOG_VAR,
+            ));
+        }
+        Ok((self.log.as_ref(), &self.entries))
     }
 }
 
--- a/src/cli/flags.rs
+++ b/src/cli/flags.rs
@@ -7,6 +7,7 @@
 use smol_str::SmolStr;
 
 use crate::cli;
+use crate::settings::ranges;
 
 /// The options that every command understands.
 pub const COMMON: &str = "
@@ -20,8 +21,8 @@
 Flags go before the environment, and that before the file.
 ";
 
-/// Most bytes of an author's name.
-const MAX_AUTHOR_BYTES: usize = 64;
+/// Longest time that a flag can give: a day.
+pub const MAX_TIME: time::Duration = time::Duration::from_secs(86_400);
 
 /// Starts to read a command line; shows the usage when it is asked for.
 ///
@@ -49,7 +50,7 @@
         .map_err(|bad| cli::CliError::Usage(format!("{} is not UTF-8", bad.display())))?;
     if text.len() > 1 && text.starts_with('-') {
         return Err(cli::CliError::Usage(format!(
-            "unknown or repeated option {text}"
+            "option {text} is unknown, repeated or does not go with the others"
         )));
     }
     Ok(text)
@@ -76,13 +77,18 @@
     }
 }
 
-/// Takes a time in milliseconds.
+/// Takes a time in milliseconds, up to [`MAX_TIME`].
 pub fn millis(
     args: &mut pico_args::Arguments,
     key: &'static str,
 ) -> cli::CliResult<Option<time::Duration>> {
     let ms: Option<u64> = args.opt_value_from_str(key)?;
-    Ok(ms.map(time::Duration::from_millis))
+    let time = ms.map(time::Duration::from_millis);
+    if time.is_some_and(|time| time > MAX_TIME) {
+        let most = MAX_TIME.as_millis();
+        return Err(cli::CliError::Usage(format!("{key} is at most {most}")));
+    }
+    Ok(time)
 }
 
 /// Takes `--author`, or else the name of the user who is logged in.
@@ -90,10 +96,10 @@
     let given: Option<SmolStr> = args.opt_value_from_str("--author")?;
     let user = || env::var("USER").ok().map(SmolStr::from);
     let author = given.or_else(user).unwrap_or_default();
-    let good = author.len() <= MAX_AUTHOR_BYTES && !author.chars().any(char::is_control);
+    let good = author.len() <= ranges::MAX_AUTHOR_BYTES && !author.chars().any(char::is_control);
     if author.is_empty() || !good {
-        let text =
-            format!("an author of 1 to {MAX_AUTHOR_BYTES} bytes is needed: --author or USER");
+        let most = ranges::MAX_AUTHOR_BYTES;
+        let text = format!("an author of 1 to {most} bytes is needed: --author or USER");
         return Err(cli::CliError::Usage(text));
     }
     Ok(author)
--- a/src/client/entries.rs
+++ b/src/client/entries.rs
@@ -87,6 +87,12 @@
         Err(refusal(&reply))
     }
 
+    /// Complains about an entry that gave no ticket and no refusal.
+    pub fn no_ticket(&self, place: usize) -> client::ClientError {
+        let text = SmolStr::new_static("no ticket");
+        client::ClientError::BadAnswer(self.address(place).clone(), 200, text)
+    }
+
     /// Submits through one entry, or attaches to what was submitted before.
     pub async fn submit(
         &self,
--- a/src/cmd/change.rs
+++ b/src/cmd/change.rs
@@ -106,6 +106,22 @@
     Repeated,
 }
 
+impl TryFrom<&str> for Ending {
+    type Error = cli::CliError;
+
+    fn try_from(word: &str) -> cli::CliResult<Self> {
+        match word {
+            "accepted" => Ok(Self::Accepted),
+            "rejected" => Ok(Self::Rejected),
+            "repeated" => Ok(Self::Repeated),
+            _ => {
+                let text = format!("'{word}' is not 'accepted', 'rejected' or 'repeated'");
+                Err(cli::CliError::Usage(text))
+            }
+        }
+    }
+}
+
 /// What became of one change, for people and scripts.
 #[derive(Clone, Debug, Serialize)]
 pub struct Report {
--- /dev/null
+++ b/src/cmd/load/mod.rs
@@ -0,0 +1,255 @@
+//! `load`: a bounded load on the entries, and what callers received.
+
+use std::ffi;
+use std::ops;
+use std::time;
+
+use serde::Serialize;
+use smol_str::SmolStr;
+
+use crate::cli;
+use crate::cli::flags;
+use crate::client;
+use crate::client::entries;
+use crate::cmd;
+use crate::cmd::answer;
+use crate::codes;
+
+pub mod counters;
+pub mod drive;
+pub mod plan;
+pub mod tally;
+
+const USAGE: &str = "
+Puts a load on the entries and prints what callers received.
+
+Usage:
+    bulrushtiller load [options]
+
+Jobs arrive when the seed says, whether or not earlier ones are answered. Each task's
+payload is {\"sleep_ms\": N} with N declared as its run time. Response time is taken from
+when a job was due, over the run time of its longest task. Complete jobs count.
+
+Options:
+    --rate R            Jobs a second (default 10)
+    --seconds S         How long jobs arrive (default 10)
+    --job-size N        Tasks of each job (default 4)
+    --mix MIX           KIND=LOW..HIGH[@WEIGHT],... in milliseconds, or one of 'short'
+                        (short=50..1000, the default), 'long' (long=2000..6000) and
+                        'mixed' (short=50..1000@19,long=2000..6000@1)
+    --seed N            Decides arrivals and run times (default 1)
+    --connections N     Jobs that are open at once; more are not sent (default 1000)
+    --deadline-ms N     Deadline of each job (default 60000)
+    --idempotent        Tasks may be started again after they may have run
+    --slots N           Slots of all runners, to print goodput over capacity
+    --json              Print the figures as JSON
+";
+
+const RATE: f64 = 10.0;
+const MIN_RATE: f64 = 0.001;
+const MAX_RATE: f64 = 100_000.0;
+const SECONDS: f64 = 10.0;
+const MAX_SECONDS: f64 = 86_400.0;
+const JOB_SIZE: usize = 4;
+const MAX_JOB_SIZE: usize = 10_000;
+const MIX: &str = "short";
+const SEED: u64 = 1;
+const OPEN: usize = 1000;
+const MAX_OPEN: usize = 20_000;
+const DEADLINE: time::Duration = time::Duration::from_secs(60);
+
+struct Args {
+    config: cli::Config,
+    plan: plan::Plan,
+    bounds: drive::Bounds,
+    slots: Option<u32>,
+    json: bool,
+}
+
+impl Args {
+    fn parse(mut args: pico_args::Arguments) -> cli::CliResult<Self> {
+        let config = cli::Config::take(&mut args)?;
+        let seconds = number(&mut args, "--seconds", SECONDS, 0.0..=MAX_SECONDS)?;
+        let plan = plan::Plan {
+            rate: number(&mut args, "--rate", RATE, MIN_RATE..=MAX_RATE)?,
+            duration: time::Duration::from_secs_f64(seconds),
+            job_size: count(&mut args, "--job-size", JOB_SIZE, MAX_JOB_SIZE)?,
+            mix: mix(&mut args)?,
+            seed: args.opt_value_from_str("--seed")?.unwrap_or(SEED),
+        };
+        let bounds = drive::Bounds {
+            open: count(&mut args, "--connections", OPEN, MAX_OPEN)?,
+            deadline: flags::millis(&mut args, "--deadline-ms")?.unwrap_or(DEADLINE),
+            idempotent: args.contains("--idempotent"),
+        };
+        let parsed = Self {
+            config,
+            plan,
+            bounds,
+            slots: args.opt_value_from_str("--slots")?,
+            json: args.contains("--json"),
+        };
+        flags::finish(args)?;
+        Ok(parsed)
+    }
+}
+
+/// Takes a number within a range.
+fn number(
+    args: &mut pico_args::Arguments,
+    key: &'static str,
+    usual: f64,
+    range: ops::RangeInclusive<f64>,
+) -> cli::CliResult<f64> {
+    let value: f64 = args.opt_value_from_str(key)?.unwrap_or(usual);
+    if range.contains(&value) {
+        return Ok(value);
+    }
+    let (least, most) = range.into_inner();
+    Err(cli::CliError::Usage(format!("{key} is {least} to {most}")))
+}
+
+/// Takes a count from 1 to `most`.
+fn count(
+    args: &mut pico_args::Arguments,
+    key: &'static str,
+    usual: usize,
+    most: usize,
+) -> cli::CliResult<usize> {
+    let value: usize = args.opt_value_from_str(key)?.unwrap_or(usual);
+    if (1..=most).contains(&value) {
+        return Ok(value);
+    }
+    Err(cli::CliError::Usage(format!("{key} is 1 to {most}")))
+}
+
+fn mix(args: &mut pico_args::Arguments) -> cli::CliResult<plan::Mix> {
+    let text: Option<String> = args.opt_value_from_str("--mix")?;
+    text.as_deref().unwrap_or(MIX).parse()
+}
+
+/// The figures with what they were got with.
+#[derive(Serialize)]
+struct Printed<'a> {
+    rate: f64,
+    job_size: usize,
+    mix: String,
+    seed: u64,
+    slots: Option<u32>,
+    #[serde(flatten)]
+    report: &'a tally::Report,
+}
+
+/// Runs `load`.
+pub fn run(argv: Vec<ffi::OsString>) -> cli::CliResult<()> {
+    let Some(args) = flags::start(argv, USAGE)? else {
+        return Ok(());
+    };
+    let args = Args::parse(args)?;
+    let token = args.config.token()?;
+    let addresses = args.config.entries()?;
+    let report = cmd::block_on(measure(&args, addresses, token));
+    if args.json {
+        cli::out::json(&printed(&args, &report))?;
+    } else {
+        cli::out::print(&render(&args, &report))?;
+    }
+    end(&report)
+}
+
+async fn measure(args: &Args, addresses: &[SmolStr], token: &SmolStr) -> tally::Report {
+    let http = client::Http::new(args.bounds.open);
+    let before = counters::Counters::read(&http, addresses).await;
+    let entries = entries::Entries::new(http.clone(), addresses, token);
+    let (tally, elapsed) = drive::drive(entries, &args.plan, args.bounds).await;
+    let after = counters::Counters::read(&http, addresses).await;
+    let wasted = before.zip(after).map(|(before, after)| after.since(before));
+    tally::Report {
+        wasted,
+        ..tally.report(elapsed, args.slots)
+    }
+}
+
+/// A load that was measured has done its work, whatever became of its jobs; one that got
+/// no answer at all has not.
+fn end(report: &tally::Report) -> cli::CliResult<()> {
+    if !report.by_code.is_empty() || report.jobs == 0 {
+        return Ok(());
+    }
+    let worst = report.unanswered.keys().next_back().copied();
+    let code = worst.and_then(|number| codes::Code::try_from(number).ok());
+    cli::out::note("no job got a final answer");
+    answer::end(code.unwrap_or(codes::Code::TimedOut))
+}
+
+fn printed<'a>(args: &Args, report: &'a tally::Report) -> Printed<'a> {
+    Printed {
+        rate: args.plan.rate,
+        job_size: args.plan.job_size,
+        mix: args.plan.mix.to_string(),
+        seed: args.plan.seed,
+        slots: args.slots,
+        report,
+    }
+}
+
+fn render(args: &Args, report: &tally::Report) -> String {
+    let plan = &args.plan;
+    let mut lines = vec![
+        format!(
+            "load         {} jobs/s of {} tasks, {}, seed {}",
+            plan.rate, plan.job_size, plan.mix, plan.seed
+        ),
+        format!("jobs         {} in {:.1} s", report.jobs, report.seconds),
+    ];
+    lines.extend(
+        report
+            .by_code
+            .iter()
+            .map(|(code, count)| code_line("answered", *code, *count)),
+    );
+    lines.extend(
+        report
+            .unanswered
+            .iter()
+            .map(|(code, count)| code_line("unanswered", *code, *count)),
+    );
+    lines.push(format!("not sent     {}", report.not_sent));
+    lines.push(format!("repeats      {}", report.repeats));
+    lines.push(report.over_ideal.map_or_else(
+        || "over ideal   nothing was complete".to_owned(),
+        |over| {
+            format!(
+                "over ideal   p50 {:.3}  p90 {:.3}  p99 {:.3}  max {:.3}",
+                over.p50, over.p90, over.p99, over.max
+            )
+        },
+    ));
+    lines.push(format!(
+        "completed    {:.0} task ms/s",
+        report.completed_task_ms_per_s
+    ));
+    lines.extend(
+        report
+            .goodput
+            .map(|goodput| format!("goodput      {goodput:.3} of capacity")),
+    );
+    lines.push(wasted_line(report.wasted));
+    lines.join("\n") + "\n"
+}
+
+fn code_line(what: &str, code: u16, count: u64) -> String {
+    let text = codes::Code::try_from(code).map_or("", codes::Code::text);
+    format!("{what:<12} {count} with {code} ({text})")
+}
+
+fn wasted_line(wasted: Option<tally::Wasted>) -> String {
+    let Some(wasted) = wasted else {
+        return "wasted       not known, an entry's metrics could not be read".to_owned();
+    };
+    let (messages, tasks) = (wasted.messages, wasted.tasks);
+    let ratio = wasted
+        .per_task
+        .map_or_else(|| "-".to_owned(), |ratio| format!("{ratio:.4}"));
+    format!("wasted       {ratio} messages a task ({messages} over {tasks})")
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -6,10 +6,12 @@
 use crate::cli;
 
 pub mod answer;
+pub mod audit;
 pub mod cancel;
 pub mod change;
 pub mod config;
 pub mod fetch;
+pub mod load;
 pub mod status;
 pub mod submit;
 pub mod token;
@@ -30,6 +32,8 @@
     status      Show entries, runners and the settings in force at each
     config      Check, compare, show and change the settings
     zone        Take availability zones out of service and bring them back
+    audit       Show who changed which settings, and what became of it
+    load        Put a load on the entries and print what callers received
     token       Hash a token for the settings
 
 Exit status: 0 complete, 1 failed, 2 wrong command line, 3 not run, 4 may have run,
@@ -44,9 +48,11 @@
     let name = args.next().unwrap_or_default();
     let rest = args.collect();
     match name.to_str() {
+        Some("audit") => audit::run(rest),
         Some("cancel") => cancel::run(rest),
         Some("config") => config::run(rest),
         Some("fetch") => fetch::run(rest),
+        Some("load") => load::run(rest),
         Some("status") => status::run(rest),
         Some("submit") => submit::run(rest),
         Some("token") => token::run(rest),
--- a/src/cmd/submit.rs
+++ b/src/cmd/submit.rs
@@ -105,7 +105,7 @@
             config,
             shape,
             submission,
-            deadline,
+            deadline: deadline.min(flags::MAX_TIME),
             wait,
             json,
         })
@@ -255,11 +255,7 @@
         let err = match entries.tickets(place, 1).await {
             Ok(tickets) => match tickets.tickets.into_iter().next() {
                 Some(ticket) => return Ok((place, ticket)),
-                None => client::ClientError::BadAnswer(
-                    entries.address(place).clone(),
-                    200,
-                    SmolStr::new_static("no ticket"),
-                ),
+                None => entries.no_ticket(place),
             },
             Err(err) => err,
         };
--- a/src/cmd/zone.rs
+++ b/src/cmd/zone.rs
@@ -159,10 +159,10 @@
 
 fn list(args: pico_args::Arguments) -> cli::CliResult<()> {
     let args = List::parse(args)?;
+    let (log, entries) = args.config.sources()?;
     let (state, processes) = cmd::block_on(async {
         let http = client::Http::new(CONNECTIONS);
-        let entries = args.config.known_entries();
-        let state = follow::in_force(&http, args.config.known_log(), entries).await?;
+        let state = follow::in_force(&http, log, entries).await?;
         let processes = survey::survey(&http, entries).await;
         Ok::<_, cli::CliError>((state, processes))
     })?;
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -45,7 +45,18 @@
 ///
 /// Built from the start's wall clock and a random part, so a later life of the
 /// same name is greater unless the clock was set back.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Deserialize,
+    Serialize
+)]
 #[serde(transparent)]
 pub struct Incarnation(pub u64);
 
@@ -67,7 +78,18 @@
 }
 
 /// One attempt to start one task, unique over all entries and lives.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Deserialize,
+    Serialize
+)]
 pub struct Attempt {
     /// The life of the entry that owns the task.
     pub owner: Incarnation,
