Merge the tool

Cause: operators and callers need it, and so does the demo. Ruled out: keeping its question by revision (the daemon answers by position).

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,7 +9,10 @@
 
 pub mod api;
 pub mod audit;
+pub mod cli;
+pub mod client;
 pub mod clock;
+pub mod cmd;
 pub mod codes;
 pub mod config;
 pub mod control;
