--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod processes;
 pub mod relay;
 pub mod server;
+pub mod site;
 pub mod worker;
 
 use std::sync;
