Drive the decision modules in a clock of their own

Cause: decisions under load are to be judged by what callers receive. Ruled out: a model of networks and hosts (not asked for now): only queues, slots, service times and latencies are made up, both sides are the real modules. Before: nothing measured. Conclusion: the driver stands; the decisions are still the thin ones.

--- a/measure/src/main.rs
+++ b/measure/src/main.rs
@@ -1,3 +1,45 @@
-//! Deterministic measurements over the pure decision modules.
+//! Prints the table of a load pattern.
 
-fn main() {}
+use bulrushtiller_measure::patterns;
+use bulrushtiller_measure::report;
+use bulrushtiller_measure::sim;
+
+const USAGE: &str = "\
+Prints the table of a load pattern.
+
+Usage: bulrushtiller-measure PATTERN [--site taipa|formulario] [--seed N] [--load L]
+
+Patterns: steady
+";
+
+fn main() {
+    let mut args = pico_args::Arguments::from_env();
+    let site: Option<String> = args.opt_value_from_str("--site").unwrap_or_default();
+    let seed: u64 = args
+        .opt_value_from_str("--seed")
+        .ok()
+        .flatten()
+        .unwrap_or(1);
+    let load: f64 = args
+        .opt_value_from_str("--load")
+        .ok()
+        .flatten()
+        .unwrap_or(0.7);
+    let site = match site.as_deref() {
+        Some("formulario") => sim::Site::formulario(),
+        _ => sim::Site::taipa(),
+    };
+    let Ok(Some(pattern)) = args.opt_free_from_str::<String>() else {
+        print!("{USAGE}");
+        return;
+    };
+    if pattern != "steady" {
+        print!("{USAGE}");
+        return;
+    }
+    let rows = patterns::steady(&site, load, seed);
+    println!("{}", report::HEADS);
+    for (name, figures) in rows {
+        println!("{}", report::row(&name, &figures));
+    }
+}
--- /dev/null
+++ b/measure/src/report.rs
@@ -0,0 +1,135 @@
+//! What callers received, in figures.
+
+use hdrhistogram::Histogram;
+
+use bulrushtiller::codes;
+
+use crate::sim;
+use crate::workload;
+
+/// Figures of one run.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Figures {
+    /// Jobs in all.
+    pub jobs: usize,
+    /// Jobs answered completely.
+    pub complete: usize,
+    /// Jobs refused or ended without a start.
+    pub not_run: usize,
+    /// Jobs failed, or that may have run.
+    pub failed: usize,
+    /// Jobs never answered.
+    pub unanswered: usize,
+    /// Response time over ideal, of complete jobs: median.
+    pub ratio_p50: f64,
+    /// The same: 99th percentile.
+    pub ratio_p99: f64,
+    /// Work done in the window over what the slots could do in it.
+    pub goodput: f64,
+    /// Wasted messages a started task.
+    pub wasted: f64,
+    /// Starts of a task that had started before.
+    pub double_starts: u64,
+    /// Starts in a zone long after it was taken out.
+    pub late_starts: u64,
+}
+
+/// Histogram units per 1.0 of the ratio.
+const SCALE: f64 = 1_000.0;
+
+/// Works out the figures of the jobs that `counts`; goodput over the window in
+/// milliseconds, against `capacity` slots.
+pub fn figures(
+    site: &sim::Site,
+    jobs: &[workload::Job],
+    outcome: &sim::Outcome,
+    window_ms: (u64, u64),
+    capacity: f64,
+    counts: impl Fn(&workload::Job) -> bool,
+) -> Figures {
+    let mut ratios = Histogram::<u64>::new(3).unwrap_or_else(|e| unreachable!("{e}"));
+    let mut figures = Figures {
+        jobs: jobs.iter().filter(|job| counts(job)).count(),
+        ..Figures::default()
+    };
+    for one in &outcome.received {
+        let job = &jobs[one.job];
+        if !counts(job) {
+            continue;
+        }
+        match one.code.class() {
+            codes::Class::Complete => {
+                figures.complete += 1;
+                ratios.saturating_record(scaled(ratio(site, job, one.at_us)));
+            }
+            codes::Class::NotRun => figures.not_run += 1,
+            _ => figures.failed += 1,
+        }
+    }
+    figures.unanswered = figures.jobs - figures.complete - figures.not_run - figures.failed;
+    figures.ratio_p50 = ratios.value_at_quantile(0.5) as f64 / SCALE;
+    figures.ratio_p99 = ratios.value_at_quantile(0.99) as f64 / SCALE;
+    figures.goodput = goodput(outcome, window_ms, capacity);
+    figures.wasted = outcome.wasted as f64 / outcome.started.max(1) as f64;
+    figures.double_starts = outcome.double_starts;
+    figures.late_starts = outcome.late_starts;
+    figures
+}
+
+/// The ideal: the longest task, and the shortest way there and back.
+fn ratio(site: &sim::Site, job: &workload::Job, at_us: u64) -> f64 {
+    let longest = job.run_ms.iter().copied().max().unwrap_or(0);
+    let way_us = 2 * (site.to_caller_us + site.within_zone_us);
+    let ideal_us = u64::from(longest) * 1_000 + way_us;
+    (at_us - job.at_us) as f64 / ideal_us as f64
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "ratios are small and not negative"
+)]
+fn scaled(ratio: f64) -> u64 {
+    (ratio * SCALE).round() as u64
+}
+
+fn goodput(outcome: &sim::Outcome, window_ms: (u64, u64), capacity: f64) -> f64 {
+    let in_window = |work: &&sim::Work| {
+        let at_ms = work.at_us / 1_000;
+        (window_ms.0..window_ms.1).contains(&at_ms)
+    };
+    let done: f64 = outcome
+        .work
+        .iter()
+        .filter(in_window)
+        .map(|work| f64::from(work.run_ms))
+        .sum();
+    done / ((window_ms.1 - window_ms.0) as f64 * capacity)
+}
+
+/// Heads of the columns.
+pub const HEADS: &str = "| version | jobs | complete | not run | failed | unanswered | p50 ratio | p99 ratio | goodput | wasted/task | double | late |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |";
+
+/// One row of a table.
+pub fn row(name: &str, figures: &Figures) -> String {
+    let Figures {
+        jobs,
+        complete,
+        not_run,
+        failed,
+        unanswered,
+        ..
+    } = figures;
+    let Figures {
+        ratio_p50,
+        ratio_p99,
+        goodput,
+        wasted,
+        double_starts,
+        late_starts,
+        ..
+    } = figures;
+    format!(
+        "| {name} | {jobs} | {complete} | {not_run} | {failed} | {unanswered} | {ratio_p50:.2} | {ratio_p99:.2} | {goodput:.3} | {wasted:.3} | {double_starts} | {late_starts} |"
+    )
+}
--- /dev/null
+++ b/measure/src/sim/mod.rs
@@ -0,0 +1,59 @@
+//! A clock, a few entries and runners, and what passes between them.
+//!
+//! Both sides are the real decision modules; latencies, service times and faults
+//! are the only things made up.
+
+pub mod naive;
+pub mod site;
+pub mod world;
+
+pub use site::Fault;
+pub use site::Site;
+pub use world::run;
+
+use bulrushtiller::api;
+use bulrushtiller::codes;
+
+/// What a caller received for one job.
+#[derive(Clone, Debug)]
+pub struct Received {
+    /// Index of the job in its workload.
+    pub job: usize,
+    /// When the last answer came to the caller, microseconds.
+    pub at_us: u64,
+    /// Its result code.
+    pub code: codes::Code,
+    /// Fates of its tasks, as answered.
+    pub fates: Vec<api::Fate>,
+    /// When to come back, if it was refused.
+    pub retry_after_ms: Option<u64>,
+}
+
+/// Everything that a run came to.
+#[derive(Clone, Debug, Default)]
+pub struct Outcome {
+    /// One per job that was answered.
+    pub received: Vec<Received>,
+    /// Tasks started at workers.
+    pub started: u64,
+    /// Tasks that ended at workers, with their slot time in milliseconds and when
+    /// they ended, microseconds.
+    pub work: Vec<Work>,
+    /// Messages that moved nothing forward.
+    pub wasted: u64,
+    /// Starts of a task that had started before; must stay 0 for jobs.
+    pub double_starts: u64,
+    /// Starts in a zone later than the bound after it was taken out.
+    pub late_starts: u64,
+}
+
+/// One piece of work done at a worker.
+#[derive(Clone, Copy, Debug)]
+pub struct Work {
+    /// Index of the job.
+    pub job: usize,
+    /// When it ended, microseconds.
+    pub at_us: u64,
+    /// Slot time, milliseconds.
+    pub run_ms: u32,
+}
--- /dev/null
+++ b/measure/src/sim/naive.rs
@@ -0,0 +1,95 @@
+//! The naive version to compare with: a random runner, first come first served,
+//! queues without bound, no view of anything.
+
+use std::cmp;
+use std::collections;
+
+use rand::Rng as _;
+use rand::SeedableRng as _;
+
+use bulrushtiller::api;
+use bulrushtiller::codes;
+
+use crate::sim;
+use crate::workload;
+
+type Timed = cmp::Reverse<(u64, u64, usize, usize, u32)>;
+
+/// Runs a workload to its end. Zones are not looked at; of the faults only slow and
+/// failing servers have an effect.
+pub fn run(
+    site: &sim::Site,
+    jobs: &[workload::Job],
+    faults: &[sim::Fault],
+    seed: u64,
+) -> sim::Outcome {
+    let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(seed);
+    let mut free_at: Vec<Vec<u64>> = vec![vec![0; site.slots as usize]; site.runners];
+    let mut ends: collections::BinaryHeap<Timed> = collections::BinaryHeap::new();
+    let mut outcome = sim::Outcome::default();
+    for (index, job) in jobs.iter().enumerate() {
+        let entry = rng.random_range(0..site.entries);
+        let mut last_us = 0;
+        let mut is_failed = false;
+        for run_ms in &job.run_ms {
+            let runner = rng.random_range(0..site.runners);
+            let hop_us = site.latency_us(entry, runner);
+            let come_us = job.at_us + site.to_caller_us + hop_us;
+            let Some(slot) = free_at[runner].iter_mut().min() else {
+                continue;
+            };
+            let start_us = (*slot).max(come_us);
+            let (real_us, fails) = service(faults, runner, start_us, *run_ms);
+            *slot = start_us + real_us;
+            is_failed |= fails;
+            last_us = last_us.max(*slot + hop_us);
+            outcome.started += 1;
+            if !fails {
+                ends.push(cmp::Reverse((*slot, 0, index, runner, *run_ms)));
+            }
+        }
+        let fate = if is_failed {
+            api::Fate::Failed
+        } else {
+            api::Fate::Ran
+        };
+        let code = if is_failed {
+            codes::Code::TaskFailed
+        } else {
+            codes::Code::Complete
+        };
+        outcome.received.push(sim::Received {
+            job: index,
+            at_us: last_us + site.to_caller_us,
+            code,
+            fates: vec![fate; job.run_ms.len()],
+            retry_after_ms: None,
+        });
+    }
+    while let Some(cmp::Reverse((at_us, _, job, _, run_ms))) = ends.pop() {
+        outcome.work.push(sim::Work { job, at_us, run_ms });
+    }
+    outcome
+}
+
+fn service(faults: &[sim::Fault], runner: usize, at_us: u64, run_ms: u32) -> (u64, bool) {
+    let mut real_us = u64::from(run_ms) * 1_000;
+    for fault in faults.iter().filter(|fault| fault.at_ms() * 1_000 <= at_us) {
+        match fault {
+            sim::Fault::Slow {
+                runner: slow,
+                factor,
+                ..
+            } if *slow == runner => {
+                real_us = sim::world::micros(f64::from(run_ms) * factor);
+            }
+            sim::Fault::FailsAll {
+                runner: failing, ..
+            } if *failing == runner => {
+                return (1_000, true);
+            }
+            _ => {}
+        }
+    }
+    (real_us, false)
+}
