Close three holes that spoiled copies of the settings slice showed

Cause: twenty spoiled copies of the slice (trials) were run against its tests; three were passed: a checkpoint ahead of its own offset taken over while searching, the origin of a table left at its first file, and a reset in `Reader::mark` left out.

The first two have tests now, which fail on the spoiled copies. The third was a line without effect and is gone. Derives of foreign traits stand on lines of their own.

--- a/src/audit/event.rs
+++ b/src/audit/event.rs
@@ -17,7 +17,8 @@
 pub const MAX_SHOWN_BYTES: usize = 128;
 
 /// What the author said of a change, as far as it can be read.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Made {
     /// Offset of the record.
     pub offset: u64,
@@ -34,7 +35,8 @@
 }
 
 /// One event.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
 pub enum Event {
     /// A change was accepted; the revision is the record's offset.
--- a/src/audit/ring.rs
+++ b/src/audit/ring.rs
@@ -14,7 +14,8 @@
 pub const MAX_PAGE: usize = 256;
 
 /// An event and its number at this process.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Numbered {
     /// Counts the events of this life of the process, from 0.
     pub number: u64,
@@ -24,7 +25,8 @@
 }
 
 /// Answer to `GET /audit?from=N`.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Page {
     /// The oldest number still kept.
     pub first: u64,
--- a/src/settings/diff.rs
+++ b/src/settings/diff.rs
@@ -10,7 +10,8 @@
 use super::merge;
 
 /// One key that was added, removed or set to another value.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct KeyChange {
     /// Path of the key.
     pub key: SmolStr,
--- a/src/settings/problem.rs
+++ b/src/settings/problem.rs
@@ -13,7 +13,8 @@
 pub const WHOLE_FOLDER: &str = ".";
 
 /// One reason for a refusal, with the place that gave it.
-#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 pub struct Problem {
     /// The file's name, or [`WHOLE_FOLDER`].
     pub file: SmolStr,
--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -254,8 +254,6 @@
             Some(last) if last >= position => self.changes.min(offset - position),
             _ => 0,
         };
-        self.wanted_since = None;
-        self.tried_ms = None;
     }
 
     /// Whether to append [`state::State::checkpoint`] to the log now.
--- a/src/settings/record.rs
+++ b/src/settings/record.rs
@@ -35,7 +35,8 @@
 }
 
 /// One record; its offset on the log is the revision it makes.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(tag = "type", rename_all = "snake_case")]
 pub enum Record {
     /// A change of one file.
@@ -45,7 +46,8 @@
 }
 
 /// A file put into the folder or removed from it.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Change {
     /// See [`VERSION`].
     pub version: u32,
@@ -65,7 +67,8 @@
 }
 
 /// The verdict on a recent change.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Recent {
     /// The change's id.
     pub id: SmolStr,
@@ -76,7 +79,8 @@
 }
 
 /// The whole folder after all records below `position`.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Checkpoint {
     /// See [`VERSION`].
     pub version: u32,
--- a/tests/unit/settings/check.rs
+++ b/tests/unit/settings/check.rs
@@ -144,6 +144,15 @@
     assert_eq!(refusals, [text]);
 }
 
+#[test]
+fn table_is_reported_where_it_was_opened_last() {
+    let files = fixtures::folder(&[("10.toml", "[teem]\n"), ("20.toml", "\n[teem]\n")]);
+
+    let refusals = refusals(&files);
+
+    assert_eq!(refusals, ["20.toml:2: `teem` is not a known key"]);
+}
+
 #[test]
 fn overridden_fault_is_no_fault() {
     let files = fixtures::folder(&[
--- a/tests/unit/settings/reader.rs
+++ b/tests/unit/settings/reader.rs
@@ -102,6 +102,21 @@
     );
 }
 
+// A checkpoint names a position that the log had not reached when it was appended.
+// Whoever started from it would skip the records in between, which all others apply.
+#[test]
+fn checkpoint_ahead_of_the_log_is_passed_by() {
+    let ahead = checkpoint_of(&at_end(0, &changes(9)));
+    let mut reader = follower();
+
+    let taken = reader.take(1, fixtures::batch(4, &[ahead]));
+
+    assert_eq!(
+        (taken.standing, reader.state().position()),
+        (reader::Standing::Lacking, 0)
+    );
+}
+
 #[test]
 fn peer_bridges_missing_records() {
     let log = changes(6);
