--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,11 @@
+//! The entry: the thin process that callers talk to.
+
+pub mod attempts;
+pub mod calls;
+pub mod control;
+pub mod core;
+pub mod http;
+pub mod messages;
+pub mod pump;
+pub mod report;
+pub mod tick;
