--- a/tests/unit/settings.rs
+++ b/tests/unit/settings.rs
@@ -3,6 +3,7 @@
 mod check;
 pub(crate) mod fixtures;
 mod merge;
+mod pages;
 mod reader;
 mod replicas;
 mod state;
