Read settings and the audit trail through the shared reader

The tool had a follower of its own. The daemons' reader finds its checkpoint by the same rule in every process, so the tool now uses it, falls back to an entry's state where old records have expired, and shows the shared audit events, also those of a daemon's own trail. Tried by hand against the stand-in log.

--- a/src/cli/config.rs
+++ b/src/cli/config.rs
@@ -11,6 +11,7 @@
 
 use crate::cli;
 use crate::cli::flags;
+use crate::client::follow;
 
 /// Environment variable with the entries, separated by commas.
 pub const ENTRIES_VAR: &str = "BULRUSHTILLER_ENTRIES";
@@ -134,8 +135,8 @@
         log.ok_or_else(|| missing("the log's address", "--log", LOG_VAR))
     }
 
-    /// Where the settings in force can be read: the log, else the entries; one at least.
-    pub fn sources(&self) -> cli::CliResult<(Option<&SmolStr>, &[SmolStr])> {
+    /// Where the settings in force can be read; one place at least.
+    pub fn sources(&self) -> cli::CliResult<follow::Sources<'_>> {
         if self.log.is_none() && self.entries.is_empty() {
             return Err(missing(
                 "the log's address or an entry",
@@ -143,7 +144,15 @@
                 LOG_VAR,
             ));
         }
-        Ok((self.log.as_ref(), &self.entries))
+        Ok(follow::Sources {
+            log: self.log.as_ref(),
+            entries: &self.entries,
+        })
+    }
+
+    /// The entries, where the command can do without.
+    pub fn known_entries(&self) -> &[SmolStr] {
+        &self.entries
     }
 }
 
--- a/src/client/follow.rs
+++ b/src/client/follow.rs
@@ -9,87 +9,79 @@
 use crate::client::http;
 use crate::client::log;
 use crate::settings;
+use crate::settings::reader;
 use crate::settings::record;
 use crate::wire;
 
 /// Longest time for an entry to send its whole state.
 const STATE_TIMEOUT: time::Duration = time::Duration::from_secs(5);
 
-/// Where to start reading a stream.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Start {
-    /// As early as the verdicts can be known, for those who want the history.
-    Earliest,
-    /// At the newest checkpoint, for those who want the state.
-    Newest,
-}
+/// The reader's clock: it serves the writing of checkpoints only, and the tool writes none.
+const NO_CLOCK_MS: u64 = 0;
 
-/// A record with what became of it.
-#[derive(Clone, Debug)]
-pub struct Applied {
-    /// The record.
-    pub item: log::Item,
-    /// What became of it.
-    pub verdict: settings::Verdict,
+/// Where settings can be read.
+#[derive(Clone, Copy, Debug)]
+pub struct Sources<'a> {
+    /// The address of the log service.
+    pub log: Option<&'a SmolStr>,
+    /// Entries, each `HOST:PORT`.
+    pub entries: &'a [SmolStr],
 }
 
-impl Applied {
-    /// The change that the record holds, if it can be read and holds one.
-    pub fn change(&self) -> Option<settings::Change> {
-        match settings::Record::deserialize(&self.item.record) {
-            Ok(settings::Record::Change(change)) => Some(change),
-            _ => None,
-        }
-    }
-}
-
-/// A reader of the settings' stream.
+/// A reader of the settings' stream that is past its end.
 #[derive(Clone, Debug)]
 pub struct Follower {
     log: log::Log,
-    state: settings::State,
+    reader: reader::Reader,
 }
 
 impl Follower {
-    /// Reads the stream to its end, and gives what was applied on the way.
+    /// Reads the stream to its end, and gives the records that had their turn.
+    ///
+    /// Where old records have expired without a checkpoint, an entry's state takes
+    /// their place.
     pub async fn open(
-        log: log::Log,
-        start: Start,
-    ) -> Result<(Self, Vec<Applied>), client::ClientError> {
-        let (first, items) = read_all(&log).await?;
-        let state = settings::State::new();
-        let mut follower = Self { log, state };
-        let has_start = follower.adopt_one(first, &items, start);
-        if !has_start {
-            return Err(follower
-                .log
-                .bad("old records have expired and no checkpoint covers them"));
+        http: &http::Http,
+        log: &SmolStr,
+        entries: &[SmolStr],
+    ) -> Result<(Self, Vec<reader::Applied>), client::ClientError> {
+        let mut follower = Self {
+            log: log::Log::new(http.clone(), log, record::STREAM),
+            reader: reader::Reader::new(settings::State::new(), NO_CLOCK_MS),
+        };
+        let mut applied = Vec::new();
+        loop {
+            applied.extend(follower.next(time::Duration::ZERO).await?);
+            match follower.reader.standing() {
+                reader::Standing::AtEnd => return Ok((follower, applied)),
+                reader::Standing::Behind => {}
+                reader::Standing::Lacking => follower.ask_entries(http, entries).await?,
+                reader::Standing::Stale => return Err(follower.log.bad("its end went back")),
+            }
         }
-        let applied = follower.apply(items)?;
-        Ok((follower, applied))
     }
 
-    /// Starts from a checkpoint; answers whether nothing is missing between it and the records.
-    ///
-    /// Records before the stream's first have expired. To start after them without a
-    /// checkpoint would show a folder that was never in force.
-    fn adopt_one(&mut self, first: u64, items: &[log::Item], start: Start) -> bool {
-        let checkpoints = items.iter().filter_map(checkpoint);
-        let mut covering: Vec<_> = checkpoints
-            .filter(|found| found.position >= first)
-            .collect();
-        match start {
-            Start::Newest => covering.reverse(),
-            Start::Earliest if first == 0 => return true,
-            Start::Earliest => {}
+    async fn ask_entries(
+        &mut self,
+        http: &http::Http,
+        entries: &[SmolStr],
+    ) -> Result<(), client::ClientError> {
+        for address in entries {
+            let Ok(Some(found)) = checkpoint_of(http, address).await else {
+                continue;
+            };
+            let adopted = self.reader.adopt(&found);
+            if adopted.is_ok() && self.reader.standing() == reader::Standing::Behind {
+                return Ok(());
+            }
         }
-        let adopts = |found: &settings::Checkpoint| self.state.adopt(found) == Ok(true);
-        covering.iter().any(adopts) || first == 0
+        let why = "old records have expired, and neither a checkpoint nor an entry covers them";
+        Err(self.log.bad(why))
     }
 
     /// The settings after what was read.
     pub const fn state(&self) -> &settings::State {
-        &self.state
+        self.reader.state()
     }
 
     /// The log that is read.
@@ -97,62 +89,34 @@
         &self.log
     }
 
+    /// Whether records expired before they were read.
+    pub fn is_lacking(&self) -> bool {
+        self.reader.standing() == reader::Standing::Lacking
+    }
+
     /// Reads on, waiting up to `wait` for a record.
     pub async fn next(
         &mut self,
         wait: time::Duration,
-    ) -> Result<Vec<Applied>, client::ClientError> {
-        let page = self.log.read(self.state.position(), wait).await?;
-        self.apply(page.records)
-    }
-
-    fn apply(&mut self, items: Vec<log::Item>) -> Result<Vec<Applied>, client::ClientError> {
-        let mut applied = Vec::with_capacity(items.len());
-        for item in items {
-            match self.state.apply_json(item.offset, &item.record) {
-                settings::Verdict::Ignored => {}
-                settings::Verdict::Gap { .. } => {
-                    return Err(self
-                        .log
-                        .bad("records expired before they were read; start again"));
-                }
-                verdict => applied.push(Applied { item, verdict }),
-            }
-        }
-        Ok(applied)
+    ) -> Result<Vec<reader::Applied>, client::ClientError> {
+        let page = self.log.read(self.reader.read_from(), wait).await?;
+        Ok(self.reader.take(NO_CLOCK_MS, page.into()).applied)
     }
 }
 
-/// The checkpoint in a record, if it is one that can be used.
-fn checkpoint(item: &log::Item) -> Option<settings::Checkpoint> {
-    match settings::Record::deserialize(&item.record) {
-        Ok(settings::Record::Checkpoint(found)) if found.position <= item.offset => Some(found),
+/// The change that a record holds, if it can be read and holds one.
+pub fn change_of(applied: &reader::Applied) -> Option<settings::Change> {
+    match settings::Record::deserialize(&applied.entry.document) {
+        Ok(settings::Record::Change(change)) => Some(change),
         _ => None,
     }
 }
 
-/// Reads everything that the log keeps; gives the first offset kept too.
-async fn read_all(log: &log::Log) -> Result<(u64, Vec<log::Item>), client::ClientError> {
-    let mut items: Vec<log::Item> = Vec::new();
-    let mut first = None;
-    loop {
-        let from = items.last().map_or(0, |item| item.offset + 1);
-        let page = log.read(from, time::Duration::ZERO).await?;
-        let first = *first.get_or_insert(page.first);
-        let is_end = page.records.is_empty();
-        items.extend(page.records);
-        let read = items.last().map_or(first, |item| item.offset + 1);
-        if is_end || read >= page.next {
-            return Ok((first, items));
-        }
-    }
-}
-
-/// The settings in force at one daemon.
-pub async fn state_of(
+/// The whole settings state of one daemon; absent before its first.
+async fn checkpoint_of(
     http: &http::Http,
     address: &SmolStr,
-) -> Result<settings::State, client::ClientError> {
+) -> Result<Option<settings::Checkpoint>, client::ClientError> {
     let query = wire::SettingsQuery {
         version: wire::VERSION,
         revision: None,
@@ -160,13 +124,25 @@
     let body = http::Body::message(&query);
     let call = http::Call::post(address, wire::SETTINGS_PATH, body, STATE_TIMEOUT);
     let reply = http.call(call).await?;
-    let message: wire::SettingsReply =
-        wire::decode(&reply.body).map_err(|err| reply.bad(&err.to_string()))?;
+    if !reply.is_ok() {
+        return Err(reply.bad("no settings"));
+    }
+    let message: Result<wire::SettingsReply, _> = wire::decode(&reply.body);
+    message
+        .map(|message| message.state)
+        .map_err(|err| reply.bad(&err.to_string()))
+}
+
+async fn state_of(
+    http: &http::Http,
+    address: &SmolStr,
+) -> Result<settings::State, client::ClientError> {
     let mut state = settings::State::new();
-    if let Some(found) = message.state {
-        state
-            .adopt(&found)
-            .map_err(|err| reply.bad(&err.to_string()))?;
+    if let Some(found) = checkpoint_of(http, address).await? {
+        let bad = |err| {
+            client::ClientError::BadAnswer(address.clone(), 200, smol_str::format_smolstr!("{err}"))
+        };
+        state.adopt(&found).map_err(bad)?;
     }
     Ok(state)
 }
@@ -174,23 +150,22 @@
 /// The settings in force: from the log, or else from the first entry that answers.
 pub async fn in_force(
     http: &http::Http,
-    log: Option<&SmolStr>,
-    entries: &[SmolStr],
+    sources: Sources<'_>,
 ) -> Result<settings::State, client::ClientError> {
     let mut failed = None;
-    if let Some(address) = log {
-        let log = log::Log::new(http.clone(), address, record::STREAM);
-        match Follower::open(log, Start::Newest).await {
-            Ok((follower, _applied)) => return Ok(follower.state),
+    if let Some(log) = sources.log {
+        match Follower::open(http, log, sources.entries).await {
+            Ok((follower, _applied)) => return Ok(follower.reader.state().clone()),
             Err(err) => failed = Some(err),
         }
     }
-    for address in entries {
+    for address in sources.entries {
         match state_of(http, address).await {
             Ok(state) => return Ok(state),
             Err(err) => failed = failed.or(Some(err)),
         }
     }
-    let nowhere = || client::ClientError::Unreachable("-".into(), "no log and no entry".into());
+    let nowhere =
+        || client::ClientError::Unreachable("-".into(), "neither a log nor an entry".into());
     Err(failed.unwrap_or_else(nowhere))
 }
--- a/src/client/log.rs
+++ b/src/client/log.rs
@@ -9,6 +9,7 @@
 
 use crate::client;
 use crate::client::http;
+use crate::settings::reader;
 
 /// Longest time for one append; several synced writes fit into it.
 const APPEND_TIMEOUT: time::Duration = time::Duration::from_secs(3);
@@ -45,6 +46,20 @@
     pub records: Vec<Item>,
 }
 
+impl From<Page> for reader::Batch {
+    fn from(page: Page) -> Self {
+        let entry = |item: Item| reader::Entry {
+            offset: item.offset,
+            document: item.record,
+        };
+        Self {
+            first: page.first,
+            next: page.next,
+            entries: page.records.into_iter().map(entry).collect(),
+        }
+    }
+}
+
 /// One stream of the log.
 #[derive(Clone, Debug)]
 pub struct Log {
--- a/src/client/publish.rs
+++ b/src/client/publish.rs
@@ -11,6 +11,7 @@
 use crate::client::follow;
 use crate::client::settle;
 use crate::settings;
+use crate::settings::reader;
 use crate::settings::record;
 
 /// Longest wait of one read for the verdict.
@@ -71,6 +72,9 @@
         let pause = match follower.next(READ_WAIT).await {
             Ok(applied) => match verdict_on(change, applied) {
                 Some(verdict) => return Ok(verdict),
+                None if follower.is_lacking() => {
+                    return Err(follower.log().bad("records expired before they were read"));
+                }
                 None => time::Duration::ZERO,
             },
             Err(err) if is_last_word(&err) => return Err(err),
@@ -110,8 +114,9 @@
     matches!(err, client::ClientError::BadAnswer(..))
 }
 
-fn verdict_on(change: &record::Change, applied: Vec<follow::Applied>) -> Option<settings::Verdict> {
-    let is_it = |one: &follow::Applied| one.change().is_some_and(|found| found.id == change.id);
+fn verdict_on(change: &record::Change, applied: Vec<reader::Applied>) -> Option<settings::Verdict> {
+    let is_it =
+        |one: &reader::Applied| follow::change_of(one).is_some_and(|found| found.id == change.id);
     applied.into_iter().find(is_it).map(|one| one.verdict)
 }
 
--- a/src/cmd/audit.rs
+++ b/src/cmd/audit.rs
@@ -4,74 +4,94 @@
 use std::time;
 
 use actix_rt::time as rt_time;
-use serde::Serialize;
 use smol_str::SmolStr;
 
+use crate::audit;
+use crate::audit::event;
 use crate::cli;
 use crate::cli::flags;
 use crate::client;
 use crate::client::follow;
-use crate::client::log;
+use crate::client::http;
 use crate::client::settle;
 use crate::cmd;
 use crate::cmd::change;
-use crate::codes;
-use crate::settings;
-use crate::settings::diff;
-use crate::settings::problem;
+use crate::settings::reader;
 use crate::settings::record;
 
 const USAGE: &str = "
-Shows the changes of settings that the log still keeps, oldest first: when, who, which
-file, at which revision, accepted or why not, and what changed.
+Shows the changes of settings, oldest first: when, who, which file, at which revision,
+accepted or why not, and what changed.
 
 Usage:
     bulrushtiller audit [options]
 
-Times are by the clock of whoever made the change.
+Without --daemon they are those that the log still keeps. A daemon's own trail is
+shorter, and tells besides at which process a revision came into force when, and who
+offered an older one. Times are by the clock of whoever made the change.
 
 Options:
+    --daemon HOST:PORT  Show the trail of this daemon
     --file NAME         Only changes of this file
     --author NAME       Only changes by this author
     --result WORD       Only 'accepted', 'rejected' or 'repeated' changes
-    --from REV          Only from this revision on
-    --follow            Go on until interrupted, also through outages of the log
+    --from N            Only from this offset of the log, or number of the daemon, on
+    --follow            Go on until interrupted, also through outages
     --json              Print one JSON object a line
 ";
 
-/// Longest wait of one read while following.
+/// Longest wait of one read of the log while following.
 const FOLLOW_WAIT: time::Duration = time::Duration::from_secs(5);
 
+/// Pause between two questions to a daemon while following.
+const DAEMON_PAUSE: time::Duration = time::Duration::from_millis(500);
+
+/// Longest time for a daemon to answer.
+const DAEMON_TIMEOUT: time::Duration = time::Duration::from_secs(3);
+
 /// Last millisecond of the year 9999, beyond which no time is shown.
 const MAX_SHOWN_MS: u64 = 253_402_300_799_999;
 
-/// Connections to the log.
+/// Connections to each process.
 const CONNECTIONS: usize = 1;
 
-/// Which changes are wanted.
+/// Which events are wanted.
 #[derive(Clone, Debug, Default)]
 struct Filter {
     file: Option<SmolStr>,
     author: Option<SmolStr>,
     result: Option<change::Ending>,
-    from: u64,
 }
 
 impl Filter {
-    fn passes(&self, line: &Line) -> bool {
+    fn passes(&self, event: &audit::Event) -> bool {
+        let Some((made, ending)) = change_in(event) else {
+            return self.file.is_none() && self.author.is_none() && self.result.is_none();
+        };
         let is = |wanted: &Option<SmolStr>, found: &SmolStr| {
             wanted.as_ref().is_none_or(|wanted| wanted == found)
         };
-        is(&self.file, &line.file)
-            && is(&self.author, &line.author)
-            && self.result.is_none_or(|wanted| wanted == line.result)
-            && line.offset >= self.from
+        is(&self.file, &made.file)
+            && is(&self.author, &made.author)
+            && self.result.is_none_or(|wanted| wanted == ending)
+    }
+}
+
+/// The change that an event is about, and how it ended.
+const fn change_in(event: &audit::Event) -> Option<(&event::Made, change::Ending)> {
+    match event {
+        audit::Event::Accepted { made, .. } => Some((made, change::Ending::Accepted)),
+        audit::Event::Rejected { made, .. } => Some((made, change::Ending::Rejected)),
+        audit::Event::Repeated { made, .. } => Some((made, change::Ending::Repeated)),
+        audit::Event::RevertAttempt { .. } | audit::Event::InForce { .. } => None,
     }
 }
 
 struct Args {
     config: cli::Config,
+    daemon: Option<SmolStr>,
     filter: Filter,
+    from: u64,
     follow: bool,
     json: bool,
 }
@@ -79,6 +99,10 @@
 impl Args {
     fn parse(mut args: pico_args::Arguments) -> cli::CliResult<Self> {
         let config = cli::Config::take(&mut args)?;
+        let daemon: Option<SmolStr> = args.opt_value_from_str("--daemon")?;
+        if let Some(address) = &daemon {
+            flags::check_address(address)?;
+        }
         let result: Option<String> = args.opt_value_from_str("--result")?;
         let filter = Filter {
             file: args.opt_value_from_str("--file")?,
@@ -87,163 +111,221 @@
                 .as_deref()
                 .map(change::Ending::try_from)
                 .transpose()?,
-            from: args.opt_value_from_str("--from")?.unwrap_or(0),
         };
         let parsed = Self {
             config,
+            daemon,
             filter,
+            from: args.opt_value_from_str("--from")?.unwrap_or(0),
             follow: args.contains("--follow"),
             json: args.contains("--json"),
         };
         flags::finish(args)?;
         Ok(parsed)
     }
+
+    fn print(&self, event: &audit::Event) -> cli::CliResult<()> {
+        if !self.filter.passes(event) {
+            return Ok(());
+        }
+        if self.json {
+            return cli::out::json_line(event);
+        }
+        cli::out::line(render(event))
+    }
 }
 
-/// One change in the trail.
-#[derive(Clone, Debug, Serialize)]
-struct Line {
-    offset: u64,
-    time_ms: u64,
-    author: SmolStr,
-    file: SmolStr,
-    removed: bool,
-    id: SmolStr,
-    base: Option<u64>,
-    result: change::Ending,
-    code: codes::Code,
-    changed: Vec<diff::KeyChange>,
-    problems: Vec<problem::Problem>,
-}
-
-impl Line {
-    /// The line for a record; there is none for a checkpoint.
-    fn new(applied: follow::Applied) -> Option<Self> {
-        let change = applied.change();
-        let (result, code, changed, problems) = match applied.verdict {
-            settings::Verdict::Accepted { changed, .. } => (
-                change::Ending::Accepted,
-                codes::Code::Complete,
-                changed,
-                Vec::new(),
-            ),
-            settings::Verdict::Rejected { code, problems } => {
-                (change::Ending::Rejected, code, Vec::new(), problems)
+/// Runs `audit`.
+pub fn run(argv: Vec<ffi::OsString>) -> cli::CliResult<()> {
+    let Some(args) = flags::start(argv, USAGE)? else {
+        return Ok(());
+    };
+    let args = Args::parse(args)?;
+    if let Some(address) = &args.daemon {
+        return cmd::block_on(from_daemon(&args, address));
+    }
+    let log = args.config.log()?;
+    cmd::block_on(from_log(&args, log))
+}
+
+async fn from_log(args: &Args, log: &SmolStr) -> cli::CliResult<()> {
+    let http = client::Http::new(CONNECTIONS);
+    let entries = args.config.known_entries();
+    let (mut follower, applied) = follow::Follower::open(&http, log, entries).await?;
+    print_records(args, &applied)?;
+    if !args.follow {
+        return Ok(());
+    }
+    let mut outage = Outage::default();
+    loop {
+        match follower.next(FOLLOW_WAIT).await {
+            Ok(applied) if follower.is_lacking() => {
+                print_records(args, &applied)?;
+                return Err(follower
+                    .log()
+                    .bad("records expired before they were read")
+                    .into());
             }
-            settings::Verdict::Repeated { first } => {
-                (change::Ending::Repeated, first.code, Vec::new(), Vec::new())
+            Ok(applied) => {
+                outage = Outage::default();
+                print_records(args, &applied)?;
             }
-            settings::Verdict::Checkpoint { .. }
-            | settings::Verdict::Ignored
-            | settings::Verdict::Gap { .. } => return None,
-        };
-        Some(Self {
-            offset: applied.item.offset,
-            time_ms: change.as_ref().map_or(0, |change| change.time_ms),
-            removed: change.as_ref().is_some_and(|change| change.text.is_none()),
-            base: change.as_ref().and_then(|change| change.base),
-            id: change
-                .as_ref()
-                .map(|change| change.id.clone())
-                .unwrap_or_default(),
-            author: change
-                .as_ref()
-                .map(|change| change.author.clone())
-                .unwrap_or_default(),
-            file: change.map(|change| change.file).unwrap_or_default(),
-            result,
-            code,
-            changed,
-            problems,
-        })
+            Err(err) => outage.wait(err).await?,
+        }
     }
+}
 
-    fn text(&self) -> String {
-        let action = if self.removed { "remove" } else { "put" };
-        let result = match self.result {
-            change::Ending::Accepted => "accepted".to_owned(),
-            change::Ending::Rejected => format!("rejected: {}", self.code),
-            change::Ending::Repeated => format!("repeated, first time: {}", self.code),
+fn print_records(args: &Args, applied: &[reader::Applied]) -> cli::CliResult<()> {
+    let wanted = applied.iter().filter(|one| one.entry.offset >= args.from);
+    let mut events = wanted.filter_map(audit::Event::of_record);
+    events.try_for_each(|event| args.print(&event))
+}
+
+async fn from_daemon(args: &Args, address: &SmolStr) -> cli::CliResult<()> {
+    let http = client::Http::new(CONNECTIONS);
+    let mut from = args.from;
+    let mut page = daemon_page(&http, address, from).await?;
+    let mut outage = Outage::default();
+    loop {
+        for numbered in &page.events {
+            args.print(&numbered.event)?;
+        }
+        let is_end = page.events.is_empty();
+        from = page.next;
+        if is_end && !args.follow {
+            return Ok(());
+        }
+        if is_end {
+            rt_time::sleep(DAEMON_PAUSE).await;
+        }
+        page = loop {
+            match daemon_page(&http, address, from).await {
+                Ok(page) => break page,
+                Err(err) if !args.follow => return Err(err.into()),
+                Err(err) => outage.wait(err).await?,
+            }
         };
-        let time = show_time(self.time_ms);
-        let (offset, author, file) = (self.offset, printable(&self.author), printable(&self.file));
-        let mut lines = vec![format!(
-            "{offset}  {time}  {author}  {action} {file}  {result}"
-        )];
-        lines.extend(self.changed.iter().map(|key| format!("    {key}")));
-        lines.extend(self.problems.iter().map(|problem| format!("    {problem}")));
-        lines.join("\n")
+        outage = Outage::default();
     }
 }
 
-/// A text of someone else's without what a terminal would act upon.
-fn printable(text: &SmolStr) -> String {
-    if text.is_empty() {
-        return "-".to_owned();
-    }
-    text.chars()
-        .map(|c| if c.is_control() { '?' } else { c })
-        .collect()
+async fn daemon_page(
+    http: &client::Http,
+    address: &SmolStr,
+    from: u64,
+) -> Result<audit::Page, client::ClientError> {
+    let path = format!("/audit?from={from}");
+    let reply = http
+        .call(http::Call::get(address, &path, DAEMON_TIMEOUT))
+        .await?;
+    reply.json()
 }
 
-fn show_time(unix_ms: u64) -> String {
-    if unix_ms == 0 || unix_ms > MAX_SHOWN_MS {
-        return "-".to_owned();
-    }
-    let time = time::UNIX_EPOCH + time::Duration::from_millis(unix_ms);
-    humantime::format_rfc3339_millis(time).to_string()
+/// A time in which the other side does not answer.
+#[derive(Debug, Default)]
+struct Outage {
+    failures: usize,
 }
 
-/// Runs `audit`.
-pub fn run(argv: Vec<ffi::OsString>) -> cli::CliResult<()> {
-    let Some(args) = flags::start(argv, USAGE)? else {
-        return Ok(());
-    };
-    let args = Args::parse(args)?;
-    let address = args.config.log()?;
-    cmd::block_on(async {
-        let http = client::Http::new(CONNECTIONS);
-        let log = log::Log::new(http, address, record::STREAM);
-        let (follower, applied) = follow::Follower::open(log, follow::Start::Earliest).await?;
-        print(&args, applied)?;
-        if args.follow {
-            follow_on(&args, follower).await?;
+impl Outage {
+    /// Says so once and pauses; an answer that can't be understood is no outage.
+    async fn wait(&mut self, err: client::ClientError) -> cli::CliResult<()> {
+        if matches!(err, client::ClientError::BadAnswer(..)) {
+            return Err(err.into());
         }
+        if self.failures == 0 {
+            cli::out::note(&err);
+        }
+        let pause = settle::pauses().nth(self.failures.min(MAX_STEPS));
+        self.failures += 1;
+        rt_time::sleep(pause.unwrap_or(FOLLOW_WAIT)).await;
         Ok(())
-    })
+    }
 }
 
-/// Goes on until the output is closed or records are lost.
-async fn follow_on(args: &Args, mut follower: follow::Follower) -> cli::CliResult<()> {
-    let mut pauses = settle::pauses();
-    let mut is_down = false;
-    loop {
-        match follower.next(FOLLOW_WAIT).await {
-            Ok(applied) => {
-                is_down = false;
-                pauses = settle::pauses();
-                print(args, applied)?;
-            }
-            Err(err @ client::ClientError::BadAnswer(..)) => return Err(err.into()),
-            Err(err) => {
-                if !is_down {
-                    cli::out::note(&err);
-                }
-                is_down = true;
-                rt_time::sleep(pauses.next().unwrap_or(FOLLOW_WAIT)).await;
-            }
+/// Steps after which the pauses of an outage grow no more.
+const MAX_STEPS: usize = 8;
+
+fn render(event: &audit::Event) -> String {
+    let mut lines = vec![first_line(event)];
+    match event {
+        audit::Event::Accepted {
+            changed, unlisted, ..
+        } => {
+            lines.extend(changed.iter().map(|key| format!("    {key}")));
+            lines.extend(more(*unlisted));
         }
+        audit::Event::Rejected {
+            problems, unlisted, ..
+        } => {
+            lines.extend(problems.iter().map(|problem| format!("    {problem}")));
+            lines.extend(more(*unlisted));
+        }
+        _ => {}
     }
+    let printable = lines.iter().map(|line| printable(line));
+    printable.collect::<Vec<_>>().join("\n")
 }
 
-fn print(args: &Args, applied: Vec<follow::Applied>) -> cli::CliResult<()> {
-    let lines = applied.into_iter().filter_map(Line::new);
-    for line in lines.filter(|line| args.filter.passes(line)) {
-        if args.json {
-            cli::out::json_line(&line)?;
-        } else {
-            cli::out::line(line.text())?;
+fn first_line(event: &audit::Event) -> String {
+    match event {
+        audit::Event::Accepted { made, .. } => format!("{}  accepted", describe(made)),
+        audit::Event::Rejected { made, code, .. } => {
+            format!("{}  rejected: {code}", describe(made))
+        }
+        audit::Event::Repeated { made, first } => {
+            let (offset, code) = (first.offset, first.code);
+            format!("{}  repeats the change at {offset}: {code}", describe(made))
+        }
+        audit::Event::RevertAttempt {
+            offered_by,
+            offset,
+            time_ms,
+            offered,
+            in_force,
+        } => {
+            let place = cli::out::cell(*offset);
+            let time = show_time(time_ms.unwrap_or(0));
+            let offered = record::show_revision(*offered);
+            let in_force = record::show_revision(*in_force);
+            format!("{place}  {time}  {offered_by}  offered revision {offered}, {in_force} stays")
+        }
+        audit::Event::InForce {
+            process,
+            zone,
+            revision,
+            time_ms,
+        } => {
+            let time = show_time(*time_ms);
+            let revision = record::show_revision(*revision);
+            format!("{revision}  {time}  in force at {process} in {zone}")
         }
     }
-    Ok(())
+}
+
+fn describe(made: &event::Made) -> String {
+    let shown = |text: &SmolStr| cli::out::cell(Some(text).filter(|text| !text.is_empty()));
+    let action = if made.removed { "remove" } else { "put" };
+    let time = show_time(made.time_ms);
+    let (author, file) = (shown(&made.author), shown(&made.file));
+    format!("{}  {time}  {author}  {action} {file}", made.offset)
+}
+
+fn more(unlisted: usize) -> Option<String> {
+    (unlisted > 0).then(|| format!("    and {unlisted} more"))
+}
+
+/// Others' texts without what a terminal would act upon.
+fn printable(text: &str) -> String {
+    text.chars()
+        .map(|c| if c.is_control() { '?' } else { c })
+        .collect()
+}
+
+fn show_time(unix_ms: u64) -> String {
+    if unix_ms == 0 || unix_ms > MAX_SHOWN_MS {
+        return "-".to_owned();
+    }
+    let time = time::UNIX_EPOCH + time::Duration::from_millis(unix_ms);
+    humantime::format_rfc3339_millis(time).to_string()
 }
--- a/src/cmd/change.rs
+++ b/src/cmd/change.rs
@@ -9,7 +9,6 @@
 use crate::cli::flags;
 use crate::client;
 use crate::client::follow;
-use crate::client::log;
 use crate::client::publish;
 use crate::client::rollout;
 use crate::client::survey;
@@ -252,8 +251,9 @@
             options.config.entries()?;
         }
         let http = client::Http::new(CONNECTIONS);
-        let log = log::Log::new(http.clone(), options.config.log()?, record::STREAM);
-        let (follower, _applied) = follow::Follower::open(log, follow::Start::Newest).await?;
+        let entries = options.config.known_entries();
+        let log = options.config.log()?;
+        let (follower, _applied) = follow::Follower::open(&http, log, entries).await?;
         Ok(Self {
             options,
             http,
--- a/src/cmd/config/diff.rs
+++ b/src/cmd/config/diff.rs
@@ -76,10 +76,10 @@
     let args = Args::parse(args)?;
     let files = cli::folder::read(&args.folder)?;
     let merged = cmd::config::checked(&files)?;
-    let (log, entries) = args.config.sources()?;
+    let sources = args.config.sources()?;
     let state = cmd::block_on(async {
         let http = client::Http::new(CONNECTIONS);
-        follow::in_force(&http, log, entries).await
+        follow::in_force(&http, sources).await
     })?;
     let report = compare(&state, &files, &merged);
     if args.json {
--- a/src/cmd/config/show.rs
+++ b/src/cmd/config/show.rs
@@ -64,10 +64,10 @@
         return Ok(());
     };
     let args = Args::parse(args)?;
-    let (log, entries) = args.config.sources()?;
+    let sources = args.config.sources()?;
     let state = cmd::block_on(async {
         let http = client::Http::new(CONNECTIONS);
-        follow::in_force(&http, log, entries).await
+        follow::in_force(&http, sources).await
     })?;
     match &args.file {
         Some(name) => show_file(&state, name, args.json),
--- a/src/cmd/zone.rs
+++ b/src/cmd/zone.rs
@@ -159,11 +159,11 @@
 
 fn list(args: pico_args::Arguments) -> cli::CliResult<()> {
     let args = List::parse(args)?;
-    let (log, entries) = args.config.sources()?;
+    let sources = args.config.sources()?;
     let (state, processes) = cmd::block_on(async {
         let http = client::Http::new(CONNECTIONS);
-        let state = follow::in_force(&http, log, entries).await?;
-        let processes = survey::survey(&http, entries).await;
+        let state = follow::in_force(&http, sources).await?;
+        let processes = survey::survey(&http, sources.entries).await;
         Ok::<_, cli::CliError>((state, processes))
     })?;
     let zones = gather(&state, &processes);
