--- a/src/client/follow.rs
+++ b/src/client/follow.rs
@@ -8,6 +8,7 @@
 use crate::client;
 use crate::client::http;
 use crate::client::log;
+use crate::client::survey;
 use crate::settings;
 use crate::settings::reader;
 use crate::settings::record;
@@ -66,14 +67,11 @@
         http: &http::Http,
         entries: &[SmolStr],
     ) -> Result<(), client::ClientError> {
-        for address in entries {
-            let Ok(Some(found)) = checkpoint_of(http, address).await else {
-                continue;
-            };
-            let adopted = self.reader.adopt(&found);
-            if adopted.is_ok() && self.reader.standing() == reader::Standing::Behind {
-                return Ok(());
-            }
+        let (state, _why) = state_of_any(http, entries).await;
+        let checkpoint = state.map(|state| state.checkpoint(""));
+        let adopted = checkpoint.is_some_and(|found| self.reader.adopt(&found).is_ok());
+        if adopted && self.reader.standing() == reader::Standing::Behind {
+            return Ok(());
         }
         let why = "old records have expired, and neither a checkpoint nor an entry covers them";
         Err(self.log.bad(why))
@@ -112,42 +110,64 @@
     }
 }
 
-/// The whole settings state of one daemon; absent before its first.
-async fn checkpoint_of(
+/// The settings in force at one daemon.
+async fn state_of(
     http: &http::Http,
     address: &SmolStr,
-) -> Result<Option<settings::Checkpoint>, client::ClientError> {
+) -> Result<settings::State, client::ClientError> {
     let query = wire::SettingsQuery {
         version: wire::VERSION,
-        revision: None,
+        position: 0,
     };
     let body = http::Body::message(&query);
     let call = http::Call::post(address, wire::SETTINGS_PATH, body, STATE_TIMEOUT);
     let reply = http.call(call).await?;
     if !reply.is_ok() {
-        return Err(reply.bad("no settings"));
+        return Err(reply.bad("no settings here"));
+    }
+    let message: wire::SettingsReply =
+        wire::decode(&reply.body).map_err(|err| reply.bad(&err.to_string()))?;
+    let mut state = settings::State::new();
+    if let Some(found) = message.state {
+        state
+            .adopt(&found)
+            .map_err(|err| reply.bad(&err.to_string()))?;
+    }
+    for logged in message.records {
+        let document = serde_json::from_str(&logged.record);
+        let document = document.map_err(|err| reply.bad(&err.to_string()))?;
+        state.apply_json(logged.offset, &document);
     }
-    let message: Result<wire::SettingsReply, _> = wire::decode(&reply.body);
-    message
-        .map(|message| message.state)
-        .map_err(|err| reply.bad(&err.to_string()))
+    Ok(state)
 }
 
-async fn state_of(
+/// The settings in force at the first that answers, of the entries and of the processes
+/// that they name; or else why the first did not.
+///
+/// An entry may keep the settings on its port for other processes only.
+async fn state_of_any(
     http: &http::Http,
-    address: &SmolStr,
-) -> Result<settings::State, client::ClientError> {
-    let mut state = settings::State::new();
-    if let Some(found) = checkpoint_of(http, address).await? {
-        let bad = |err| {
-            client::ClientError::BadAnswer(address.clone(), 200, smol_str::format_smolstr!("{err}"))
-        };
-        state.adopt(&found).map_err(bad)?;
+    entries: &[SmolStr],
+) -> (Option<settings::State>, Option<client::ClientError>) {
+    let mut failed = None;
+    let mut peers = Vec::new();
+    for address in entries {
+        match state_of(http, address).await {
+            Ok(state) => return (Some(state), None),
+            Err(err) => failed = failed.or(Some(err)),
+        }
+        let status = survey::status(http, address).await;
+        peers.extend(status.map_or_else(|_silent| Vec::new(), |status| status.peers));
     }
-    Ok(state)
+    for peer in &peers {
+        if let Ok(state) = state_of(http, &peer.address).await {
+            return (Some(state), None);
+        }
+    }
+    (None, failed)
 }
 
-/// The settings in force: from the log, or else from the first entry that answers.
+/// The settings in force: from the log, or else from the first process that answers.
 pub async fn in_force(
     http: &http::Http,
     sources: Sources<'_>,
@@ -159,13 +179,8 @@
             Err(err) => failed = Some(err),
         }
     }
-    for address in sources.entries {
-        match state_of(http, address).await {
-            Ok(state) => return Ok(state),
-            Err(err) => failed = failed.or(Some(err)),
-        }
-    }
+    let (state, why) = state_of_any(http, sources.entries).await;
     let nowhere =
         || client::ClientError::Unreachable("-".into(), "neither a log nor an entry".into());
-    Err(failed.unwrap_or_else(nowhere))
+    state.ok_or_else(|| failed.or(why).unwrap_or_else(nowhere))
 }
