--- a/src/client/survey.rs
+++ b/src/client/survey.rs
@@ -120,36 +120,75 @@
     }
 }
 
+/// The processes found so far.
+#[derive(Debug, Default)]
+struct Found {
+    processes: collections::BTreeMap<SmolStr, Process>,
+    /// The address by which each life was first found.
+    lives: collections::BTreeMap<SmolStr, SmolStr>,
+    /// Further addresses of processes that were found by another.
+    aliases: collections::BTreeMap<SmolStr, SmolStr>,
+    told: Vec<api::PeerStatus>,
+}
+
+impl Found {
+    /// Notes what came of asking an address.
+    ///
+    /// An entry has one address for callers and one for other processes; its life
+    /// tells that both are the same process.
+    fn note(&mut self, address: &SmolStr, answer: Option<api::Status>) {
+        let mut process = Process::unknown(address);
+        if let Some(status) = answer {
+            let first = self.lives.entry(status.incarnation.clone());
+            let first = first.or_insert_with(|| address.clone());
+            if first != address {
+                self.aliases.insert(address.clone(), first.clone());
+                return;
+            }
+            process.answer(&status);
+            self.told.extend(status.peers);
+        }
+        self.processes.insert(address.clone(), process);
+    }
+
+    fn is_known(&self, address: &SmolStr) -> bool {
+        self.processes.contains_key(address) || self.aliases.contains_key(address)
+    }
+
+    /// Addresses that were named and not asked yet.
+    fn unasked(&self) -> collections::BTreeSet<SmolStr> {
+        let named = self.told.iter().map(|peer| &peer.address);
+        named
+            .filter(|address| !self.is_known(address))
+            .cloned()
+            .collect()
+    }
+
+    /// Adds to each process what the others say of it.
+    fn finish(mut self) -> Vec<Process> {
+        for peer in &self.told {
+            let address = self.aliases.get(&peer.address).unwrap_or(&peer.address);
+            if let Some(process) = self.processes.get_mut(address) {
+                process.hear(peer);
+            }
+        }
+        sorted(self.processes)
+    }
+}
+
 /// Asks every given entry and the processes that they name.
 ///
 /// Gives the processes by role, zone and name.
 pub async fn survey(http: &http::Http, entries: &[SmolStr]) -> Vec<Process> {
-    let mut processes = collections::BTreeMap::new();
-    let mut told = Vec::new();
+    let mut found = Found::default();
     let mut ask: collections::BTreeSet<SmolStr> = entries.iter().cloned().collect();
     while !ask.is_empty() {
-        let answers = ask_all(http, &ask).await;
-        for address in &ask {
-            processes.insert(address.clone(), Process::unknown(address));
-        }
-        for (address, status) in answers {
-            if let Some(process) = processes.get_mut(&address) {
-                process.answer(&status);
-            }
-            told.extend(status.peers);
-        }
-        let named = told.iter().map(|peer| &peer.address);
-        ask = named
-            .filter(|address| !processes.contains_key(*address))
-            .cloned()
-            .collect();
-    }
-    for peer in &told {
-        if let Some(process) = processes.get_mut(&peer.address) {
-            process.hear(peer);
+        for (address, answer) in ask_all(http, &ask).await {
+            found.note(&address, answer);
         }
+        ask = found.unasked();
     }
-    sorted(processes)
+    found.finish()
 }
 
 fn sorted(processes: collections::BTreeMap<SmolStr, Process>) -> Vec<Process> {
@@ -158,20 +197,16 @@
     list
 }
 
-/// Asks many at once; those that don't answer are left out.
+/// Asks many at once, and gives their answers by address.
 async fn ask_all(
     http: &http::Http,
     addresses: &collections::BTreeSet<SmolStr>,
-) -> Vec<(SmolStr, api::Status)> {
+) -> collections::BTreeMap<SmolStr, Option<api::Status>> {
     let asked = stream::iter(addresses).map(|address| async move {
         let status = status(http, address).await;
-        status.ok().map(|status| (address.clone(), status))
+        (address.clone(), status.ok())
     });
-    let answers = asked.buffer_unordered(AT_ONCE);
-    answers
-        .filter_map(|answer| async { answer })
-        .collect()
-        .await
+    asked.buffer_unordered(AT_ONCE).collect().await
 }
 
 /// Asks one daemon.
