Test the path as separate processes, over a small rig

Cause: each promise is to be proved against processes; they share a launcher. Ruled out: shelling out to the tool in these tests (its output is for people). Before: the demo alone. Conclusion: the ground for the failure tests.

--- /dev/null
+++ b/tests/failure/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the whole path as separate processes, under failure.
+//!
+//! The programs of the whole workspace must be built first: `./test` does it.
+
+mod path;
+mod rig;
