--- a/tests/unit/main.rs
+++ b/tests/unit/main.rs
@@ -1,4 +1,5 @@
 //! Tests of the pure modules.
 
 mod audit;
+mod codes;
 mod settings;
