--- a/measure/src/lib.rs
+++ b/measure/src/lib.rs
@@ -4,4 +4,5 @@
 pub mod patterns;
 pub mod report;
 pub mod sim;
+pub mod slopes;
 pub mod workload;
