Name the function in a doc link

Cause: the link could mean a module too, and the docs did not build (8 minutes red). Ruled out: allowing the lint. Before: cargo doc failed. After: ./test passes. Conclusion: run the whole ./test before each merge, docs too.

--- a/measure/src/slopes/fixtures.rs
+++ b/measure/src/slopes/fixtures.rs
@@ -130,7 +130,7 @@
     }
 }
 
-/// A dispatch for the runner of [`runner`].
+/// A dispatch for the runner of [`runner()`].
 pub fn dispatch(number: u64) -> wire::Dispatch {
     wire::Dispatch {
         version: wire::VERSION,
