Let a silent process keep no other call waiting

Cause: with one entry frozen, status showed two healthy runners as unreachable. The HTTP library's connection limit is one for all processes together, not one for each, so the call to the frozen entry held the only permit. Ruled out: the runners themselves, which answered as soon as the limit was taken away. Each command bounds its own calls instead.

Also: an append whose answer is lost is looked for on the log before it is repeated; a change waits through a short outage of the log; the final answer is awaited a little beyond the deadline, at which the entry gives it up. The larger files are split. Tried by hand on a cluster of two entries and four runners.

--- a/src/client/entries.rs
+++ b/src/client/entries.rs
@@ -3,13 +3,11 @@
 use std::time;
 
 use awc::http as awc_http;
-use serde::de;
 use smol_str::SmolStr;
 
 use crate::api;
 use crate::client;
 use crate::client::http;
-use crate::codes;
 use crate::ids;
 
 /// How long an answer may take beyond the wait that was asked for.
@@ -80,11 +78,7 @@
     ) -> Result<api::Tickets, client::ClientError> {
         let body = http::Body::json(&api::TicketOrder { count });
         let call = http::Call::post(self.address(place), "/v1/tickets", body, SHORT_CALL);
-        let reply = self.call(call).await?;
-        if reply.is_ok() {
-            return reply.json();
-        }
-        Err(refusal(&reply))
+        self.call(call).await?.expect_json()
     }
 
     /// Complains about an entry that gave no ticket and no refusal.
@@ -144,7 +138,7 @@
         let body = http::Body::json(&order);
         let call = http::Call::post(self.address(place), "/v1/cancel", body, SHORT_CALL);
         let reply = self.call(call).await?;
-        let cancelled: api::Cancelled = expect_ok(&reply)?;
+        let cancelled: api::Cancelled = reply.expect_json()?;
         if cancelled.answers.len() != ids.len() {
             return Err(reply.bad("not one answer for each submission"));
         }
@@ -157,26 +151,6 @@
     }
 }
 
-fn expect_ok<T: de::DeserializeOwned>(reply: &http::Reply) -> Result<T, client::ClientError> {
-    if reply.is_ok() {
-        reply.json()
-    } else {
-        Err(refusal(reply))
-    }
-}
-
-/// The numbered refusal in an answer, or the complaint that there is none.
-fn refusal(reply: &http::Reply) -> client::ClientError {
-    match reply.json::<api::Answer>() {
-        Ok(answer) => refused(&reply.address, answer.code, &answer.text),
-        Err(err) => err,
-    }
-}
-
-fn refused(address: &SmolStr, code: codes::Code, text: &SmolStr) -> client::ClientError {
-    client::ClientError::Refused(address.clone(), code, text.clone())
-}
-
 fn submission_path(id: &ids::SubmissionId) -> String {
     format!("/v1/submissions/{}", percent_encode(&id.to_string()))
 }
--- a/src/client/http.rs
+++ b/src/client/http.rs
@@ -9,6 +9,7 @@
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
 
+use crate::api;
 use crate::codes;
 use crate::wire;
 
@@ -78,6 +79,19 @@
         serde_json::from_slice(&self.body).map_err(|err| self.bad(&err.to_string()))
     }
 
+    /// Reads the body as JSON if the status is 200, else as a numbered refusal.
+    pub fn expect_json<T: de::DeserializeOwned>(&self) -> Result<T, ClientError> {
+        if self.is_ok() {
+            return self.json();
+        }
+        let answer: api::Answer = self.json()?;
+        Err(ClientError::Refused(
+            self.address.clone(),
+            answer.code,
+            answer.text,
+        ))
+    }
+
     /// Reads the body as text.
     pub fn text(&self) -> String {
         String::from_utf8_lossy(&self.body).into_owned()
@@ -188,11 +202,13 @@
 }
 
 impl Http {
-    /// Opens at most `connections` to each process; needs a running actix system.
-    pub fn new(connections: usize) -> Self {
-        let connector = awc::Connector::new()
-            .timeout(CONNECT_TIMEOUT)
-            .limit(connections);
+    /// Needs a running actix system.
+    ///
+    /// The number of connections is not bounded here, since the library's bound is one
+    /// for all processes: a silent one would keep the calls to the others waiting. Each
+    /// command bounds its own calls.
+    pub fn open() -> Self {
+        let connector = awc::Connector::new().timeout(CONNECT_TIMEOUT).limit(0);
         let builder = awc::Client::builder().connector(connector);
         Self {
             client: builder.disable_timeout().disable_redirects().finish(),
--- a/src/client/publish.rs
+++ b/src/client/publish.rs
@@ -59,55 +59,55 @@
 
 /// Appends a change and reads the log until its verdict is there.
 ///
-/// An append whose answer is lost may have taken effect; it is repeated under the
-/// same id, and readers pass the second by.
+/// An append whose answer is lost may have taken effect. The log is read after every
+/// try, whatever came of it, and the append is repeated under the same id, so that
+/// readers pass a second record by.
 pub async fn publish(
     follower: &mut follow::Follower,
     change: &record::Change,
     until: time::Instant,
 ) -> Result<settings::Verdict, client::ClientError> {
-    append(follower, change, until).await?;
+    let document = settings::Record::Change(change.clone());
     let mut pauses = settle::pauses();
+    let mut is_appended = false;
     loop {
-        let pause = match follower.next(READ_WAIT).await {
-            Ok(applied) => match verdict_on(change, applied) {
-                Some(verdict) => return Ok(verdict),
-                None if follower.is_lacking() => {
-                    return Err(follower.log().bad("records expired before they were read"));
-                }
-                None => time::Duration::ZERO,
-            },
-            Err(err) if is_last_word(&err) => return Err(err),
-            Err(_down) => pauses.next().unwrap_or(READ_WAIT),
+        let mut failed = None;
+        if !is_appended {
+            failed = follower.log().append(&document).await.err();
+            is_appended = failed.is_none();
+        }
+        let wait = if is_appended {
+            READ_WAIT
+        } else {
+            time::Duration::ZERO
         };
-        if time::Instant::now() >= until {
-            let why = format_smolstr!(
-                "the change {} is on the log, its verdict was not seen",
-                change.id
-            );
-            return Err(client::ClientError::Lost(
-                follower.log().address().clone(),
-                why,
-            ));
+        match follower.next(wait).await {
+            Ok(applied) => {
+                if let Some(verdict) = verdict_on(change, applied) {
+                    return Ok(verdict);
+                }
+            }
+            Err(err) => failed = failed.or(Some(err)),
+        }
+        let is_over = time::Instant::now() >= until;
+        match failed {
+            Some(err) if is_over || is_last_word(&err) => return Err(err),
+            Some(_down) => rt_time::sleep(pauses.next().unwrap_or(READ_WAIT)).await,
+            None if follower.is_lacking() => {
+                return Err(follower.log().bad("records expired before they were read"));
+            }
+            None if is_over => return Err(unseen(follower, change)),
+            None => {}
         }
-        rt_time::sleep(pause).await;
     }
 }
 
-async fn append(
-    follower: &follow::Follower,
-    change: &record::Change,
-    until: time::Instant,
-) -> Result<(), client::ClientError> {
-    let document = settings::Record::Change(change.clone());
-    let mut pauses = settle::pauses();
-    loop {
-        match follower.log().append(&document).await {
-            Ok(_offset) => return Ok(()),
-            Err(err) if is_last_word(&err) || time::Instant::now() >= until => return Err(err),
-            Err(_lost) => rt_time::sleep(pauses.next().unwrap_or(READ_WAIT)).await,
-        }
-    }
+fn unseen(follower: &follow::Follower, change: &record::Change) -> client::ClientError {
+    let why = format_smolstr!(
+        "the change {} is on the log, its verdict was not seen",
+        change.id
+    );
+    client::ClientError::Lost(follower.log().address().clone(), why)
 }
 
 const fn is_last_word(err: &client::ClientError) -> bool {
--- a/src/client/settle.rs
+++ b/src/client/settle.rs
@@ -26,6 +26,12 @@
 const MIN_PAUSE: time::Duration = time::Duration::from_millis(20);
 const MAX_PAUSE: time::Duration = time::Duration::from_secs(1);
 
+/// How long after its deadline a submission's final answer is still awaited.
+///
+/// An entry gives it up at the deadline; without this its answer would cross with the
+/// caller's own end, and the caller would not learn what ran.
+pub const GRACE: time::Duration = time::Duration::from_secs(2);
+
 /// How long a caller goes on.
 #[derive(Clone, Copy, Debug)]
 pub struct Patience {
--- a/src/client/survey.rs
+++ b/src/client/survey.rs
@@ -216,5 +216,5 @@
     let reply = http
         .call(http::Call::get(address, "/status", STATUS_TIMEOUT))
         .await?;
-    reply.json()
+    reply.expect_json()
 }
--- a/src/cmd/audit.rs
+++ b/src/cmd/audit/mod.rs
@@ -17,7 +17,8 @@
 use crate::cmd;
 use crate::cmd::change;
 use crate::settings::reader;
-use crate::settings::record;
+
+mod render;
 
 const USAGE: &str = "
 Shows the changes of settings, oldest first: when, who, which file, at which revision,
@@ -46,15 +47,12 @@
 /// Pause between two questions to a daemon while following.
 const DAEMON_PAUSE: time::Duration = time::Duration::from_millis(500);
 
+/// Steps after which the pauses of an outage grow no more.
+const MAX_STEPS: usize = 8;
+
 /// Longest time for a daemon to answer.
 const DAEMON_TIMEOUT: time::Duration = time::Duration::from_secs(3);
 
-/// Last millisecond of the year 9999, beyond which no time is shown.
-const MAX_SHOWN_MS: u64 = 253_402_300_799_999;
-
-/// Connections to each process.
-const CONNECTIONS: usize = 1;
-
 /// Which events are wanted.
 #[derive(Clone, Debug, Default)]
 struct Filter {
@@ -131,7 +129,7 @@
         if self.json {
             return cli::out::json_line(event);
         }
-        cli::out::line(render(event))
+        cli::out::line(render::text(event))
     }
 }
 
@@ -149,7 +147,7 @@
 }
 
 async fn from_log(args: &Args, log: &SmolStr) -> cli::CliResult<()> {
-    let http = client::Http::new(CONNECTIONS);
+    let http = client::Http::open();
     let entries = args.config.known_entries();
     let (mut follower, applied) = follow::Follower::open(&http, log, entries).await?;
     print_records(args, &applied)?;
@@ -182,7 +180,7 @@
 }
 
 async fn from_daemon(args: &Args, address: &SmolStr) -> cli::CliResult<()> {
-    let http = client::Http::new(CONNECTIONS);
+    let http = client::Http::open();
     let mut from = args.from;
     let mut page = daemon_page(&http, address, from).await?;
     let mut outage = Outage::default();
@@ -218,7 +216,7 @@
     let reply = http
         .call(http::Call::get(address, &path, DAEMON_TIMEOUT))
         .await?;
-    reply.json()
+    reply.expect_json()
 }
 
 /// A time in which the other side does not answer.
@@ -242,90 +240,3 @@
         Ok(())
     }
 }
-
-/// Steps after which the pauses of an outage grow no more.
-const MAX_STEPS: usize = 8;
-
-fn render(event: &audit::Event) -> String {
-    let mut lines = vec![first_line(event)];
-    match event {
-        audit::Event::Accepted {
-            changed, unlisted, ..
-        } => {
-            lines.extend(changed.iter().map(|key| format!("    {key}")));
-            lines.extend(more(*unlisted));
-        }
-        audit::Event::Rejected {
-            problems, unlisted, ..
-        } => {
-            lines.extend(problems.iter().map(|problem| format!("    {problem}")));
-            lines.extend(more(*unlisted));
-        }
-        _ => {}
-    }
-    let printable = lines.iter().map(|line| printable(line));
-    printable.collect::<Vec<_>>().join("\n")
-}
-
-fn first_line(event: &audit::Event) -> String {
-    match event {
-        audit::Event::Accepted { made, .. } => format!("{}  accepted", describe(made)),
-        audit::Event::Rejected { made, code, .. } => {
-            format!("{}  rejected: {code}", describe(made))
-        }
-        audit::Event::Repeated { made, first } => {
-            let (offset, code) = (first.offset, first.code);
-            format!("{}  repeats the change at {offset}: {code}", describe(made))
-        }
-        audit::Event::RevertAttempt {
-            offered_by,
-            offset,
-            time_ms,
-            offered,
-            in_force,
-        } => {
-            let place = cli::out::cell(*offset);
-            let time = show_time(time_ms.unwrap_or(0));
-            let offered = record::show_revision(*offered);
-            let in_force = record::show_revision(*in_force);
-            format!("{place}  {time}  {offered_by}  offered revision {offered}, {in_force} stays")
-        }
-        audit::Event::InForce {
-            process,
-            zone,
-            revision,
-            time_ms,
-        } => {
-            let time = show_time(*time_ms);
-            let revision = record::show_revision(*revision);
-            format!("{revision}  {time}  in force at {process} in {zone}")
-        }
-    }
-}
-
-fn describe(made: &event::Made) -> String {
-    let shown = |text: &SmolStr| cli::out::cell(Some(text).filter(|text| !text.is_empty()));
-    let action = if made.removed { "remove" } else { "put" };
-    let time = show_time(made.time_ms);
-    let (author, file) = (shown(&made.author), shown(&made.file));
-    format!("{}  {time}  {author}  {action} {file}", made.offset)
-}
-
-fn more(unlisted: usize) -> Option<String> {
-    (unlisted > 0).then(|| format!("    and {unlisted} more"))
-}
-
-/// Others' texts without what a terminal would act upon.
-fn printable(text: &str) -> String {
-    text.chars()
-        .map(|c| if c.is_control() { '?' } else { c })
-        .collect()
-}
-
-fn show_time(unix_ms: u64) -> String {
-    if unix_ms == 0 || unix_ms > MAX_SHOWN_MS {
-        return "-".to_owned();
-    }
-    let time = time::UNIX_EPOCH + time::Duration::from_millis(unix_ms);
-    humantime::format_rfc3339_millis(time).to_string()
-}
--- a/src/cmd/cancel.rs
+++ b/src/cmd/cancel.rs
@@ -27,9 +27,6 @@
     --json          Print the answers as a JSON array
 ";
 
-/// Connections to each entry.
-const CONNECTIONS: usize = 2;
-
 /// Submissions that one call cancels.
 const BATCH: usize = 500;
 
@@ -69,7 +66,7 @@
     let token = args.config.token()?;
     let addresses = args.config.entries()?;
     let answers = cmd::block_on(async {
-        let http = client::Http::new(CONNECTIONS);
+        let http = client::Http::open();
         let entries = entries::Entries::new(http, addresses, token);
         cancel_all(&entries, &args.ids).await
     })?;
--- a/src/cmd/config/diff.rs
+++ b/src/cmd/config/diff.rs
@@ -29,9 +29,6 @@
     --json          Print {\"equal\": ..., \"revision\": N, \"files\": {...}, \"keys\": [...]}
 ";
 
-/// Connections to each process.
-const CONNECTIONS: usize = 1;
-
 struct Args {
     config: cli::Config,
     folder: path::PathBuf,
@@ -78,7 +75,7 @@
     let merged = cmd::config::checked(&files)?;
     let sources = args.config.sources()?;
     let state = cmd::block_on(async {
-        let http = client::Http::new(CONNECTIONS);
+        let http = client::Http::open();
         follow::in_force(&http, sources).await
     })?;
     let report = compare(&state, &files, &merged);
--- a/src/cmd/config/show.rs
+++ b/src/cmd/config/show.rs
@@ -30,9 +30,6 @@
     --json          Print {\"revision\": N, \"files\": {...}, \"keys\": {...}}
 ";
 
-/// Connections to each process.
-const CONNECTIONS: usize = 1;
-
 struct Args {
     config: cli::Config,
     file: Option<SmolStr>,
@@ -66,7 +63,7 @@
     let args = Args::parse(args)?;
     let sources = args.config.sources()?;
     let state = cmd::block_on(async {
-        let http = client::Http::new(CONNECTIONS);
+        let http = client::Http::open();
         follow::in_force(&http, sources).await
     })?;
     match &args.file {
--- a/src/cmd/fetch.rs
+++ b/src/cmd/fetch.rs
@@ -26,9 +26,6 @@
     --json          Print the answer as JSON
 ";
 
-/// Connections to each entry.
-const CONNECTIONS: usize = 2;
-
 /// Time in which the other entries are tried if one does not answer.
 const CALL_PATIENCE: time::Duration = time::Duration::from_secs(3);
 
@@ -59,7 +56,7 @@
     let token = args.config.token()?;
     let addresses = args.config.entries()?;
     let answer = cmd::block_on(async {
-        let http = client::Http::new(CONNECTIONS);
+        let http = client::Http::open();
         let entries = entries::Entries::new(http, addresses, token);
         fetch(&entries, &args).await
     })?;
--- a/src/cmd/load/drive.rs
+++ b/src/cmd/load/drive.rs
@@ -167,7 +167,7 @@
             tasks: arrival.tasks.clone(),
         };
         let subject = settle::Subject::Submit(entries::Shape::Job, &submission);
-        let patience = settle::Patience::lasting(deadline);
+        let patience = settle::Patience::lasting(deadline + settle::GRACE);
         settle::settle(&self.entries, place, subject, patience).await
     }
 
--- a/src/cmd/load/mod.rs
+++ b/src/cmd/load/mod.rs
@@ -158,7 +158,7 @@
 }
 
 async fn measure(args: &Args, addresses: &[SmolStr], token: &SmolStr) -> tally::Report {
-    let http = client::Http::new(args.bounds.open);
+    let http = client::Http::open();
     let before = counters::Counters::read(&http, addresses).await;
     let entries = entries::Entries::new(http.clone(), addresses, token);
     let (tally, elapsed) = drive::drive(entries, &args.plan, args.bounds).await;
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -22,9 +22,6 @@
     --json          Print a JSON array, one object a process
 ";
 
-/// Connections to each process.
-const CONNECTIONS: usize = 1;
-
 struct Args {
     config: cli::Config,
     json: bool,
@@ -49,7 +46,7 @@
     let args = Args::parse(args)?;
     let entries = args.config.entries()?;
     let processes = cmd::block_on(async {
-        let http = client::Http::new(CONNECTIONS);
+        let http = client::Http::open();
         survey::survey(&http, entries).await
     });
     if args.json {
--- a/src/cmd/submit.rs
+++ b/src/cmd/submit.rs
@@ -59,9 +59,6 @@
 /// Most tasks that the flags can ask for.
 const MAX_TASKS: usize = 100_000;
 
-/// Connections to each entry.
-const CONNECTIONS: usize = 2;
-
 struct Args {
     config: cli::Config,
     shape: entries::Shape,
@@ -179,7 +176,7 @@
     let token = args.config.token()?;
     let addresses = args.config.entries()?;
     let settled = cmd::block_on(async {
-        let http = client::Http::new(CONNECTIONS);
+        let http = client::Http::open();
         let entries = entries::Entries::new(http, addresses, token);
         submit(&entries, &args).await
     })?;
@@ -227,10 +224,11 @@
     submission: &api::Submission,
     args: &Args,
 ) -> cli::CliResult<settle::Settled> {
+    let end = args.deadline + settle::GRACE;
     let now = time::Instant::now();
     let patience = settle::Patience {
-        answer_by: now + args.wait.unwrap_or(args.deadline),
-        repeat_until: now + args.deadline,
+        answer_by: now + args.wait.unwrap_or(end),
+        repeat_until: now + end,
     };
     let subject = settle::Subject::Submit(args.shape, submission);
     let settled = settle::settle(entries, place, subject, patience).await;
--- a/src/cmd/zone.rs
+++ b/src/cmd/zone.rs
@@ -36,9 +36,6 @@
 const FILE_PREFIX: &str = "99-zone-";
 const FILE_SUFFIX: &str = ".toml";
 
-/// Connections to each process.
-const CONNECTIONS: usize = 1;
-
 /// Whether a file is one of those that this command writes.
 pub fn is_zone_file(name: &str) -> bool {
     name.starts_with(FILE_PREFIX) && name.ends_with(FILE_SUFFIX)
@@ -161,7 +158,7 @@
     let args = List::parse(args)?;
     let sources = args.config.sources()?;
     let (state, processes) = cmd::block_on(async {
-        let http = client::Http::new(CONNECTIONS);
+        let http = client::Http::open();
         let state = follow::in_force(&http, sources).await?;
         let processes = survey::survey(&http, sources.entries).await;
         Ok::<_, cli::CliError>((state, processes))
