Test the tool as a process, against fake entries and the stand-in log

A ticket is awaited for one second, not three, since a frozen entry made every submission that much later.

--- a/src/client/entries.rs
+++ b/src/client/entries.rs
@@ -16,6 +16,11 @@
 /// gone silent costs a caller less than a step of patience.
 const ANSWER_MARGIN: time::Duration = time::Duration::from_secs(2);
 
+/// Longest time for a ticket; one that comes too late is simply not used.
+///
+/// Short, since nothing is submitted before it is there, and the next entry is as good.
+const TICKET_CALL: time::Duration = time::Duration::from_secs(1);
+
 /// Longest time for a call that waits for nothing.
 const SHORT_CALL: time::Duration = time::Duration::from_secs(3);
 
@@ -77,7 +82,7 @@
         count: u32,
     ) -> Result<api::Tickets, client::ClientError> {
         let body = http::Body::json(&api::TicketOrder { count });
-        let call = http::Call::post(self.address(place), "/v1/tickets", body, SHORT_CALL);
+        let call = http::Call::post(self.address(place), "/v1/tickets", body, TICKET_CALL);
         self.call(call).await?.expect_json()
     }
 
--- a/src/client/settle.rs
+++ b/src/client/settle.rs
@@ -85,6 +85,16 @@
     Fetch(&'a ids::SubmissionId),
 }
 
+impl Subject<'_> {
+    /// The submission's id, if the caller has one.
+    const fn id(&self) -> Option<&ids::SubmissionId> {
+        match self {
+            Self::Submit(_, submission) => submission.submission.as_ref(),
+            Self::Fetch(id) => Some(id),
+        }
+    }
+}
+
 /// Calls the entries in turn until a final answer is there or the patience is over.
 ///
 /// At least one call is made. When no call is answered to the end, the last failure is given.
@@ -100,7 +110,11 @@
     let mut subject = subject;
     loop {
         let pause = match step(entries, place, &subject, patience.wait()).await {
-            Ok(answer) if answer.is_final || patience.wait().is_zero() => {
+            Ok(mut answer) if answer.is_final || patience.wait().is_zero() => {
+                // A final answer without an id says that nothing was taken in.
+                if !answer.is_final && answer.submission.is_none() {
+                    answer.submission = subject.id().cloned();
+                }
                 return Ok(Settled { answer, repeats });
             }
             Ok(answer) => {
--- a/src/cmd/audit/mod.rs
+++ b/src/cmd/audit/mod.rs
@@ -149,12 +149,19 @@
 async fn from_log(args: &Args, log: &SmolStr) -> cli::CliResult<()> {
     let http = client::Http::open();
     let entries = args.config.known_entries();
-    let (mut follower, applied) = follow::Follower::open(&http, log, entries).await?;
+    let mut outage = Outage::default();
+    let (mut follower, applied) = loop {
+        match follow::Follower::open(&http, log, entries).await {
+            Ok(opened) => break opened,
+            Err(err) if !args.follow => return Err(err.into()),
+            Err(err) => outage.wait(err).await?,
+        }
+    };
     print_records(args, &applied)?;
     if !args.follow {
         return Ok(());
     }
-    let mut outage = Outage::default();
+    outage = Outage::default();
     loop {
         match follower.next(FOLLOW_WAIT).await {
             Ok(applied) if follower.is_lacking() => {
@@ -182,9 +189,16 @@
 async fn from_daemon(args: &Args, address: &SmolStr) -> cli::CliResult<()> {
     let http = client::Http::open();
     let mut from = args.from;
-    let mut page = daemon_page(&http, address, from).await?;
     let mut outage = Outage::default();
     loop {
+        let page = loop {
+            match daemon_page(&http, address, from).await {
+                Ok(page) => break page,
+                Err(err) if !args.follow => return Err(err.into()),
+                Err(err) => outage.wait(err).await?,
+            }
+        };
+        outage = Outage::default();
         for numbered in &page.events {
             args.print(&numbered.event)?;
         }
@@ -196,14 +210,6 @@
         if is_end {
             rt_time::sleep(DAEMON_PAUSE).await;
         }
-        page = loop {
-            match daemon_page(&http, address, from).await {
-                Ok(page) => break page,
-                Err(err) if !args.follow => return Err(err.into()),
-                Err(err) => outage.wait(err).await?,
-            }
-        };
-        outage = Outage::default();
     }
 }
 
--- /dev/null
+++ b/tests/cli/fake_entry.rs
@@ -0,0 +1,198 @@
+//! An entry that mints tickets and answers as it is told.
+
+use std::sync;
+
+use actix_web::web;
+use bulrushtiller::api;
+use bulrushtiller::codes;
+use bulrushtiller::ids;
+use bulrushtiller_standins::server;
+use futures_util::stream;
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+
+/// What becomes of a submission.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Behaviour {
+    /// A final answer with this code.
+    Answer(codes::Code),
+    /// An answer that is not final, always.
+    Pending,
+    /// The connection breaks after the submission was read.
+    Lose,
+}
+
+/// One call that was made.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Call {
+    /// Method and path.
+    pub line: String,
+    /// The bearer token's header.
+    pub authorization: String,
+    /// The JSON body, or null.
+    pub body: serde_json::Value,
+}
+
+#[derive(Clone, Debug)]
+struct Shared {
+    name: SmolStr,
+    behaviour: Behaviour,
+    calls: sync::Arc<sync::Mutex<Vec<Call>>>,
+}
+
+/// A running fake.
+#[derive(Debug)]
+pub struct FakeEntry {
+    server: server::Server,
+    shared: Shared,
+}
+
+impl FakeEntry {
+    /// Listens; needs a running actix system.
+    pub fn start(name: &str, behaviour: Behaviour) -> Self {
+        let shared = Shared {
+            name: SmolStr::new(name),
+            behaviour,
+            calls: sync::Arc::default(),
+        };
+        let data = web::Data::new(shared.clone());
+        let configure = move |cfg: &mut web::ServiceConfig| {
+            cfg.app_data(data.clone()).default_service(web::to(serve));
+        };
+        let listen = "127.0.0.1:0".parse().unwrap();
+        let server = server::Server::start(listen, configure).unwrap();
+        Self { server, shared }
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> String {
+        self.server.address().to_string()
+    }
+
+    /// The calls so far, in order.
+    pub fn calls(&self) -> Vec<Call> {
+        self.shared.calls.lock().unwrap().clone()
+    }
+
+    /// Calls whose line starts so.
+    pub fn calls_of(&self, start: &str) -> Vec<Call> {
+        let calls = self.calls().into_iter();
+        calls.filter(|call| call.line.starts_with(start)).collect()
+    }
+}
+
+async fn serve(
+    req: actix_web::HttpRequest,
+    shared: web::Data<Shared>,
+    body: web::Bytes,
+) -> actix_web::HttpResponse {
+    let header = req.headers().get("authorization");
+    let call = Call {
+        line: format!("{} {}", req.method(), req.uri()),
+        authorization: header
+            .map_or("", |value| value.to_str().unwrap())
+            .to_owned(),
+        body: serde_json::from_slice(&body).unwrap_or_default(),
+    };
+    let mut calls = shared.calls.lock().unwrap();
+    calls.push(call.clone());
+    let number = calls.len() as u64;
+    drop(calls);
+    match (req.method().as_str(), req.path()) {
+        ("POST", "/v1/tickets") => actix_web::HttpResponse::Ok().json(shared.ticket(number)),
+        ("POST", "/v1/cancel") => {
+            let count = call.body["submissions"].as_array().unwrap().len();
+            let answers = vec![answer(codes::Code::CancelledNotRun, None); count];
+            actix_web::HttpResponse::Ok().json(api::Cancelled { answers })
+        }
+        ("GET", "/status") => actix_web::HttpResponse::Ok().json(shared.status()),
+        ("GET", "/metrics") => {
+            let text = format!("bulrushtiller_tasks_started_total {number}0\n# EOF\n");
+            actix_web::HttpResponse::Ok().body(text)
+        }
+        ("DELETE", _) => reply(&answer(codes::Code::CancelledNotRun, None)),
+        ("POST" | "GET", path) if path.starts_with("/v1/") => shared.submission(&call),
+        _ => reply(&answer(codes::Code::NoSuchPage, None)),
+    }
+}
+
+impl Shared {
+    fn ticket(&self, number: u64) -> api::Tickets {
+        let ticket = ids::Ticket {
+            entry: self.name.clone(),
+            incarnation: ids::Incarnation(1),
+            epoch: 1,
+            number,
+        };
+        api::Tickets {
+            tickets: vec![ids::SubmissionId::Ticket(ticket)],
+            valid_ms: 60_000,
+        }
+    }
+
+    fn submission(&self, call: &Call) -> actix_web::HttpResponse {
+        let id = serde_json::from_value(call.body["submission"].clone()).ok();
+        match self.behaviour {
+            Behaviour::Answer(code) => reply(&answer(code, id)),
+            Behaviour::Pending => reply(&answer(codes::Code::Pending, id)),
+            Behaviour::Lose => {
+                let broken = std::io::Error::other("broken on purpose");
+                let body = stream::once(async { Err::<web::Bytes, _>(broken) });
+                actix_web::HttpResponse::Ok().streaming(body)
+            }
+        }
+    }
+
+    fn status(&self) -> api::Status {
+        api::Status {
+            role: SmolStr::new("entry"),
+            name: self.name.clone(),
+            incarnation: format_smolstr!("life-of-{}", self.name),
+            zone: SmolStr::new("Caxias"),
+            leaving: false,
+            revision: Some(7),
+            log_age_ms: Some(5),
+            fresh: true,
+            zones_out: Vec::new(),
+            queued: 3,
+            running: 2,
+            peers: vec![api::PeerStatus {
+                role: SmolStr::new("runner"),
+                name: SmolStr::new("runner-1"),
+                address: SmolStr::new(super::workdir::NOBODY),
+                zone: SmolStr::new("Vacaria"),
+                state: SmolStr::new("silent"),
+                revision: Some(6),
+                busy: 4,
+                slots: 8,
+            }],
+        }
+    }
+}
+
+fn answer(code: codes::Code, submission: Option<ids::SubmissionId>) -> api::Answer {
+    let ran = api::TaskAnswer {
+        fate: api::Fate::Ran,
+        code,
+        output: Some("stone fits".to_owned()),
+        runner: Some(SmolStr::new("runner-1")),
+        zone: Some(SmolStr::new("Vacaria")),
+        run_ms: 40,
+    };
+    let is_complete = code == codes::Code::Complete;
+    api::Answer {
+        submission,
+        code,
+        text: SmolStr::new(code.text()),
+        is_final: code != codes::Code::Pending,
+        retry_after_ms: None,
+        ticket: None,
+        tasks: if is_complete { vec![ran] } else { Vec::new() },
+        elapsed_ms: 41,
+    }
+}
+
+fn reply(answer: &api::Answer) -> actix_web::HttpResponse {
+    let status = actix_web::http::StatusCode::from_u16(answer.code.http_status()).unwrap();
+    actix_web::HttpResponse::build(status).json(answer)
+}
--- /dev/null
+++ b/tests/cli/test_help.rs
@@ -0,0 +1,106 @@
+//! Help, unknown commands and options, and a reader that goes away.
+
+use std::io::Read as _;
+use std::process;
+
+use rstest::rstest;
+
+use super::workdir;
+
+const EXIT_USAGE: i32 = 2;
+
+#[rstest]
+#[case::tool(&[])]
+#[case::submit(&["submit"])]
+#[case::fetch(&["fetch"])]
+#[case::cancel(&["cancel"])]
+#[case::status(&["status"])]
+#[case::config(&["config"])]
+#[case::check(&["config", "check"])]
+#[case::diff(&["config", "diff"])]
+#[case::show(&["config", "show"])]
+#[case::put(&["config", "put"])]
+#[case::remove(&["config", "remove"])]
+#[case::sync(&["config", "sync"])]
+#[case::zone(&["zone"])]
+#[case::zone_out(&["zone", "out"])]
+#[case::audit(&["audit"])]
+#[case::load(&["load"])]
+#[case::token(&["token"])]
+fn every_command_has_help(#[case] command: &[&str]) {
+    let dir = workdir::Workdir::new();
+    let args = [command, &["--help"]].concat();
+
+    let run = dir.run(&args);
+
+    assert_eq!((run.status, run.stderr.as_str()), (0, ""));
+    assert!(run.stdout.contains("Usage:\n    bulrushtiller"), "{run:?}");
+}
+
+#[rstest]
+#[case::nothing(&[], "a command is needed")]
+#[case::command(&["sbumit"], "there is no command 'sbumit'")]
+#[case::action(&["config", "psuh"], "there is no command 'psuh'")]
+#[case::zone_action(&["zone", "off", "Caxias"], "there is no command 'off'")]
+#[case::token_action(&["token", "mint"], "'hash' is the only action")]
+#[case::option(&["status", "--jsn"], "option --jsn is unknown")]
+#[case::repeated(&["status", "--json", "--json"], "option --json is unknown, repeated")]
+#[case::argument(&["status", "now"], "unexpected argument 'now'")]
+#[case::missing_value(&["submit", "--tasks"], "--tasks")]
+#[case::bad_number(&["submit", "--tasks", "many"], "failed to parse 'many'")]
+#[case::no_task(&["submit", "--tasks", "0"], "at least one task")]
+#[case::two_tasks(&["submit", "--tasks", "2", "--request"], "exactly one task")]
+#[case::long_deadline(&["submit", "--deadline-ms", "18446744073709551615"], "at most 86400000")]
+#[case::bad_id(&["fetch", "no good"], "a submission id has")]
+#[case::bad_ticket(&["fetch", "t:nobody"], "not a ticket")]
+#[case::no_id(&["cancel"], "at least one submission id")]
+#[case::no_folder(&["config", "check"], "exactly one folder")]
+#[case::two_files(&["config", "put", "a.toml", "b.toml"], "exactly one file")]
+#[case::bad_base(&["config", "put", "a.toml", "--base", "last"], "neither a revision nor 'none'")]
+#[case::bad_zone(&["zone", "out", "a b"], "is not a name")]
+#[case::wait_or_not(&["zone", "out", "a", "--wait", "--no-wait"], "exclude each other")]
+#[case::bad_result(&["audit", "--result", "maybe"], "'maybe' is not")]
+#[case::bad_mix(&["load", "--mix", "short=9..1"], "no mix")]
+#[case::bad_rate(&["load", "--rate", "NaN"], "--rate is 0.001 to")]
+fn a_wrong_command_line_is_told(#[case] args: &[&str], #[case] complaint: &str) {
+    let dir = workdir::Workdir::new();
+
+    let run = dir.run(args);
+
+    assert_eq!(
+        (run.status, run.stdout.as_str()),
+        (EXIT_USAGE, ""),
+        "{run:?}"
+    );
+    assert!(run.stderr.starts_with("bulrushtiller: 600: "), "{run:?}");
+    assert!(run.stderr.contains(complaint), "{run:?}");
+}
+
+/// A user pipes the output into `head`: the reader closes the pipe while the tool
+/// still writes. The write fails with EPIPE, which is no fault of the tool, and a
+/// message or a panic about it would stand in every script's log.
+#[test]
+fn a_reader_that_goes_away_is_no_error() {
+    let dir = workdir::Workdir::new();
+    let keys: Vec<String> = (0..3000)
+        .map(|n| {
+            format!(
+                "unknown_{n} = 1
+"
+            )
+        })
+        .collect();
+    dir.create("bad/10-a.toml", &keys.concat());
+    let mut command = dir.command(&["config", "check", "bad"]);
+    command
+        .stdout(process::Stdio::piped())
+        .stderr(process::Stdio::piped());
+
+    let mut child = command.spawn().unwrap();
+    let mut first = [0];
+    child.stdout.take().unwrap().read_exact(&mut first).unwrap();
+    let output = child.wait_with_output().unwrap();
+
+    assert_eq!(output.status.code(), Some(0));
+    assert_eq!(String::from_utf8_lossy(&output.stderr), "");
+}
--- /dev/null
+++ b/tests/cli/test_load.rs
@@ -0,0 +1,146 @@
+//! `load`, and the pure parts that it is made of.
+
+use std::time;
+
+use bulrushtiller::cmd::load::counters;
+use bulrushtiller::cmd::load::plan;
+use bulrushtiller::cmd::load::tally;
+use bulrushtiller::codes;
+
+use super::fake_entry;
+use super::workdir;
+
+fn plan(seed: u64) -> plan::Plan {
+    plan::Plan {
+        rate: 100.0,
+        duration: time::Duration::from_secs(100),
+        job_size: 4,
+        mix: "mixed".parse().unwrap(),
+        seed,
+    }
+}
+
+fn sample(end: tally::End, response_ms: u64) -> tally::Sample {
+    tally::Sample {
+        end,
+        response: time::Duration::from_millis(response_ms),
+        ideal_ms: 100,
+        work_ms: 400,
+        repeats: 1,
+    }
+}
+
+#[test]
+fn the_seed_alone_decides_the_arrivals() {
+    let first: Vec<_> = plan(7).arrivals().collect();
+    let again: Vec<_> = plan(7).arrivals().collect();
+    let other: Vec<_> = plan(8).arrivals().collect();
+
+    assert_eq!(first, again);
+    assert_ne!(first, other);
+}
+
+#[test]
+fn the_rate_and_the_mix_are_kept() {
+    let arrivals: Vec<_> = plan(1).arrivals().collect();
+
+    let tasks: Vec<_> = arrivals.iter().flat_map(|arrival| &arrival.tasks).collect();
+    let long = tasks.iter().filter(|task| task.kind == "long").count();
+    let in_range = |task: &&bulrushtiller::api::Task| match task.kind.as_str() {
+        "long" => (2000..=6000).contains(&task.run_ms),
+        _ => (50..=1000).contains(&task.run_ms),
+    };
+    assert!(
+        (9_700..=10_300).contains(&arrivals.len()),
+        "{}",
+        arrivals.len()
+    );
+    assert!(tasks.iter().all(in_range));
+    assert!((1_800..=2_200).contains(&long), "{long} of {}", tasks.len());
+}
+
+#[test]
+fn only_complete_jobs_count_as_work_done() {
+    let mut tally = tally::Tally::default();
+    tally.add(&sample(tally::End::Answered(codes::Code::Complete), 150));
+    tally.add(&sample(tally::End::Answered(codes::Code::TaskFailed), 50));
+    tally.add(&sample(
+        tally::End::Unanswered(codes::Code::TimedOut),
+        9_000,
+    ));
+    tally.add(&sample(tally::End::NotSent, 0));
+
+    let report = tally.report(time::Duration::from_secs(1), Some(2));
+
+    let over = report.over_ideal.unwrap();
+    assert_eq!((report.jobs, report.not_sent, report.repeats), (4, 1, 4));
+    assert_eq!(report.by_code, [(0, 1), (200, 1)].into());
+    assert_eq!(report.unanswered, [(602, 1)].into());
+    assert!((over.max - 1.5).abs() < 0.01, "{over:?}");
+    assert_eq!(report.goodput, Some(0.2));
+}
+
+#[test]
+fn counters_are_summed_over_labels_and_told_from_longer_names() {
+    let before = counters::Counters::default();
+    let text = "# TYPE bulrushtiller_wasted_messages counter\n\
+        bulrushtiller_wasted_messages_total{why=\"full\"} 3\n\
+        bulrushtiller_wasted_messages_total{why=\"late\"} 2 1700000000\n\
+        bulrushtiller_tasks_started_total 100\n\
+        bulrushtiller_tasks_started_total_created 5\n";
+
+    let wasted = counters::Counters::parse(text).since(before);
+
+    assert_eq!(
+        (wasted.messages, wasted.tasks, wasted.per_task),
+        (5.0, 100.0, Some(0.05))
+    );
+}
+
+#[actix_rt::test]
+async fn prints_what_callers_received() {
+    let behaviour = fake_entry::Behaviour::Answer(codes::Code::Complete);
+    let entry = fake_entry::FakeEntry::start("e1", behaviour);
+    let dir = workdir::Workdir::new();
+    let address = entry.address();
+    let rest = [
+        "--rate",
+        "50",
+        "--seconds",
+        "0.5",
+        "--mix",
+        "tiny=1..2",
+        "--json",
+    ];
+
+    let args = ["load", "--entries", &address, "--token", workdir::TOKEN];
+    let run = dir.run_beside(&[&args[..], &rest].concat()).await;
+
+    let jobs = entry.calls_of("POST /v1/jobs").len() as u64;
+    let report = run.json();
+    assert_eq!(run.status, 0, "{run:?}");
+    assert!(jobs > 0);
+    assert_eq!(
+        (&report["jobs"], &report["by_code"]["0"]),
+        (&jobs.into(), &jobs.into())
+    );
+    assert!(report["over_ideal"]["p99"].as_f64().unwrap() > 0.0);
+}
+
+#[test]
+fn a_load_without_any_answer_is_a_failure() {
+    let dir = workdir::Workdir::new();
+    let rest = ["--rate", "50", "--seconds", "0.2", "--deadline-ms", "50"];
+
+    let args = [
+        "load",
+        "--entries",
+        workdir::NOBODY,
+        "--token",
+        workdir::TOKEN,
+    ];
+    let run = dir.run(&[&args[..], &rest].concat());
+
+    assert_eq!(run.status, 7, "{run:?}");
+    assert!(run.stderr.contains("no job got a final answer"), "{run:?}");
+}
