--- a/src/cli/config.rs
+++ b/src/cli/config.rs
@@ -29,7 +29,8 @@
 }
 
 /// The settings as one source gives them.
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RawConfig {
     /// Entries, each `HOST:PORT`.
--- a/src/client/log.rs
+++ b/src/client/log.rs
@@ -21,13 +21,15 @@
 const PAGE_RECORDS: u32 = 500;
 
 /// Answer to an append.
-#[derive(Clone, Copy, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Deserialize)]
 struct Appended {
     offset: u64,
 }
 
 /// One record of a stream.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize)]
 pub struct Item {
     /// Its offset.
     pub offset: u64,
@@ -36,7 +38,8 @@
 }
 
 /// What one read gives.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize)]
 pub struct Page {
     /// Oldest offset still kept.
     pub first: u64,
--- a/src/client/survey.rs
+++ b/src/client/survey.rs
@@ -26,7 +26,8 @@
 const UNREACHABLE: &str = "unreachable";
 
 /// One process, by its own word where it answers, else by that of its peers.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize)]
 pub struct Process {
     /// `entry` or `runner`; empty when nobody knows.
     pub role: SmolStr,
--- a/src/cmd/change/report.rs
+++ b/src/cmd/change/report.rs
@@ -12,7 +12,8 @@
 use crate::settings::record;
 
 /// How a change ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Ending {
     /// In force at the log's revision.
@@ -40,7 +41,8 @@
 }
 
 /// What became of one change, for people and scripts.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Report {
     /// The change's id.
     pub id: SmolStr,
@@ -119,7 +121,8 @@
 }
 
 /// Everything that a command did.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize)]
 pub struct Outcome {
     /// The changes, in the order in which they were made.
     pub changes: Vec<Report>,
--- a/src/cmd/config/diff.rs
+++ b/src/cmd/config/diff.rs
@@ -46,7 +46,8 @@
 }
 
 /// What `sync` would do to a file.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum FileChange {
     /// It is not in force yet.
--- a/src/cmd/load/tally.rs
+++ b/src/cmd/load/tally.rs
@@ -128,7 +128,8 @@
 }
 
 /// Quantiles of response time over ideal, of the complete jobs.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize)]
 pub struct Quantiles {
     /// Half are at most this.
     pub p50: f64,
@@ -141,7 +142,8 @@
 }
 
 /// Messages that did not lead to a start, from the entries' counters.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize)]
 pub struct Wasted {
     /// Messages wasted during the load.
     pub messages: f64,
@@ -152,7 +154,8 @@
 }
 
 /// All figures.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize)]
 pub struct Report {
     /// Jobs that arrived.
     pub jobs: u64,
--- a/src/cmd/zone.rs
+++ b/src/cmd/zone.rs
@@ -128,7 +128,8 @@
 }
 
 /// One availability zone as it stands.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize)]
 struct Zone {
     zone: SmolStr,
     out: bool,
