Claim the clients' own ids, retry idempotent tasks, mend eight faults of starts

Faults found by reading, with their causes: - A connection closed after the request went out was taken for "not sent", at the entry and at the runner: the client library reports it as a connect error too (`ConnectError::Disconnected`, raised when the response's head does not come). The task was handed out again, or answered as not run, though it may have begun. - A question about an attempt older than what its runner remembers was answered "barred", and the entry took it for "not run". It shows after the entry was frozen for two epochs: the task ran, was forgotten, and would have started again. The runner's epoch in the answer now tells. - A refusal was not remembered: a second copy of the submission, on its way meanwhile, could start after its caller had been told "not run". - A message that thawed a frozen entry was acted upon before the pause was noticed, and the pause was then added to hearing times that were already new. - A dispatch swallowed by a silent connection was asked about for ever without being barred, and handed out again over other silent connections of the pool. - A ticket beyond the window was answered as if nothing had come of it; it may have been used. A ticket never minted is malformed. - A dead owner was "silent" for ever to an entry that had once heard of it. - A caller's huge `wait_ms` overflowed on its way to the owner. Ruled out by reading: `dispatch_answered` checks its own life; `deadline_ms` is added with saturation; fingerprints are compared within one life only, where the hasher is the same.

Own ids are claimed on the log, many to a record; the first in log order owns the id, and whoever can't confirm in time never starts it. Idempotent tasks that may have run are started again within a budget; a task of which an attempt may have run is never answered as not run.

--- a/measure/src/sim/world.rs
+++ b/measure/src/sim/world.rs
@@ -313,7 +313,7 @@
                 self.submitted.insert((entry, key), index);
                 self.placed[index] = Some((entry, key));
             }
-            calls::Reply::Forward(_) => {}
+            calls::Reply::Forward { .. } | calls::Reply::Claiming(_) => {}
         }
         self.act(entry, actions);
     }
@@ -357,6 +357,7 @@
                         self.receive(job, &answer);
                     }
                 }
+                entry::Action::AppendClaims(_) | entry::Action::ClaimSettled(_) => {}
             }
         }
     }
--- /dev/null
+++ b/src/claims/log.rs
@@ -0,0 +1,134 @@
+//! Appending claims to the log and following its stream of them.
+
+use std::time;
+
+use serde::Deserialize as _;
+use smol_str::SmolStr;
+
+use crate::claims;
+use crate::clock;
+use crate::keeper;
+use crate::outgoing;
+
+/// The stream was read.
+#[derive(Debug)]
+#[derive(actix::Message)]
+#[rtype(result = "u64")]
+pub struct ClaimsRead {
+    /// What was read; absent: there was no answer.
+    pub page: Option<claims::Page>,
+}
+
+/// An append ended, one way or the other.
+#[derive(Clone, Copy, Debug)]
+#[derive(actix::Message)]
+#[rtype(result = "()")]
+pub struct Appended;
+
+/// Most records in one read.
+const MAX_RECORDS: u32 = 200;
+/// Longest body of a read, in bytes.
+const MAX_READ_BYTES: usize = 64 << 20;
+/// Pause after a read without an answer.
+const PAUSE: time::Duration = time::Duration::from_millis(200);
+/// How long a read waits at the log for something new.
+const WAIT_MS: u64 = 1_000;
+/// How much longer than that an answer may take.
+const GRACE: time::Duration = time::Duration::from_secs(1);
+/// Longest wait for the answer to an append.
+const APPEND_LIMIT: time::Duration = time::Duration::from_millis(claims::CLAIM_LIMIT_MS);
+
+/// Appends a record on a connection of its own.
+pub fn append(
+    pool: &outgoing::Pool,
+    log: SmolStr,
+    record: claims::Record,
+    done: actix::Recipient<Appended>,
+) {
+    pool.run(move |_client| async move {
+        let stream = claims::STREAM;
+        let url = format!("http://{log}/v1/streams/{stream}/records");
+        let sent = outgoing::client().post(url).send_json(&record);
+        match tokio::time::timeout(APPEND_LIMIT, sent).await {
+            Ok(Ok(response)) if response.status().is_success() => {}
+            _ => log::warn!(event = "claims.append_unanswered"; "the claims are read back"),
+        }
+        done.do_send(Appended);
+    });
+}
+
+/// Follows the stream for as long as the process lives.
+pub fn follow(
+    pool: &outgoing::Pool,
+    clock: clock::Clock,
+    log: SmolStr,
+    done: actix::Recipient<ClaimsRead>,
+) {
+    pool.run(move |_client| async move {
+        let mut client = outgoing::client();
+        let mut position = 0;
+        loop {
+            let asked_ms = clock.now_ms();
+            let page = read(&client, &log, position).await;
+            let is_answered = page.is_some();
+            if let Ok(next) = done.send(ClaimsRead { page }).await {
+                position = next;
+            } else {
+                return;
+            }
+            if !is_answered {
+                // The kept connection may be the one that is dead.
+                client = outgoing::client();
+                let took_ms = clock.now_ms().saturating_sub(asked_ms);
+                log::debug!(event = "claims.unread", took_ms = took_ms; "no answer");
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    });
+}
+
+async fn read(client: &awc::Client, log: &str, position: u64) -> Option<claims::Page> {
+    let stream = claims::STREAM;
+    let url = format!(
+        "http://{log}/v1/streams/{stream}/records?from={position}&max={MAX_RECORDS}&wait_ms={WAIT_MS}"
+    );
+    let limit = time::Duration::from_millis(WAIT_MS) + GRACE;
+    let exchange = async {
+        let mut response = client.get(url).send().await.ok()?;
+        if !response.status().is_success() {
+            return None;
+        }
+        let read = response.json::<keeper::Batch>().limit(MAX_READ_BYTES);
+        read.await.ok()
+    };
+    let batch = tokio::time::timeout(limit, exchange).await.ok().flatten()?;
+    Some(batch.into())
+}
+
+impl From<keeper::Batch> for claims::Page {
+    fn from(batch: keeper::Batch) -> Self {
+        let records = batch.records.into_iter();
+        Self {
+            first: batch.first,
+            records: records
+                .map(|one| (one.offset, parse(&one.record)))
+                .collect(),
+        }
+    }
+}
+
+/// A later version may claim in a way that is not understood here: none. What is no
+/// record at all claims nothing, at any entry.
+fn parse(record: &serde_json::Value) -> Option<claims::Record> {
+    let version = record["version"].as_u64().unwrap_or(0);
+    if version > claims::VERSION.into() {
+        return None;
+    }
+    match claims::Record::deserialize(record) {
+        Ok(record) => Some(record),
+        Err(e) => {
+            log::warn!(event = "claims.bad_record"; "{e}");
+            Some(claims::Record::nothing())
+        }
+    }
+}
--- a/src/entry/attempts.rs
+++ b/src/entry/attempts.rs
@@ -5,6 +5,8 @@
 //! or it promised so when asked on a fresh connection. Where none of these can be
 //! had, the truth is "may have run".
 
+use rand::RngCore as _;
+
 use crate::api;
 use crate::codes;
 use crate::entry::core;
@@ -37,14 +39,15 @@
         now_ms: u64,
         reply: wire::DispatchReply,
     ) -> Vec<core::Action> {
+        let mut actions = self.wake(now_ms);
         let number = reply.attempt.number;
         let is_ours = reply.attempt.owner == self.me.incarnation;
         let Some(flight) = self.in_flight.get(&number).filter(|_| is_ours) else {
             self.counts.wasted += 1;
-            return Vec::new();
+            return actions;
         };
         self.hear_load(flight.runner, now_ms, reply.load);
-        let mut actions = self.outcome(now_ms, number, reply.outcome);
+        actions.extend(self.outcome(now_ms, number, reply.outcome));
         actions.extend(self.pump(now_ms));
         actions
     }
@@ -63,22 +66,23 @@
         attempt: ids::Attempt,
         fault: Fault,
     ) -> Vec<core::Action> {
+        let mut actions = self.wake(now_ms);
         let Some(flight) = self.in_flight.get_mut(&attempt.number) else {
-            return Vec::new();
+            return actions;
         };
         match fault {
             Fault::NotSent => {
                 let code = codes::Code::BackendUnreachable;
-                let mut actions = self.not_started(now_ms, attempt.number, code);
+                actions.extend(self.not_started(now_ms, attempt.number, code));
                 actions.extend(self.pump(now_ms));
-                actions
             }
             Fault::Lost => {
                 flight.is_lost = true;
                 flight.ask_ms = now_ms;
-                self.ask(now_ms, attempt.number).into_iter().collect()
+                actions.extend(self.ask(now_ms, attempt.number));
             }
         }
+        actions
     }
 
     /// Keeps work from a runner for a while, so that a refusal that will be
@@ -107,19 +111,28 @@
         fence: &wire::Fence,
         reply: wire::FenceReply,
     ) -> Vec<core::Action> {
+        let mut actions = self.wake(now_ms);
         let is_same_life = reply.incarnation == fence.incarnation;
-        let mut actions = Vec::new();
         for (attempt, outcome) in fence.attempts.iter().zip(reply.outcomes) {
-            let Some(flight) = self.in_flight.get(&attempt.number) else {
+            let Some(flight) = self.in_flight.get_mut(&attempt.number) else {
                 continue;
             };
             let runner = flight.runner;
+            let may_be_forgotten = flight.epoch.saturating_add(1) < reply.load.epoch;
             match outcome {
+                Some(outcome) if is_same_life && may_be_forgotten && is_fenced(&outcome) => {
+                    actions.extend(self.forgotten(now_ms, attempt.number));
+                }
                 Some(outcome) if is_same_life => {
                     self.hear_load(runner, now_ms, reply.load);
                     actions.extend(self.outcome(now_ms, attempt.number, outcome));
                 }
-                None if is_same_life => {}
+                // The dispatch got lost on its way, and its connection may be silent for
+                // good; from now on the attempt is barred when asked about.
+                None if is_same_life => {
+                    flight.is_lost = true;
+                    flight.ask_ms = now_ms;
+                }
                 _ => actions.extend(self.runner_over(now_ms, runner)),
             }
         }
@@ -164,19 +177,43 @@
             return self.decide(now_ms, flight.task, jobs::Decided::not_run(code));
         }
         open.requeued(flight.task.index);
+        self.requeue(flight.task);
+        Vec::new()
+    }
+
+    /// The runner promises that the attempt will not start, but it no longer
+    /// remembers attempts as old as this one.
+    ///
+    /// It shows after this process was frozen for minutes: the task ran, its answer
+    /// went unheard, and the runner has forgotten it. "Not run" would be untrue and
+    /// would have the task started a second time. The runner's epoch tells: it
+    /// forgets nothing whose dispatch carried its current or previous one.
+    fn forgotten(&mut self, now_ms: u64, number: u64) -> Vec<core::Action> {
+        let Some(flight) = self.take(number) else {
+            return Vec::new();
+        };
+        self.lost(now_ms, &flight, codes::Code::RunnerLost)
+    }
+
+    /// Puts a task that came back at the head of the queue.
+    pub(crate) fn requeue(&mut self, task: jobs::TaskKey) {
+        let Some(open) = self.jobs.open_at(task.submission) else {
+            return;
+        };
+        let is_waiting = matches!(open.progress(task.index), Some(jobs::Progress::Queued));
+        if !is_waiting || open.verdict().is_some() {
+            return;
+        }
         let team = open.header.team.clone();
         let since_ms = open.header.arrived_ms;
-        let expected_ms = open
-            .task(flight.task.index)
-            .map_or(0, super::calls::expected_ms);
+        let expected_ms = open.task(task.index).map_or(0, super::calls::expected_ms);
         let item = queue::Item {
-            task: flight.task,
+            task,
             team,
             expected_ms,
             since_ms,
         };
         self.queue.push_front(item);
-        Vec::new()
     }
 
     fn ended(
@@ -230,6 +267,9 @@
         code: codes::Code,
     ) -> Vec<core::Action> {
         let place = self.place_of(flight.runner);
+        if self.start_again(now_ms, flight, code, place.as_ref()) {
+            return Vec::new();
+        }
         self.decide(
             now_ms,
             flight.task,
@@ -237,6 +277,32 @@
         )
     }
 
+    /// Has an idempotent task started again elsewhere, within the budget and the
+    /// deadline; says whether it will be.
+    fn start_again(
+        &mut self,
+        now_ms: u64,
+        flight: &core::InFlight,
+        code: codes::Code,
+        place: Option<&jobs::Place>,
+    ) -> bool {
+        let seed = self.rng.next_u64();
+        let Some(open) = self.jobs.open_mut(flight.task.submission) else {
+            return false;
+        };
+        if !open.header.is_idempotent || open.verdict().is_some() {
+            return false;
+        }
+        let deadline_ms = open.header.deadline_ms;
+        if !self.retries.plan(now_ms, deadline_ms, flight.task, seed) {
+            return false;
+        }
+        open.lost(flight.task.index, code, place.cloned());
+        self.counts.retries += 1;
+        self.close(now_ms, flight.runner, code);
+        true
+    }
+
     fn place_of(&self, key: membership::RunnerKey) -> Option<jobs::Place> {
         let peer = &self.members.runner(key)?.peer;
         Some(jobs::Place {
@@ -317,3 +383,12 @@
         })
     }
 }
+
+const fn is_fenced(outcome: &wire::Outcome) -> bool {
+    matches!(
+        outcome,
+        wire::Outcome::NotStarted {
+            code: codes::Code::Fenced
+        }
+    )
+}
--- a/src/entry/calls.rs
+++ b/src/entry/calls.rs
@@ -1,5 +1,6 @@
 //! What callers ask of an entry: tickets, submissions, answers, cancelling.
 
+use std::cmp;
 use std::hash;
 use std::hash::Hash as _;
 use std::hash::Hasher as _;
@@ -7,8 +8,11 @@
 use smol_str::SmolStr;
 
 use crate::api;
+use crate::claims;
 use crate::codes;
+use crate::entry::claiming;
 use crate::entry::core;
+use crate::entry::tick;
 use crate::ids;
 use crate::jobs;
 use crate::jobs::answer;
@@ -30,7 +34,14 @@
     /// It is open here; wait for [`core::Action::Answer`] under this key.
     Open(jobs::Key),
     /// It belongs to this other entry.
-    Forward(wire::Peer),
+    Forward {
+        /// The owner.
+        owner: wire::Peer,
+        /// What to say if it does not answer, and whether that is the last word.
+        if_silent: (codes::Code, bool),
+    },
+    /// Its claim is under way; look again at [`core::Action::ClaimSettled`].
+    Claiming(claims::Name),
 }
 
 impl Reply {
@@ -42,8 +53,13 @@
 /// Where a submission id belongs.
 enum Owner {
     Here,
-    Other(wire::Peer),
+    Other {
+        owner: wire::Peer,
+        if_silent: (codes::Code, bool),
+    },
     Unknown(codes::Code, bool),
+    Unclaimed(claims::Name),
+    Claiming(claims::Name),
 }
 
 impl core::Core {
@@ -57,7 +73,7 @@
         }
     }
 
-    fn ticket(&mut self) -> ids::SubmissionId {
+    pub(crate) fn ticket(&mut self) -> ids::SubmissionId {
         let number = self.next_ticket;
         self.next_ticket += 1;
         ids::SubmissionId::Ticket(ids::Ticket {
@@ -74,19 +90,50 @@
         now_ms: u64,
         team: &SmolStr,
         submission: api::Submission,
+    ) -> (Reply, Vec<core::Action>) {
+        let mut actions = self.wake(now_ms);
+        let (reply, more) = self.submit_awake(now_ms, team, submission);
+        actions.extend(more);
+        (reply, actions)
+    }
+
+    fn submit_awake(
+        &mut self,
+        now_ms: u64,
+        team: &SmolStr,
+        submission: api::Submission,
     ) -> (Reply, Vec<core::Action>) {
         let id = match submission.submission.clone() {
             Some(id) => id,
             None => self.ticket(),
         };
-        let reply = match self.owner(&id) {
-            Owner::Other(peer) => Reply::Forward(peer),
+        let reply = match self.owner(now_ms, team, &id) {
+            Owner::Other { owner, if_silent } => Reply::Forward { owner, if_silent },
+            Owner::Unknown(codes::Code::ClaimUnavailable, _) => {
+                Reply::Answer(Box::new(self.claim_unavailable(team, id)))
+            }
             Owner::Unknown(code, is_final) => Reply::plain(Some(id), code, is_final),
+            Owner::Claiming(name) => Reply::Claiming(name),
+            Owner::Unclaimed(name) => return self.begin_claim(now_ms, name, id),
             Owner::Here => return self.submit_here(now_ms, team, id, submission),
         };
         (reply, Vec::new())
     }
 
+    fn begin_claim(
+        &mut self,
+        now_ms: u64,
+        name: claims::Name,
+        id: ids::SubmissionId,
+    ) -> (Reply, Vec<core::Action>) {
+        if self.is_leaving || !self.claims.claim(now_ms, name.clone()) {
+            let refusal = self.claim_unavailable(&name.0, id);
+            return (Reply::Answer(Box::new(refusal)), Vec::new());
+        }
+        let actions = self.append_claims().into_iter().collect();
+        (Reply::Claiming(name), actions)
+    }
+
     fn submit_here(
         &mut self,
         now_ms: u64,
@@ -98,11 +145,7 @@
         if let Some(key) = self.jobs.find(team, &id) {
             return (self.repeated(key, fingerprint), Vec::new());
         }
-        if let Some(refusal) = self.refusal(team, &id, &submission) {
-            self.counts.refused += 1;
-            return (Reply::Answer(Box::new(refusal)), Vec::new());
-        }
-        self.counts.accepted += 1;
+        let is_known_to_caller = submission.submission.is_some();
         let deadline = submission.deadline_ms;
         let wanted = deadline.unwrap_or_else(|| self.settings.timeouts.deadline_ms.into());
         let header = jobs::Header {
@@ -113,6 +156,16 @@
             deadline_ms: now_ms.saturating_add(wanted),
             is_idempotent: submission.idempotent,
         };
+        if let Some(code) = self.refusal_code(team, &header.id, &submission) {
+            let refusal = self.refuse(header, code, is_known_to_caller);
+            return (Reply::Answer(Box::new(refusal)), Vec::new());
+        }
+        if let Some(name) = claiming::claim_name(team, &header.id) {
+            self.claims.set_used(&name);
+        }
+        self.counts.accepted += 1;
+        let policy = &self.settings.policy;
+        self.retries.earn(submission.tasks.len(), policy);
         let key = self.jobs.insert(jobs::Open::new(header, submission.tasks));
         self.enqueue_all(now_ms, key);
         (Reply::Open(key), self.pump(now_ms))
@@ -154,15 +207,30 @@
         }
     }
 
-    fn refusal(
-        &self,
-        team: &SmolStr,
-        id: &ids::SubmissionId,
-        submission: &api::Submission,
-    ) -> Option<api::Answer> {
-        let code = self.refusal_code(team, id, submission)?;
-        let id = Some(id.clone());
-        Some(answer::plain(id, code, true))
+    /// Refuses a submission; one that may come again is refused for good.
+    ///
+    /// Without room to remember the refusal it is not the last word. Of a ticket
+    /// minted for this very call nobody else knows, and it is not told.
+    fn refuse(
+        &mut self,
+        header: jobs::Header,
+        code: codes::Code,
+        is_known_to_caller: bool,
+    ) -> api::Answer {
+        self.counts.refused += 1;
+        if !is_known_to_caller {
+            return answer::plain(None, code, true);
+        }
+        let id = Some(header.id.clone());
+        if code.class() != codes::Class::NotRun {
+            return answer::plain(id, code, true);
+        }
+        let refusal = answer::plain(id, code, true);
+        let is_remembered = self.jobs.refuse(header, refusal.clone());
+        api::Answer {
+            is_final: is_remembered,
+            ..refusal
+        }
     }
 
     fn refusal_code(
@@ -171,10 +239,8 @@
         id: &ids::SubmissionId,
         submission: &api::Submission,
     ) -> Option<codes::Code> {
-        if let ids::SubmissionId::Ticket(ticket) = id
-            && !self.jobs.epochs().contains(ticket.epoch)
-        {
-            return Some(codes::Code::TicketExpired);
+        if let Some(code) = self.past_use(team, id) {
+            return Some(code);
         }
         if self.is_leaving {
             return Some(codes::Code::Leaving);
@@ -192,18 +258,41 @@
         is_over.then_some(codes::Code::TeamQueueFull)
     }
 
+    /// Why an id that this life owns can't be used any more, though it is not
+    /// remembered.
+    ///
+    /// A ticket older than the window may have been used, and its submission be
+    /// forgotten: the truth is "may have run".
+    fn past_use(&self, team: &SmolStr, id: &ids::SubmissionId) -> Option<codes::Code> {
+        let ids::SubmissionId::Ticket(ticket) = id else {
+            let used = claims::Standing::Mine { is_used: true };
+            let is_used = self.standing(team, id) == Some(used);
+            return is_used.then_some(codes::Code::AnswerExpired);
+        };
+        let epochs = self.jobs.epochs();
+        if ticket.epoch > epochs.current() || ticket.number >= self.next_ticket {
+            return Some(codes::Code::BadTicket);
+        }
+        (!epochs.contains(ticket.epoch)).then_some(codes::Code::AnswerExpired)
+    }
+
     /// A caller asks for an answer.
-    pub fn fetch(&self, team: &SmolStr, id: &ids::SubmissionId) -> Reply {
-        match self.owner(id) {
-            Owner::Other(peer) => Reply::Forward(peer),
+    pub fn fetch(&self, now_ms: u64, team: &SmolStr, id: &ids::SubmissionId) -> Reply {
+        match self.owner(now_ms, team, id) {
+            Owner::Other { owner, if_silent } => Reply::Forward { owner, if_silent },
             Owner::Unknown(code, is_final) => Reply::plain(Some(id.clone()), code, is_final),
+            Owner::Claiming(name) => Reply::Claiming(name),
+            Owner::Unclaimed(_) => {
+                Reply::plain(Some(id.clone()), codes::Code::UnknownSubmission, false)
+            }
             Owner::Here => self.fetch_here(team, id),
         }
     }
 
     fn fetch_here(&self, team: &SmolStr, id: &ids::SubmissionId) -> Reply {
         let Some(key) = self.jobs.find(team, id) else {
-            let code = self.forgotten_code(id);
+            let code = self.past_use(team, id);
+            let code = code.unwrap_or(codes::Code::UnknownSubmission);
             return Reply::plain(Some(id.clone()), code, true);
         };
         match self.jobs.get(key) {
@@ -214,16 +303,6 @@
         }
     }
 
-    /// Within the window nothing is forgotten, so an unknown ticket was not used.
-    fn forgotten_code(&self, id: &ids::SubmissionId) -> codes::Code {
-        match id {
-            ids::SubmissionId::Ticket(ticket) if !self.jobs.epochs().contains(ticket.epoch) => {
-                codes::Code::AnswerExpired
-            }
-            _ => codes::Code::UnknownSubmission,
-        }
-    }
-
     /// A caller cancels.
     pub fn cancel(
         &mut self,
@@ -231,12 +310,13 @@
         team: &SmolStr,
         id: &ids::SubmissionId,
     ) -> (Reply, Vec<core::Action>) {
-        let reply = self.fetch(team, id);
-        let Reply::Open(key) = reply else {
-            return (reply, Vec::new());
-        };
-        let code = codes::Code::CancelledNotRun;
-        (reply, self.give_up(now_ms, key, code))
+        let mut actions = self.wake(now_ms);
+        let reply = self.fetch(now_ms, team, id);
+        if let Reply::Open(key) = reply {
+            let code = codes::Code::CancelledNotRun;
+            actions.extend(self.give_up(now_ms, key, code));
+        }
+        (reply, actions)
     }
 
     /// What to say of a submission that is still open when a call's wait is over.
@@ -247,27 +327,60 @@
         }
     }
 
-    /// Only the life that minted a ticket may start its submission. Another entry
-    /// passes the call on while that life is there, and else says that it may
-    /// have run: it can't know, and so never starts it.
-    fn owner(&self, id: &ids::SubmissionId) -> Owner {
-        let ids::SubmissionId::Ticket(ticket) = id else {
-            return Owner::Unknown(codes::Code::ClaimUnavailable, true);
+    /// Only the life that minted a ticket, or made the first claim on an own id, may
+    /// start its submission.
+    fn owner(&self, now_ms: u64, team: &SmolStr, id: &ids::SubmissionId) -> Owner {
+        let Some(name) = claiming::claim_name(team, id) else {
+            return match id {
+                ids::SubmissionId::Ticket(ticket) => {
+                    self.holder(now_ms, &ticket.entry, ticket.incarnation)
+                }
+                ids::SubmissionId::Own(_) => Owner::Unknown(codes::Code::BadTicket, true),
+            };
         };
-        if ticket.entry == self.me.name && ticket.incarnation == self.me.incarnation {
-            return Owner::Here;
+        match self.claims.standing(&name) {
+            claims::Standing::Unclaimed => Owner::Unclaimed(name),
+            claims::Standing::Pending => Owner::Claiming(name),
+            claims::Standing::Mine { .. } => Owner::Here,
+            claims::Standing::Barred { is_mine } => {
+                Owner::Unknown(codes::Code::ClaimUnavailable, is_mine)
+            }
+            claims::Standing::Other(by) => self.holder(now_ms, &by.entry, by.incarnation),
         }
-        if let Some(entry) = self.members.entry(&ticket.entry, ticket.incarnation) {
-            return Owner::Other(entry.peer.clone());
+    }
+
+    /// Where the life that owns a submission is to be found. Another entry passes
+    /// the call on to it, and when it does not answer says that it may have run: it
+    /// can't know, and so never starts it.
+    fn holder(&self, now_ms: u64, name: &SmolStr, incarnation: ids::Incarnation) -> Owner {
+        const SILENT: (codes::Code, bool) = (codes::Code::OwnerSilent, false);
+        const GONE: (codes::Code, bool) = (codes::Code::OwnerGone, true);
+        if *name == self.me.name {
+            return match incarnation.cmp(&self.me.incarnation) {
+                cmp::Ordering::Equal => Owner::Here,
+                cmp::Ordering::Less => Owner::Unknown(GONE.0, GONE.1),
+                // This process was replaced while it was frozen; its successor lives.
+                cmp::Ordering::Greater => Owner::Unknown(SILENT.0, SILENT.1),
+            };
         }
-        let is_replaced = self
-            .members
-            .is_entry_replaced(&ticket.entry, ticket.incarnation)
-            || ticket.entry == self.me.name;
-        if is_replaced {
-            return Owner::Unknown(codes::Code::OwnerGone, true);
+        let dead_after = u64::from(self.settings.timeouts.dead_after_ms);
+        if let Some(entry) = self.members.entry(name, incarnation) {
+            let is_dead = entry.heard_ms.saturating_add(dead_after) <= now_ms;
+            return Owner::Other {
+                owner: entry.peer.clone(),
+                if_silent: if is_dead { GONE } else { SILENT },
+            };
         }
-        Owner::Unknown(codes::Code::OwnerSilent, false)
+        let is_replaced = self.members.is_entry_replaced(name, incarnation);
+        // Whoever lives is heard of in that time; whoever was heard is forgotten in it.
+        let long_ms = dead_after * tick::FORGET_FACTOR;
+        let is_forgotten = self.started_ms.saturating_add(long_ms) <= now_ms;
+        let (code, is_final) = if is_replaced || is_forgotten {
+            GONE
+        } else {
+            SILENT
+        };
+        Owner::Unknown(code, is_final)
     }
 }
 
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -9,6 +9,7 @@
 use tokio::sync::oneshot;
 
 use crate::api;
+use crate::claims;
 use crate::clock;
 use crate::codes;
 use crate::control;
@@ -17,6 +18,7 @@
 use crate::entry::core;
 use crate::entry::messages;
 use crate::heartbeats;
+use crate::ids;
 use crate::jobs;
 use crate::keeper;
 use crate::membership::contacts;
@@ -63,8 +65,10 @@
     keeper: keeper::Keeper,
     contacts: contacts::Contacts,
     waiters: collections::HashMap<jobs::Key, Vec<Waiter>>,
+    claim_waiters: collections::HashMap<claims::Name, Vec<oneshot::Sender<()>>>,
     parts: Parts,
     left_ms: Option<u64>,
+    suspects: collections::HashMap<SmolStr, u64>,
 }
 
 impl Control {
@@ -79,8 +83,10 @@
             keeper,
             contacts: contacts::Contacts::new(parts.me.address.clone(), &parts.entries),
             waiters: collections::HashMap::new(),
+            claim_waiters: collections::HashMap::new(),
             parts,
             left_ms: None,
+            suspects: collections::HashMap::new(),
         }
     }
 
@@ -96,18 +102,26 @@
                 }
                 core::Action::Fence { address, fence } => self.send_fence(cx, address, fence),
                 core::Action::Answer { submission, answer } => self.answer(submission, &answer),
+                core::Action::AppendClaims(record) => self.append_claims(cx, record),
+                core::Action::ClaimSettled(name) => drop(self.claim_waiters.remove(&name)),
             }
         }
     }
 
     fn send_dispatch(&self, cx: &actix::Context<Self>, to: SmolStr, dispatch: wire::Dispatch) {
         let control = cx.address();
+        let now_ms = self.now_ms();
+        let is_suspect = self.suspects.get(&to).is_some_and(|until| *until > now_ms);
         let limit = dispatch.wait_ms + dispatch.limit_ms + DISPATCH_GRACE_MS;
         let limit = time::Duration::from_millis(limit);
         self.parts.pool.run(move |client| async move {
             let attempt = dispatch.attempt;
             let path = wire::DISPATCH_PATH;
-            let reply = outgoing::post(&client, &to, path, &dispatch, limit).await;
+            let reply = if is_suspect {
+                outgoing::post_afresh(&to, path, &dispatch, limit).await
+            } else {
+                outgoing::post(&client, &to, path, &dispatch, limit).await
+            };
             let reply = reply.map_err(|e| {
                 log::warn!(event = "dispatch.failed", to = to.as_str(), attempt:% = attempt; "{e}");
                 fault(&e)
@@ -116,17 +130,56 @@
         });
     }
 
+    /// A runner never heard of a dispatch that went to it, though it answers on a new
+    /// connection: the kept ones may have gone silent for good. Each would swallow
+    /// one more dispatch and cost the time until it is asked about, so none of them
+    /// is used until they have all been dropped for their age.
+    fn mind_silence(&mut self, now_ms: u64, message: &messages::FenceDone) {
+        let is_unheard = message.reply.outcomes.iter().any(Option::is_none);
+        if message.reply.incarnation != message.fence.incarnation || !is_unheard {
+            return;
+        }
+        self.suspects.retain(|_, until| *until > now_ms);
+        let until_ms = now_ms.saturating_add(outgoing::CONNECTION_LIFETIME_MS);
+        self.suspects.insert(message.to.clone(), until_ms);
+    }
+
     fn send_fence(&self, cx: &actix::Context<Self>, to: SmolStr, fence: wire::Fence) {
         let control = cx.address();
         self.parts.pool.run(move |_client| async move {
             let path = wire::FENCE_PATH;
             match outgoing::post_afresh(&to, path, &fence, FENCE_TIMEOUT).await {
-                Ok(reply) => control.do_send(messages::FenceDone { fence, reply }),
+                Ok(reply) => control.do_send(messages::FenceDone { to, fence, reply }),
                 Err(e) => log::warn!(event = "fence.failed", to = to.as_str(); "{e}"),
             }
         });
     }
 
+    fn append_claims(&self, cx: &actix::Context<Self>, record: claims::Record) {
+        let log = self.parts.log.clone();
+        claims::log::append(&self.parts.pool, log, record, cx.address().recipient());
+    }
+
+    /// Makes the call once more when the claim is settled, one way or the other.
+    fn call_again(
+        &mut self,
+        cx: &actix::Context<Self>,
+        name: claims::Name,
+        message: messages::CallerCall,
+    ) -> actix::ResponseFuture<messages::Resolution> {
+        let (tx, rx) = oneshot::channel();
+        self.claim_waiters.entry(name).or_default().push(tx);
+        let control = cx.address();
+        Box::pin(async move {
+            // The settling drops the sender, which ends the wait like a message would.
+            let _settled = rx.await;
+            control.send(message).await.unwrap_or_else(|_ended| {
+                let answer = jobs::answer::plain(None, codes::Code::OwnerGone, true);
+                messages::Resolution::Answer(Box::new(answer))
+            })
+        })
+    }
+
     fn answer(&mut self, key: jobs::Key, answer: &api::Answer) {
         let id = answer
             .submission
@@ -241,6 +294,12 @@
             self.parts.log.clone(),
             done,
         );
+        claims::log::follow(
+            &self.parts.pool,
+            self.parts.clock,
+            self.parts.log.clone(),
+            cx.address().recipient(),
+        );
         self.keep_sending_heartbeats(cx);
     }
 }
@@ -252,6 +311,7 @@
     type Result = actix::ResponseFuture<messages::Resolution>;
 
     fn handle(&mut self, message: messages::CallerCall, cx: &mut Self::Context) -> Self::Result {
+        let again = needs_claim(&message.call).then(|| message.clone());
         let messages::CallerCall { team, call } = message;
         let now_ms = self.now_ms();
         let (wait_ms, (reply, actions)) = match call {
@@ -262,7 +322,10 @@
             wire::Call::Fetch {
                 submission,
                 wait_ms,
-            } => (wait_ms, (self.core.fetch(&team, &submission), Vec::new())),
+            } => {
+                let reply = self.core.fetch(now_ms, &team, &submission);
+                (wait_ms, (reply, Vec::new()))
+            }
             wire::Call::Cancel { submission } => {
                 (CANCEL_WAIT_MS, self.core.cancel(now_ms, &team, &submission))
             }
@@ -270,14 +333,30 @@
         self.act(cx, actions);
         match reply {
             calls::Reply::Answer(answer) => ready(*answer),
-            calls::Reply::Forward(peer) => {
-                Box::pin(async move { messages::Resolution::Forward(peer) })
+            calls::Reply::Forward { owner, if_silent } => {
+                Box::pin(async move { messages::Resolution::Forward { owner, if_silent } })
             }
+            calls::Reply::Claiming(name) => match again {
+                Some(again) => self.call_again(cx, name, again),
+                None => ready(jobs::answer::plain(None, codes::Code::BadTicket, true)),
+            },
             calls::Reply::Open(key) => self.wait(cx, key, wait_ms),
         }
     }
 }
 
+/// Whether a call is about an own id, and may have to wait for a claim.
+const fn needs_claim(call: &wire::Call) -> bool {
+    match call {
+        wire::Call::Submit(submission) => {
+            matches!(submission.submission, Some(ids::SubmissionId::Own(_)))
+        }
+        wire::Call::Fetch { submission, .. } | wire::Call::Cancel { submission } => {
+            matches!(submission, ids::SubmissionId::Own(_))
+        }
+    }
+}
+
 /// A cancelled submission ends within the time that a question to a runner takes.
 const CANCEL_WAIT_MS: u64 = 1_000;
 
@@ -336,6 +415,7 @@
 
     fn handle(&mut self, message: messages::FenceDone, cx: &mut Self::Context) {
         let now_ms = self.now_ms();
+        self.mind_silence(now_ms, &message);
         let actions = self
             .core
             .fence_answered(now_ms, &message.fence, message.reply);
@@ -392,6 +472,26 @@
     }
 }
 
+impl actix::Handler<claims::log::ClaimsRead> for Control {
+    type Result = u64;
+
+    fn handle(&mut self, message: claims::log::ClaimsRead, cx: &mut Self::Context) -> u64 {
+        let now_ms = self.now_ms();
+        let actions = self.core.claims_read(now_ms, message.page.as_ref());
+        self.act(cx, actions);
+        self.core.claims_position()
+    }
+}
+
+impl actix::Handler<claims::log::Appended> for Control {
+    type Result = ();
+
+    fn handle(&mut self, _message: claims::log::Appended, cx: &mut Self::Context) {
+        let actions = self.core.claims_appended();
+        self.act(cx, actions);
+    }
+}
+
 impl actix::Handler<control::WantStatus> for Control {
     type Result = actix::MessageResult<control::WantStatus>;
 
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -13,11 +13,13 @@
 use smol_str::SmolStr;
 
 use crate::api;
+use crate::claims;
 use crate::freshness;
 use crate::ids;
 use crate::jobs;
 use crate::membership;
 use crate::queue;
+use crate::retry;
 use crate::settings;
 use crate::wire;
 
@@ -45,6 +47,10 @@
         /// The final answer.
         answer: Box<api::Answer>,
     },
+    /// Append this to the log's stream of claims and report when that ended.
+    AppendClaims(claims::Record),
+    /// Have the calls about this id looked at again.
+    ClaimSettled(claims::Name),
 }
 
 /// An attempt that was handed to a runner and is not settled.
@@ -54,6 +60,8 @@
     pub task: jobs::TaskKey,
     /// The runner.
     pub runner: membership::RunnerKey,
+    /// The runner's epoch that the dispatch carried.
+    pub epoch: u64,
     /// What it is expected to take.
     pub need: wire::Resources,
     /// When it was handed over.
@@ -96,12 +104,15 @@
     pub(crate) freshness: freshness::Freshness,
     pub(crate) members: membership::Members,
     pub(crate) jobs: jobs::Table,
+    pub(crate) claims: claims::Table,
     pub(crate) queue: queue::Queue,
+    pub(crate) retries: retry::Retries,
     pub(crate) in_flight: collections::BTreeMap<u64, InFlight>,
     pub(crate) running_by_team: collections::HashMap<SmolStr, u32>,
     pub(crate) next_attempt: u64,
     pub(crate) next_ticket: u64,
     pub(crate) is_leaving: bool,
+    pub(crate) started_ms: u64,
     pub(crate) last_tick_ms: u64,
     pub(crate) counts: Counts,
     pub(crate) rng: rand_chacha::ChaCha8Rng,
@@ -115,6 +126,11 @@
         now_ms: u64,
         seed: u64,
     ) -> Self {
+        let retries = retry::Retries::new(&settings.policy);
+        let claimer = claims::Claimer {
+            entry: me.name.clone(),
+            incarnation: me.incarnation,
+        };
         Self {
             me,
             settings,
@@ -122,12 +138,15 @@
             freshness: freshness::Freshness::default(),
             members: membership::Members::default(),
             jobs: jobs::Table::new(now_ms),
+            claims: claims::Table::new(claimer),
             queue: queue::Queue::default(),
+            retries,
             in_flight: collections::BTreeMap::new(),
             running_by_team: collections::HashMap::new(),
             next_attempt: 1,
             next_ticket: 1,
             is_leaving: false,
+            started_ms: now_ms,
             last_tick_ms: now_ms,
             counts: Counts::default(),
             rng: rand_chacha::ChaCha8Rng::seed_from_u64(seed),
@@ -191,9 +210,11 @@
         settings: sync::Arc<settings::Settings>,
         revision: Option<u64>,
     ) -> Vec<Action> {
+        let mut actions = self.wake(now_ms);
         self.settings = settings;
         self.revision = revision;
-        self.pump(now_ms)
+        actions.extend(self.pump(now_ms));
+        actions
     }
 
     /// A runner or another entry said that it is there.
@@ -202,7 +223,7 @@
         now_ms: u64,
         heartbeat: &wire::Heartbeat,
     ) -> (wire::HeartbeatReply, Vec<Action>) {
-        let mut actions = Vec::new();
+        let mut actions = self.wake(now_ms);
         match heartbeat.sender.role {
             wire::Role::Runner => {
                 let heard = self.members.hear_runner(now_ms, heartbeat);
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -101,10 +101,12 @@
         };
         match self.control.send(message).await {
             Ok(messages::Resolution::Answer(answer)) => *answer,
-            Ok(messages::Resolution::Forward(peer)) => forward(peer, team, call, wait_ms)
-                .await
-                .unwrap_or_else(|| silent(id)),
-            Err(_ended) => answer::plain(id, codes::Code::Leaving, true),
+            Ok(messages::Resolution::Forward { owner, if_silent }) => {
+                let answer = forward(owner, team, call, wait_ms).await;
+                answer.unwrap_or_else(|| silent(id, if_silent))
+            }
+            // The control thread ended with the call before it; it may have taken it in.
+            Err(_ended) => answer::plain(id, codes::Code::OwnerGone, true),
         }
     }
 }
@@ -152,7 +154,7 @@
         team,
         call,
     };
-    let limit = time::Duration::from_millis(wait_ms + FORWARD_GRACE_MS);
+    let limit = time::Duration::from_millis(wait_ms.saturating_add(FORWARD_GRACE_MS));
     let path = wire::FORWARD_PATH;
     let reply = outgoing::post_afresh(&peer.address, path, &message, limit).await;
     let reply: wire::ForwardReply = reply.ok()?;
@@ -161,10 +163,10 @@
 
 /// The owner may be frozen or cut off and go on later, so nobody else starts the
 /// submission and the last word is not spoken.
-fn silent(id: Option<ids::SubmissionId>) -> api::Answer {
+fn silent(id: Option<ids::SubmissionId>, (code, is_final): (codes::Code, bool)) -> api::Answer {
     api::Answer {
-        retry_after_ms: Some(SILENT_RETRY_MS),
-        ..answer::plain(id, codes::Code::OwnerSilent, false)
+        retry_after_ms: (!is_final).then_some(SILENT_RETRY_MS),
+        ..answer::plain(id, code, is_final)
     }
 }
 
@@ -346,7 +348,7 @@
     };
     match shared.control.send(message).await {
         Ok(messages::Resolution::Answer(answer)) => *answer,
-        Ok(messages::Resolution::Forward(_)) => answer::plain(id, codes::Code::OwnerGone, true),
-        Err(_ended) => silent(id),
+        Ok(messages::Resolution::Forward { .. }) => answer::plain(id, codes::Code::OwnerGone, true),
+        Err(_ended) => silent(id, (codes::Code::OwnerSilent, false)),
     }
 }
--- a/src/entry/messages.rs
+++ b/src/entry/messages.rs
@@ -9,7 +9,7 @@
 use crate::wire;
 
 /// A caller's call, here or passed on by another entry.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 #[derive(actix::Message)]
 #[rtype(result = "Resolution")]
 pub struct CallerCall {
@@ -25,7 +25,12 @@
     /// This is the answer.
     Answer(Box<api::Answer>),
     /// The owner is another entry.
-    Forward(wire::Peer),
+    Forward {
+        /// The owner.
+        owner: wire::Peer,
+        /// What to say if it does not answer, and whether that is the last word.
+        if_silent: (codes::Code, bool),
+    },
 }
 
 /// A caller wants tickets.
@@ -56,6 +61,8 @@
 #[derive(actix::Message)]
 #[rtype(result = "()")]
 pub struct FenceDone {
+    /// Where it was sent.
+    pub to: SmolStr,
     /// The question.
     pub fence: wire::Fence,
     /// The answer.
--- a/src/entry/pump.rs
+++ b/src/entry/pump.rs
@@ -124,6 +124,7 @@
         let in_flight = core::InFlight {
             task: item.task,
             runner: key,
+            epoch: runner.load.epoch,
             need,
             sent_ms: now_ms,
             ask_ms: now_ms.saturating_add(expected),
@@ -195,6 +196,7 @@
         let Some(answer) = self.jobs.settle(key, now_ms) else {
             return Vec::new();
         };
+        self.retries.forget(key);
         match answer.code {
             codes::Code::Complete => self.counts.complete += 1,
             _ => self.counts.failed += 1,
--- a/src/entry/tick.rs
+++ b/src/entry/tick.rs
@@ -14,7 +14,7 @@
 
 /// Silent processes are forgotten after so many times the time after which they
 /// count as dead.
-const FORGET_FACTOR: u64 = 20;
+pub(crate) const FORGET_FACTOR: u64 = 20;
 
 impl core::Core {
     /// Time passes; called several times a second.
@@ -27,12 +27,26 @@
         actions.extend(self.end_unsettled(now_ms));
         actions.extend(self.end_dead_runners(now_ms, dead_after));
         actions.extend(self.ask_silent(now_ms));
+        self.start_due_again(now_ms);
+        actions.extend(self.expire_claims(now_ms));
+        actions.extend(self.append_claims());
         self.members
             .forget_silent(now_ms, dead_after * FORGET_FACTOR);
         actions.extend(self.pump(now_ms));
         actions
     }
 
+    /// Comes before anything else that happens: a process that was frozen may be
+    /// thawed by a message, and must find out that it was frozen before it acts on
+    /// what it held. Deadlines that passed meanwhile would be overlooked, and a
+    /// sender's silence be counted from before the pause.
+    pub(crate) fn wake(&mut self, now_ms: u64) -> Vec<core::Action> {
+        if now_ms.saturating_sub(self.last_tick_ms) <= PAUSE_MS {
+            return Vec::new();
+        }
+        self.tick(now_ms)
+    }
+
     /// A process that was frozen wakes up to old times of hearing. Taking its own
     /// pause for everybody's silence it would give up all that runs; so the pause
     /// is taken out of the silence.
@@ -117,6 +131,12 @@
             .collect()
     }
 
+    fn start_due_again(&mut self, now_ms: u64) {
+        for task in self.retries.due(now_ms) {
+            self.requeue(task);
+        }
+    }
+
     fn ask_silent(&mut self, now_ms: u64) -> Vec<core::Action> {
         let due = self
             .in_flight
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -6,6 +6,8 @@
 pub mod answer;
 pub mod table;
 
+use std::collections;
+
 use smol_str::SmolStr;
 
 use crate::api;
@@ -111,6 +113,7 @@
     progress: Vec<Progress>,
     undecided: usize,
     verdict: Option<Verdict>,
+    lost: collections::BTreeMap<u32, Decided>,
 }
 
 /// Why a submission can't complete any more, and since when.
@@ -142,6 +145,7 @@
             progress,
             undecided,
             verdict: None,
+            lost: collections::BTreeMap::new(),
         }
     }
 
@@ -182,8 +186,22 @@
         self.set(index, Progress::Queued);
     }
 
+    /// An attempt may have started the task, and the task is to be started again.
+    pub fn lost(&mut self, index: u32, code: codes::Code, place: Option<Place>) {
+        let decided = Decided::may_have_run(code, place);
+        self.lost.insert(index, decided);
+        self.requeued(index);
+    }
+
     /// The task's fate is decided; a fate once decided stands.
+    ///
+    /// A task of which an earlier attempt may have started is never "not run",
+    /// whatever became of the attempts after it.
     pub fn decide(&mut self, now_ms: u64, index: u32, decided: Decided) {
+        let decided = match self.lost.get(&index) {
+            Some(lost) if decided.fate == api::Fate::NotRun => lost.clone(),
+            _ => decided,
+        };
         if !matches!(decided.fate, api::Fate::Ran) {
             self.give_up(now_ms, decided.code);
         }
--- a/src/jobs/table.rs
+++ b/src/jobs/table.rs
@@ -41,8 +41,12 @@
 struct Line {
     submission: Submission,
     tag: u64,
+    is_refusal: bool,
 }
 
+/// Most refusals remembered beside the submissions taken in.
+pub const MAX_REFUSALS: usize = 20_000;
+
 /// The submissions.
 #[derive(Debug)]
 pub struct Table {
@@ -50,6 +54,7 @@
     lines: slotmap::SlotMap<Key, Line>,
     names: collections::HashMap<Name, Key>,
     open: usize,
+    refusals: usize,
 }
 
 impl Table {
@@ -60,6 +65,7 @@
             lines: slotmap::SlotMap::with_key(),
             names: collections::HashMap::new(),
             open: 0,
+            refusals: 0,
         }
     }
 
@@ -68,14 +74,14 @@
         self.epochs
     }
 
-    /// How many submissions are remembered.
+    /// How many submissions that were taken in are remembered.
     pub fn len(&self) -> usize {
-        self.lines.len()
+        self.lines.len() - self.refusals
     }
 
     /// Whether none is remembered.
     pub fn is_empty(&self) -> bool {
-        self.lines.is_empty()
+        self.len() == 0
     }
 
     /// How many are open.
@@ -124,12 +130,39 @@
         let name = (open.header.team.clone(), open.header.id.clone());
         let tag = self.epochs.current();
         let submission = Submission::Open(open);
-        let key = self.lines.insert(Line { submission, tag });
+        let key = self.lines.insert(Line {
+            submission,
+            tag,
+            is_refusal: false,
+        });
         self.names.insert(name, key);
         self.open += 1;
         key
     }
 
+    /// Remembers that an id was refused, so that it never starts under this life.
+    ///
+    /// A refusal says that nothing will be started. The same submission may be on
+    /// its way a second time, and would start when it finds room; its caller, who
+    /// trusted the refusal, has submitted anew by then. Gives whether there was room
+    /// to remember it.
+    pub fn refuse(&mut self, header: jobs::Header, answer: api::Answer) -> bool {
+        if self.refusals >= MAX_REFUSALS {
+            return false;
+        }
+        let name = (header.team.clone(), header.id.clone());
+        let tag = self.epochs.current();
+        let submission = Submission::Ended(jobs::Ended { header, answer });
+        let key = self.lines.insert(Line {
+            submission,
+            tag,
+            is_refusal: true,
+        });
+        self.names.insert(name, key);
+        self.refusals += 1;
+        true
+    }
+
     /// Ends a submission if all its tasks are decided, and gives its answer then.
     pub fn settle(&mut self, key: Key, now_ms: u64) -> Option<api::Answer> {
         let ended = self.open_at(key)?.end(now_ms)?;
@@ -149,12 +182,14 @@
         }
         let epochs = self.epochs;
         let names = &mut self.names;
+        let refusals = &mut self.refusals;
         self.lines.retain(|_, line| {
             let is_open = matches!(line.submission, Submission::Open(_));
             let is_kept = is_open || epochs.contains(line.tag);
             if !is_kept {
                 let header = line.submission.header();
                 names.remove(&(header.team.clone(), header.id.clone()));
+                *refusals -= usize::from(line.is_refusal);
             }
             is_kept
         });
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod api;
 pub mod audit;
+pub mod claims;
 pub mod cli;
 pub mod client;
 pub mod clock;
@@ -30,6 +31,7 @@
 pub mod outgoing;
 pub mod placement;
 pub mod queue;
+pub mod retry;
 pub mod runner;
 pub mod settings;
 pub mod starts;
--- a/src/outgoing.rs
+++ b/src/outgoing.rs
@@ -15,6 +15,9 @@
 /// Longest wait for a connection.
 pub const CONNECT_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
+/// Age at which a kept connection is dropped when its turn comes, in milliseconds.
+pub const CONNECTION_LIFETIME_MS: u64 = 75_000;
+
 /// Content type of messages between the processes.
 pub const CONTENT_TYPE: &str = "application/msgpack";
 
@@ -45,7 +48,11 @@
 
 /// A client that keeps connections, for the many calls.
 pub fn client() -> awc::Client {
-    let connector = awc::Connector::new().timeout(CONNECT_TIMEOUT).limit(0);
+    let lifetime = time::Duration::from_millis(CONNECTION_LIFETIME_MS);
+    let connector = awc::Connector::new()
+        .timeout(CONNECT_TIMEOUT)
+        .conn_lifetime(lifetime)
+        .limit(0);
     awc::Client::builder()
         .connector(connector)
         .disable_timeout()
@@ -64,7 +71,7 @@
     let request = client.post(format!("http://{address}{path}"));
     let request = request.insert_header((http::header::CONTENT_TYPE, CONTENT_TYPE));
     let exchange = async {
-        let mut response = request.send_body(body).await.map_err(classify)?;
+        let mut response = request.send_body(body).await.map_err(|e| classify(&e))?;
         if !response.status().is_success() {
             return Err(CallError::Refused(response.status().as_u16()));
         }
@@ -92,10 +99,25 @@
 }
 
 /// Only a connection that was never made means that nothing was sent.
-fn classify(err: awc::error::SendRequestError) -> CallError {
+fn classify(err: &awc::error::SendRequestError) -> CallError {
+    if is_unsent(err) {
+        return CallError::NotSent(err.to_string());
+    }
+    CallError::Lost(err.to_string())
+}
+
+/// Whether a call failed before any of it was sent.
+///
+/// The client library reports a connection that was closed *after* the request
+/// went out as a connect error too (`Disconnected`). Taken for "not sent" it has a
+/// task started twice: the other side read the request and then died or closed.
+/// The other connect errors arise only while the connection is being made.
+pub const fn is_unsent(err: &awc::error::SendRequestError) -> bool {
     match err {
-        awc::error::SendRequestError::Connect(e) => CallError::NotSent(e.to_string()),
-        other => CallError::Lost(other.to_string()),
+        awc::error::SendRequestError::Connect(e) => {
+            !matches!(e, awc::error::ConnectError::Disconnected)
+        }
+        _ => false,
     }
 }
 
--- a/src/runner/backend.rs
+++ b/src/runner/backend.rs
@@ -8,6 +8,7 @@
 
 use crate::codes;
 use crate::ids;
+use crate::outgoing;
 use crate::runner::core;
 use crate::wire;
 
@@ -117,7 +118,7 @@
         .await;
     let mut response = match sent {
         Ok(response) => response,
-        Err(awc::error::SendRequestError::Connect(e)) => {
+        Err(e) if outgoing::is_unsent(&e) => {
             log::warn!(event = "backend.unreachable"; "{e}");
             return core::End::NotReached;
         }
