--- a/measure/src/main.rs
+++ b/measure/src/main.rs
@@ -9,7 +9,6 @@
 
 Usage: bulrushtiller-measure PATTERN [--site taipa|formulario] [--seed N] [--load L]
 
-Patterns: steady
 ";
 
 fn main() {
@@ -29,17 +28,18 @@
         Some("formulario") => sim::Site::formulario(),
         _ => sim::Site::taipa(),
     };
-    let Ok(Some(pattern)) = args.opt_free_from_str::<String>() else {
+    let name = args.opt_free_from_str::<String>().ok().flatten();
+    let Some(pattern) = name.as_deref().and_then(patterns::find) else {
         print!("{USAGE}");
+        println!("Patterns: {}", names().join(", "));
         return;
     };
-    if pattern != "steady" {
-        print!("{USAGE}");
-        return;
-    }
-    let rows = patterns::steady(&site, load, seed);
     println!("{}", report::HEADS);
-    for (name, figures) in rows {
+    for (name, figures) in pattern(&site, load, seed) {
         println!("{}", report::row(&name, &figures));
     }
 }
+
+fn names() -> Vec<&'static str> {
+    patterns::ALL.iter().map(|(name, _)| *name).collect()
+}
--- a/measure/src/patterns.rs
+++ b/measure/src/patterns/mod.rs
@@ -1,4 +1,6 @@
-//! The load patterns, one function each.
+//! The load patterns, one module each.
+
+pub mod steady;
 
 use smol_str::SmolStr;
 
@@ -42,21 +44,17 @@
     stream
 }
 
-/// A steady load, as a part of the site's slots.
-pub fn steady(site: &sim::Site, load: f64, seed: u64) -> Vec<(String, report::Figures)> {
-    let span_ms = (0, 20_000);
-    let jobs = workload::draw(
-        &[stream(site, "escola", load, span_ms, (1, 20), (50, 1_000))],
-        seed,
-    );
-    let settings = settings(&["escola"]);
-    let ours = sim::run(site, &settings, &jobs, &[], seed);
-    let naive = sim::naive::run(site, &jobs, &[], seed);
-    let window = (3_000, 20_000);
-    let figures =
-        |outcome| report::figures(site, &jobs, outcome, window, site.capacity(), |_| true);
-    vec![
-        ("ours".to_owned(), figures(&ours)),
-        ("naive".to_owned(), figures(&naive)),
-    ]
+/// A named version and its figures.
+pub type Row = (String, report::Figures);
+
+/// A load pattern: runs at a site with a load, as a part of its slots, and a seed.
+pub type Pattern = fn(&sim::Site, f64, u64) -> Vec<Row>;
+
+/// All patterns by name.
+pub const ALL: &[(&str, Pattern)] = &[("steady", steady::run)];
+
+/// Finds a pattern by its name.
+pub fn find(name: &str) -> Option<Pattern> {
+    let found = ALL.iter().find(|(known, _)| *known == name);
+    found.map(|(_, pattern)| *pattern)
 }
