Share slots between teams, order jobs by laxity, refuse what can't be in time

Cause: one first-come queue served teams in proportion to what they sent, and held short jobs behind long ones; nothing was refused before the queue was full, and declared run times were believed.

What was found first: at 0.7 load the slow jobs are those that came into a moment in which the jobs of up to 20 tasks want more than all slots.

--- a/measure/src/sim/world.rs
+++ b/measure/src/sim/world.rs
@@ -292,10 +292,10 @@
     fn arrive(&mut self, index: usize) {
         let job = &self.jobs[index];
         let entry = self.rng.random_range(0..self.entries.len());
-        let task = |run_ms: &u32| api::Task {
+        let task = |(run_ms, declared_ms): (&u32, &u32)| api::Task {
             kind: job.kind.clone(),
             payload: format!("{index} {run_ms}"),
-            run_ms: job.declared_ms,
+            run_ms: *declared_ms,
             ..api::Task::default()
         };
         let submission = api::Submission {
@@ -303,7 +303,7 @@
             deadline_ms: job.deadline_ms,
             wait_ms: 0,
             idempotent: job.is_idempotent,
-            tasks: job.run_ms.iter().map(task).collect(),
+            tasks: job.run_ms.iter().zip(&job.declared_ms).map(task).collect(),
         };
         let now_ms = self.now_ms();
         let (reply, actions) = self.entries[entry].submit(now_ms, &job.team, submission);
--- a/measure/src/workload.rs
+++ b/measure/src/workload.rs
@@ -15,12 +15,14 @@
     pub kind: SmolStr,
     /// Real run time of each task, milliseconds.
     pub run_ms: Vec<u32>,
-    /// What the caller declares, milliseconds; 0: nothing.
-    pub declared_ms: u32,
+    /// What the caller declares for each task, milliseconds; 0: nothing.
+    pub declared_ms: Vec<u32>,
     /// Deadline, milliseconds after arrival.
     pub deadline_ms: Option<u64>,
     /// When its caller cancels it, microseconds.
     pub cancel_us: Option<u64>,
+    /// How often its caller comes back at the time it was told when it is refused.
+    pub returns: u32,
     /// Whether its tasks may be started again.
     pub is_idempotent: bool,
 }
@@ -63,6 +65,32 @@
     }
 }
 
+/// What callers declare in place of the real run times.
+#[derive(Clone, Copy, Debug)]
+pub enum Declared {
+    /// Nothing.
+    Nothing,
+    /// The job's longest run time, for each of its tasks.
+    Longest,
+    /// A figure for all, in milliseconds.
+    Always(u32),
+}
+
+/// The same jobs with other declarations.
+pub fn declare(jobs: &[Job], declared: Declared) -> Vec<Job> {
+    let mut jobs = jobs.to_vec();
+    for job in &mut jobs {
+        let longest = job.run_ms.iter().copied().max().unwrap_or(0);
+        let ms = match declared {
+            Declared::Nothing => 0,
+            Declared::Longest => longest,
+            Declared::Always(ms) => ms,
+        };
+        job.declared_ms = vec![ms; job.run_ms.len()];
+    }
+    jobs
+}
+
 /// Draws the jobs of several streams, in order of their times.
 pub fn draw(streams: &[Stream], seed: u64) -> Vec<Job> {
     let mut jobs = Vec::new();
@@ -84,15 +112,19 @@
         }
         let count = rng.random_range(stream.tasks.0..=stream.tasks.1);
         let run_ms: Vec<u32> = (0..count).map(|_| draw_run(stream, rng)).collect();
-        let longest = run_ms.iter().copied().max().unwrap_or(0);
         jobs.push(Job {
             at_us,
             team: stream.team.clone(),
             kind: stream.kind.clone(),
+            declared_ms: if stream.is_declared {
+                run_ms.clone()
+            } else {
+                vec![0; run_ms.len()]
+            },
             run_ms,
-            declared_ms: if stream.is_declared { longest } else { 0 },
             deadline_ms: stream.deadline_ms,
             cancel_us: None,
+            returns: 0,
             is_idempotent: false,
         });
     }
--- a/src/entry/attempts.rs
+++ b/src/entry/attempts.rs
@@ -11,7 +11,6 @@
 use crate::ids;
 use crate::jobs;
 use crate::membership;
-use crate::queue;
 use crate::wire;
 
 /// Why a dispatch brought no answer.
@@ -144,8 +143,11 @@
                 code,
                 output,
                 run_ms,
-                ..
-            } => self.ended(now_ms, number, code, output, run_ms),
+                peak,
+            } => {
+                self.learn(number, code, run_ms, peak);
+                self.ended(now_ms, number, code, output, run_ms)
+            }
         }
     }
 
@@ -154,6 +156,7 @@
         let Some(flight) = self.take(number) else {
             return Vec::new();
         };
+        self.queue.recharge(flight.team, flight.expected_ms, 0);
         self.close(now_ms, flight.runner, code);
         let Some(open) = self.jobs.open_mut(flight.task.submission) else {
             return Vec::new();
@@ -164,18 +167,7 @@
             return self.decide(now_ms, flight.task, jobs::Decided::not_run(code));
         }
         open.requeued(flight.task.index);
-        let team = open.header.team.clone();
-        let since_ms = open.header.arrived_ms;
-        let expected_ms = open
-            .task(flight.task.index)
-            .map_or(0, super::calls::expected_ms);
-        let item = queue::Item {
-            task: flight.task,
-            team,
-            expected_ms,
-            since_ms,
-        };
-        self.queue.push_front(item);
+        self.queue.push(flight.item());
         Vec::new()
     }
 
@@ -251,13 +243,7 @@
         if let Some(runner) = self.members.runner_mut(flight.runner) {
             runner.settled(&flight.need);
         }
-        let team = self
-            .jobs
-            .get(flight.task.submission)
-            .map(|known| known.header().team.clone());
-        if let Some(count) = team.and_then(|team| self.running_by_team.get_mut(&team)) {
-            *count = count.saturating_sub(1);
-        }
+        self.queue.released(flight.team);
         Some(flight)
     }
 
--- a/src/entry/calls.rs
+++ b/src/entry/calls.rs
@@ -12,16 +12,11 @@
 use crate::ids;
 use crate::jobs;
 use crate::jobs::answer;
-use crate::queue;
 use crate::wire;
 
 /// Most tickets given at once.
 pub const MAX_TICKETS: u32 = 1_000;
 
-/// Run time expected of a task that declares none, in milliseconds: the middle of
-/// the brief's "50 ms to a second", on a log scale.
-pub const DEFAULT_RUN_MS: u64 = 220;
-
 /// What a call about a submission comes to.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Reply {
@@ -98,7 +93,7 @@
         if let Some(key) = self.jobs.find(team, &id) {
             return (self.repeated(key, fingerprint), Vec::new());
         }
-        if let Some(refusal) = self.refusal(team, &id, &submission) {
+        if let Some(refusal) = self.refusal(now_ms, team, &id, &submission) {
             self.counts.refused += 1;
             return (Reply::Answer(Box::new(refusal)), Vec::new());
         }
@@ -132,66 +127,6 @@
         }
     }
 
-    fn enqueue_all(&mut self, now_ms: u64, key: jobs::Key) {
-        let Some(open) = self.jobs.open_at(key) else {
-            return;
-        };
-        let team = open.header.team.clone();
-        let items: Vec<_> = (0..)
-            .zip(&open.tasks)
-            .map(|(index, task)| queue::Item {
-                task: jobs::TaskKey {
-                    submission: key,
-                    index,
-                },
-                team: team.clone(),
-                expected_ms: expected_ms(task),
-                since_ms: now_ms,
-            })
-            .collect();
-        for item in items {
-            self.queue.push(item);
-        }
-    }
-
-    fn refusal(
-        &self,
-        team: &SmolStr,
-        id: &ids::SubmissionId,
-        submission: &api::Submission,
-    ) -> Option<api::Answer> {
-        let code = self.refusal_code(team, id, submission)?;
-        let id = Some(id.clone());
-        Some(answer::plain(id, code, true))
-    }
-
-    fn refusal_code(
-        &self,
-        team: &SmolStr,
-        id: &ids::SubmissionId,
-        submission: &api::Submission,
-    ) -> Option<codes::Code> {
-        if let ids::SubmissionId::Ticket(ticket) = id
-            && !self.jobs.epochs().contains(ticket.epoch)
-        {
-            return Some(codes::Code::TicketExpired);
-        }
-        if self.is_leaving {
-            return Some(codes::Code::Leaving);
-        }
-        let limits = &self.settings.limits;
-        if self.jobs.len() >= limits.max_submissions as usize {
-            return Some(codes::Code::EntryQueueFull);
-        }
-        let tasks = submission.tasks.len();
-        if self.queue.len() + tasks > limits.max_queued as usize {
-            return Some(codes::Code::EntryQueueFull);
-        }
-        let quota = self.settings.teams.get(team)?;
-        let is_over = self.queue.len_of(team) + tasks > quota.max_queued as usize;
-        is_over.then_some(codes::Code::TeamQueueFull)
-    }
-
     /// A caller asks for an answer.
     pub fn fetch(&self, team: &SmolStr, id: &ids::SubmissionId) -> Reply {
         match self.owner(id) {
@@ -271,14 +206,6 @@
     }
 }
 
-/// Expected run time of a task as declared.
-pub fn expected_ms(task: &api::Task) -> u64 {
-    match task.run_ms {
-        0 => DEFAULT_RUN_MS,
-        declared => declared.into(),
-    }
-}
-
 /// Tells a repeat of a submission from other content under the same id.
 fn fingerprint(submission: &api::Submission) -> u64 {
     let mut hasher = hash::DefaultHasher::new();
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -12,10 +12,13 @@
 use rand::SeedableRng;
 use smol_str::SmolStr;
 
+use crate::admission::drain;
+use crate::admission::retry;
 use crate::api;
 use crate::freshness;
 use crate::ids;
 use crate::jobs;
+use crate::learning;
 use crate::membership;
 use crate::queue;
 use crate::settings;
@@ -54,8 +57,14 @@
     pub task: jobs::TaskKey,
     /// The runner.
     pub runner: membership::RunnerKey,
+    /// Who pays.
+    pub team: queue::TeamKey,
     /// What it is expected to take.
     pub need: wire::Resources,
+    /// How long it is expected to run, in milliseconds.
+    pub expected_ms: u64,
+    /// Its place in the queue, should it come back unstarted.
+    pub rank_ms: u64,
     /// When it was handed over.
     pub sent_ms: u64,
     /// When to ask about it if nothing is heard.
@@ -66,6 +75,18 @@
     pub is_stopping: bool,
 }
 
+impl InFlight {
+    /// The task as it waited before it was handed out.
+    pub(crate) const fn item(&self) -> queue::Item {
+        queue::Item {
+            task: self.task,
+            team: self.team,
+            expected_ms: self.expected_ms,
+            rank_ms: self.rank_ms,
+        }
+    }
+}
+
 /// Counts for the metrics.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Counts {
@@ -98,7 +119,10 @@
     pub(crate) jobs: jobs::Table,
     pub(crate) queue: queue::Queue,
     pub(crate) in_flight: collections::BTreeMap<u64, InFlight>,
-    pub(crate) running_by_team: collections::HashMap<SmolStr, u32>,
+    pub(crate) drain: drain::Drain,
+    pub(crate) returning: retry::Returning,
+    pub(crate) no_runner_since_ms: Option<u64>,
+    pub(crate) learned: learning::Table,
     pub(crate) next_attempt: u64,
     pub(crate) next_ticket: u64,
     pub(crate) is_leaving: bool,
@@ -115,6 +139,8 @@
         now_ms: u64,
         seed: u64,
     ) -> Self {
+        let mut queue = queue::Queue::default();
+        queue.configure(&settings.teams);
         Self {
             me,
             settings,
@@ -122,9 +148,12 @@
             freshness: freshness::Freshness::default(),
             members: membership::Members::default(),
             jobs: jobs::Table::new(now_ms),
-            queue: queue::Queue::default(),
+            queue,
             in_flight: collections::BTreeMap::new(),
-            running_by_team: collections::HashMap::new(),
+            drain: drain::Drain::new(now_ms),
+            returning: retry::Returning::default(),
+            no_runner_since_ms: Some(now_ms),
+            learned: learning::Table::default(),
             next_attempt: 1,
             next_ticket: 1,
             is_leaving: false,
@@ -191,6 +220,9 @@
         settings: sync::Arc<settings::Settings>,
         revision: Option<u64>,
     ) -> Vec<Action> {
+        self.queue.configure(&settings.teams);
+        let teams = self.queue.teams();
+        self.returning.retain(|key| teams.get(key).is_some());
         self.settings = settings;
         self.revision = revision;
         self.pump(now_ms)
--- /dev/null
+++ b/src/entry/load.rs
@@ -0,0 +1,266 @@
+//! What an entry under load asks of the queue, admission and learning.
+
+use rand::RngCore as _;
+use smol_str::SmolStr;
+
+use crate::admission;
+use crate::api;
+use crate::codes;
+use crate::entry::core;
+use crate::ids;
+use crate::jobs;
+use crate::jobs::answer;
+use crate::learning;
+use crate::queue;
+use crate::queue::order;
+use crate::wire;
+
+/// Run time expected of a task that declares none, in milliseconds: the middle of
+/// the brief's "50 ms to a second", on a log scale.
+pub const DEFAULT_RUN_MS: u64 = 220;
+
+impl core::Core {
+    /// Why a submission is not taken in, with a time to come back, or `None`.
+    pub(crate) fn refusal(
+        &mut self,
+        now_ms: u64,
+        team: &SmolStr,
+        id: &ids::SubmissionId,
+        submission: &api::Submission,
+    ) -> Option<api::Answer> {
+        if let Some(code) = self.closed_code(id) {
+            return Some(answer::plain(Some(id.clone()), code, true));
+        }
+        let asked = self.asked(team, submission);
+        let view = self.load_view(now_ms, team);
+        let code = self.admission_code(team, submission, &asked, &view)?;
+        let mut refusal = answer::plain(Some(id.clone()), code, true);
+        refusal.retry_after_ms = self.retry_after_ms(now_ms, team, code, &asked, &view);
+        Some(refusal)
+    }
+
+    fn closed_code(&self, id: &ids::SubmissionId) -> Option<codes::Code> {
+        if let ids::SubmissionId::Ticket(ticket) = id
+            && !self.jobs.epochs().contains(ticket.epoch)
+        {
+            return Some(codes::Code::TicketExpired);
+        }
+        self.is_leaving.then_some(codes::Code::Leaving)
+    }
+
+    fn asked(&self, team: &SmolStr, submission: &api::Submission) -> admission::Asked {
+        let estimate = |task: &api::Task| {
+            let estimate = self.estimate(team, task);
+            (estimate.run_ms, estimate.is_learned)
+        };
+        let expected: Vec<_> = submission.tasks.iter().map(estimate).collect();
+        let deadline_ms = submission.deadline_ms;
+        let deadline_ms = deadline_ms.unwrap_or_else(|| self.settings.timeouts.deadline_ms.into());
+        admission::ask(&submission.tasks, &expected, deadline_ms)
+    }
+
+    fn admission_code(
+        &self,
+        team: &SmolStr,
+        submission: &api::Submission,
+        asked: &admission::Asked,
+        view: &admission::View,
+    ) -> Option<codes::Code> {
+        let needs = submission.tasks.iter();
+        let needs: Vec<_> = needs.map(|task| self.need_of(team, task)).collect();
+        if admission::never_fits(&needs, &self.sizes()) {
+            return Some(codes::Code::NeverFits);
+        }
+        if self.jobs.len() >= self.settings.limits.max_submissions as usize {
+            return Some(codes::Code::EntryQueueFull);
+        }
+        let quota = self.settings.teams.get(team)?;
+        admission::refusal(asked, view, quota, &self.settings)
+    }
+
+    fn load_view(&self, now_ms: u64, team: &SmolStr) -> admission::View {
+        let teams = self.queue.teams();
+        let own = teams.find(team);
+        let since_ms = self.no_runner_since_ms;
+        admission::View {
+            queued: self.queue.len(),
+            team_queued: own.map_or(0, |own| own.waiting),
+            backlog_ms: self.queue.backlog_ms(),
+            team_backlog_ms: own.map_or(0, |own| own.backlog_ms),
+            share: teams.share(team),
+            drain_rate: self.drain.rate(),
+            no_runner_ms: since_ms.map_or(0, |since| now_ms.saturating_sub(since).max(1)),
+        }
+    }
+
+    /// Refusals that time does not mend carry no time to come back.
+    fn retry_after_ms(
+        &mut self,
+        now_ms: u64,
+        team: &SmolStr,
+        code: codes::Code,
+        asked: &admission::Asked,
+        view: &admission::View,
+    ) -> Option<u64> {
+        if matches!(code, codes::Code::NeverFits | codes::Code::OverQuota) {
+            return None;
+        }
+        let key = self.queue.team(team);
+        let allowed = f64::from(self.settings.policy.max_queue_wait_ms);
+        let allowed = allowed.min(asked.deadline_ms as f64);
+        let excess_ms = view.wait_ms(0) - allowed;
+        let rate = view.drain_rate * view.share;
+        let draw = self.rng.next_u64();
+        let after =
+            self.returning
+                .retry_after_ms(now_ms, key, asked.work_ms, rate, excess_ms, draw);
+        Some(after)
+    }
+
+    /// Puts all tasks of a submission just taken in into the queue.
+    pub(crate) fn enqueue_all(&mut self, now_ms: u64, key: jobs::Key) {
+        let Some(open) = self.jobs.open_at(key) else {
+            return;
+        };
+        let name = open.header.team.clone();
+        let estimate = |task| self.estimate(&name, task).run_ms;
+        let expected: Vec<u64> = open.tasks.iter().map(estimate).collect();
+        let shape = order::Shape {
+            longest_ms: expected.iter().copied().max().unwrap_or(0),
+            work_ms: expected.iter().sum(),
+            slots: slots_whole(self.drain.slots()),
+        };
+        let age_ms = u64::from(self.settings.policy.age_ms);
+        let team = self.queue.team(&name);
+        for (index, expected_ms) in (0..).zip(expected) {
+            self.queue.push(queue::Item {
+                task: jobs::TaskKey {
+                    submission: key,
+                    index,
+                },
+                team,
+                expected_ms,
+                rank_ms: order::rank_ms(now_ms, &shape, expected_ms, age_ms),
+            });
+        }
+    }
+
+    fn estimate(&self, team: &SmolStr, task: &api::Task) -> learning::Estimate {
+        let declared_ms = task.run_ms.into();
+        self.learned
+            .run_time(team, &task.kind, declared_ms, DEFAULT_RUN_MS)
+    }
+
+    /// What is accounted for on workers for a task.
+    pub(crate) fn need_of(&self, team: &SmolStr, task: &api::Task) -> wire::Resources {
+        let declared = wire::Resources::from(task);
+        self.learned
+            .need(team, &task.kind, declared, || self.largest())
+    }
+
+    fn largest(&self) -> wire::Resources {
+        let sizes = self.sizes().into_iter();
+        sizes.fold(wire::Resources::default(), |most, size| most.max(size))
+    }
+
+    fn sizes(&self) -> Vec<wire::Resources> {
+        let runners = self.members.runners();
+        runners.map(|(_, runner)| runner.load.size).collect()
+    }
+
+    /// Slots that this entry has in use or could have.
+    ///
+    /// Those taken by others don't count, but for an equal part of all: runners serve
+    /// entries in turns, so an entry that comes new to full runners soon has its part.
+    fn usable_slots(&self, now_ms: u64) -> f64 {
+        let candidates = self.candidates(now_ms);
+        let keys = candidates.iter().map(|one| self.members.runner(one.key));
+        let all: u32 = keys.flatten().map(|runner| runner.load.slots).sum();
+        let part = f64::from(all) / (self.live_entries(now_ms).len() + 1) as f64;
+        let free: i64 = candidates.iter().map(|one| one.free_slots.max(0)).sum();
+        let parked: u32 = candidates.iter().map(|one| one.parked).sum();
+        let running = self.in_flight.len().saturating_sub(parked as usize);
+        (running as f64 + free as f64).max(part)
+    }
+
+    /// A task ended at its backend server.
+    pub(crate) fn learn(
+        &mut self,
+        number: u64,
+        code: codes::Code,
+        run_ms: u64,
+        peak: wire::Resources,
+    ) {
+        let Some(flight) = self.in_flight.get(&number) else {
+            return;
+        };
+        let (team, expected_ms) = (flight.team, flight.expected_ms);
+        self.drain.done(expected_ms);
+        self.queue.recharge(team, expected_ms, run_ms.max(1));
+        // A task that failed or was stopped tells nothing of how long such tasks take:
+        // a server that fails everything at once would teach that all are short.
+        if code != codes::Code::Complete {
+            return;
+        }
+        let Some(open) = self.jobs.open_at(flight.task.submission) else {
+            return;
+        };
+        let Some(task) = open.task(flight.task.index) else {
+            return;
+        };
+        let sample = learning::Sample {
+            declared_ms: task.run_ms.into(),
+            run_ms,
+            peak,
+        };
+        self.learned.observe(&open.header.team, &task.kind, &sample);
+    }
+
+    pub(crate) fn tick_load(&mut self, now_ms: u64) {
+        let slots = self.usable_slots(now_ms);
+        self.drain.tick(now_ms, slots, !self.queue.is_empty());
+        let is_none = self.candidates(now_ms).is_empty();
+        self.no_runner_since_ms = is_none.then(|| self.no_runner_since_ms.unwrap_or(now_ms));
+    }
+
+    /// A submission that waits, nothing of it started, and can't meet its deadline any
+    /// more is told so now and not when the deadline is over.
+    pub(crate) fn end_hopeless(&mut self, now_ms: u64) -> Vec<core::Action> {
+        let keys = self.jobs.open_keys();
+        let hopeless = keys
+            .into_iter()
+            .filter(|key| self.is_hopeless(now_ms, *key));
+        let hopeless: Vec<_> = hopeless.collect();
+        let code = codes::Code::DeadlineNotRun;
+        hopeless
+            .into_iter()
+            .flat_map(|key| self.give_up(now_ms, key, code))
+            .collect()
+    }
+
+    fn is_hopeless(&self, now_ms: u64, key: jobs::Key) -> bool {
+        let Some(open) = self.jobs.open_at(key) else {
+            return false;
+        };
+        let is_waiting =
+            |(_, progress): (u32, &jobs::Progress)| matches!(progress, jobs::Progress::Queued);
+        if open.verdict().is_some() || !open.all().all(is_waiting) {
+            return false;
+        }
+        let left_ms = open.header.deadline_ms.saturating_sub(now_ms);
+        let estimates = open.tasks.iter();
+        let estimates = estimates.map(|task| self.estimate(&open.header.team, task));
+        let longest = estimates.max_by_key(|estimate| estimate.run_ms);
+        let known = longest.filter(|longest| longest.is_learned);
+        admission::is_hopeless(left_ms, known.map(|known| known.run_ms))
+    }
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a count of slots"
+)]
+const fn slots_whole(slots: f64) -> u64 {
+    slots as u64
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -5,6 +5,7 @@
 pub mod control;
 pub mod core;
 pub mod http;
+pub mod load;
 pub mod messages;
 pub mod pump;
 pub mod report;
--- a/src/entry/pump.rs
+++ b/src/entry/pump.rs
@@ -19,17 +19,23 @@
         let mut actions = Vec::new();
         let mut passed_over = Vec::new();
         while passed_over.len() < MAX_PASSED_OVER {
-            let Some(item) = self.queue.pop(now_ms) else {
+            let Some(item) = self.queue.pop() else {
                 break;
             };
             match self.place(now_ms, &item) {
-                Placed::Sent(action) => actions.push(action),
-                Placed::Ended(more) => actions.extend(more),
+                Placed::Sent(action) => {
+                    self.queue.started(&item);
+                    actions.push(action);
+                }
+                Placed::Ended(more) => {
+                    self.queue.unused(&item);
+                    actions.extend(more);
+                }
                 Placed::Waits => passed_over.push(item),
             }
         }
         for item in passed_over.into_iter().rev() {
-            self.queue.push_front(item);
+            self.queue.undo(item);
         }
         actions
     }
@@ -55,7 +61,8 @@
 
     fn need(&self, task: jobs::TaskKey) -> Option<wire::Resources> {
         let open = self.jobs.open_at(task.submission)?;
-        open.task(task.index).map(wire::Resources::from)
+        let declared = open.task(task.index)?;
+        Some(self.need_of(&open.header.team, declared))
     }
 
     /// Runners that may be sent something now.
@@ -109,7 +116,7 @@
             incarnation: runner.peer.incarnation,
             epoch: runner.load.epoch,
             entry: self.me.name.clone(),
-            team: item.team.clone(),
+            team: open.header.team.clone(),
             kind: task.kind,
             payload: task.payload,
             resources: need,
@@ -124,14 +131,16 @@
         let in_flight = core::InFlight {
             task: item.task,
             runner: key,
+            team: item.team,
             need,
+            expected_ms: item.expected_ms,
+            rank_ms: item.rank_ms,
             sent_ms: now_ms,
             ask_ms: now_ms.saturating_add(expected),
             is_lost: false,
             is_stopping: false,
         };
         self.in_flight.insert(attempt.number, in_flight);
-        *self.running_by_team.entry(item.team.clone()).or_default() += 1;
         self.counts.dispatches += 1;
         Some(core::Action::Dispatch {
             address,
--- a/src/entry/tick.rs
+++ b/src/entry/tick.rs
@@ -23,7 +23,9 @@
         let timeouts = self.settings.timeouts;
         self.jobs.advance(now_ms, timeouts.retain_ms.into());
         let dead_after = u64::from(timeouts.dead_after_ms);
+        self.tick_load(now_ms);
         let mut actions = self.end_overdue(now_ms);
+        actions.extend(self.end_hopeless(now_ms));
         actions.extend(self.end_unsettled(now_ms));
         actions.extend(self.end_dead_runners(now_ms, dead_after));
         actions.extend(self.ask_silent(now_ms));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 #[macro_use]
 extern crate quick_error;
 
+pub mod admission;
 pub mod api;
 pub mod audit;
 pub mod cli;
@@ -24,6 +25,7 @@
 pub mod incoming;
 pub mod jobs;
 pub mod keeper;
+pub mod learning;
 pub mod membership;
 pub mod metrics;
 pub mod operators;
