Give a team back its exact turn when a task is looked at and put back

Cause: putting the only waiting task of a team back counted as the team's return from idleness, which moved it to the virtual time. A team at its quota likewise kept its old turn and could have taken many at once later.

--- a/src/queue/mod.rs
+++ b/src/queue/mod.rs
@@ -90,6 +90,14 @@
 
     /// Adds a task; one that waits already is not added twice.
     pub fn push(&mut self, item: Item) {
+        let team = self.teams.get(item.team);
+        if team.is_some_and(|team| team.waiting == 0) {
+            self.teams.begin_again(item.team);
+        }
+        self.insert(item);
+    }
+
+    fn insert(&mut self, item: Item) {
         let at = (item.task.submission, item.task.index);
         if self.waiting.contains_key(&at) {
             return;
@@ -130,12 +138,12 @@
     /// Puts back a task just popped, as if it had not been.
     pub fn undo(&mut self, item: Item) {
         self.unused(&item);
-        self.push(item);
+        self.insert(item);
     }
 
     /// A popped task will not run: its team gets back what it was charged.
     pub fn unused(&mut self, item: &Item) {
-        self.released(item.team);
+        self.teams.released(item.team);
         self.teams.recharge(item.team, item.expected_ms, 0);
     }
 
@@ -145,8 +153,15 @@
     }
 
     /// A task that was handed out is not running any more.
+    ///
+    /// A team that was at its quota saved up no turns by that: else it would take all
+    /// slots for a while as soon as its quota is raised.
     pub fn released(&mut self, team: TeamKey) {
+        let was_at_quota = self.teams.get(team).is_some_and(share::Team::is_at_quota);
         self.teams.released(team);
+        if was_at_quota {
+            self.teams.begin_again(team);
+        }
     }
 
     /// A task took another time than its team was charged for; 0 if it did not run.
--- a/src/queue/share.rs
+++ b/src/queue/share.rs
@@ -42,7 +42,12 @@
     }
 
     const fn is_ready(&self) -> bool {
-        self.waiting > 0 && self.running < self.max_running
+        self.waiting > 0 && !self.is_at_quota()
+    }
+
+    /// Whether it has as much handed out as it may.
+    pub(super) const fn is_at_quota(&self) -> bool {
+        self.running >= self.max_running
     }
 
     const fn is_idle(&self) -> bool {
@@ -120,12 +125,18 @@
         self.ready.first().map(|(_, key)| *key)
     }
 
-    pub(super) fn arrived(&mut self, key: TeamKey, expected_ms: u64) {
+    /// A team had nothing that it was kept from handing out: it begins again at the
+    /// virtual time, and what it did not use is not owed.
+    pub(super) fn begin_again(&mut self, key: TeamKey) {
         let virtual_time = self.virtual_time;
         if let Some(team) = self.teams.get_mut(key) {
-            if team.waiting == 0 {
-                team.tag = team.tag.max(virtual_time);
-            }
+            team.tag = team.tag.max(virtual_time);
+        }
+        self.refresh(key);
+    }
+
+    pub(super) fn arrived(&mut self, key: TeamKey, expected_ms: u64) {
+        if let Some(team) = self.teams.get_mut(key) {
             team.waiting += 1;
             team.backlog_ms += expected_ms;
         }
