--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -6,6 +6,7 @@
 pub mod control;
 pub mod core;
 pub mod http;
+pub mod load;
 pub mod messages;
 pub mod pump;
 pub mod report;
