Follow the log by the shared reader, and close the keeper's holes

Cause: the keeper took a checkpoint ahead of its own offset, and read a late answer of the log, or a log that had lost records, as being at its end; a peer's reply counted as the end as well. A process that started while the log was down offered default settings as its own, and two such processes of different zones kept each other fresh on them. The drain deadline was the default, and an entry that had passed a caller's call on to another ended under that call.

Now the keeper stands on settings::Reader; only Standing::AtEnd is evidence. Evidence of a process that never had any counts for nothing, calls are refused as not run until there are settings, and /readyz says so. Entries write checkpoints in time, announce themselves on the log's members stream, and every process has its audit trail at /audit. A stop waits for requests in progress, takes its deadline from the settings in force, and closes each connection with an answer that says so.

Ruled out: sending checkpoints to runners in full (up to 512 KiB each to 28,000 of them); a flag on the wire for 'has settings' (its evidence already tells).

--- a/src/api.rs
+++ b/src/api.rs
@@ -168,6 +168,10 @@
     pub leaving: bool,
     /// Revision of the settings in force here; absent before the first.
     pub revision: Option<u64>,
+    /// Whether the settings come from the log or a peer; without them nothing is
+    /// taken in or started.
+    #[serde(default)]
+    pub has_settings: bool,
     /// Milliseconds since the log was last read successfully.
     pub log_age_ms: Option<u64>,
     /// Whether this process may start or hand out work now.
--- a/src/client/follow.rs
+++ b/src/client/follow.rs
@@ -134,7 +134,11 @@
             .map_err(|err| reply.bad(&err.to_string()))?;
     }
     for logged in message.records {
-        let document = serde_json::from_str(&logged.record);
+        let Some(text) = &logged.record else {
+            state.pass(logged.offset);
+            continue;
+        };
+        let document = serde_json::from_str(text);
         let document = document.map_err(|err| reply.bad(&err.to_string()))?;
         state.apply_json(logged.offset, &document);
     }
--- a/src/control.rs
+++ b/src/control.rs
@@ -1,6 +1,9 @@
 //! What the traffic threads ask of the control thread in either role.
 
+use std::time;
+
 use crate::api;
+use crate::audit;
 use crate::metrics;
 use crate::wire;
 
@@ -22,10 +25,17 @@
 #[rtype(result = "wire::SettingsReply")]
 pub struct WantSettings(pub wire::SettingsQuery);
 
-/// The process is to stop.
+/// An operator reads the audit trail from this number on.
 #[derive(Clone, Copy, Debug)]
 #[derive(actix::Message)]
-#[rtype(result = "()")]
+#[rtype(result = "audit::Page")]
+pub struct WantAudit(pub u64);
+
+/// The process is to stop; the answer is how long that may take by the settings in
+/// force.
+#[derive(Clone, Copy, Debug)]
+#[derive(actix::Message)]
+#[rtype(result = "time::Duration")]
 pub struct Leave;
 
 /// Whether a stopping process has brought everything to its end.
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -9,6 +9,7 @@
 use std::time;
 
 use actix_web::dev;
+use actix_web::middleware;
 use actix_web::web;
 use rand::Rng as _;
 use smol_str::SmolStr;
@@ -21,8 +22,8 @@
 use crate::ids;
 use crate::operators;
 use crate::outgoing;
+use crate::progress;
 use crate::runner;
-use crate::settings;
 use crate::telemetry;
 use crate::wire;
 
@@ -118,7 +119,7 @@
 struct Serving {
     servers: Vec<dev::ServerHandle>,
     ways: Stops,
-    drain: time::Duration,
+    progress: progress::Progress,
     signals: Signals,
 }
 
@@ -126,6 +127,7 @@
 struct Draining {
     servers: Vec<dev::ServerHandle>,
     ways: Stops,
+    progress: progress::Progress,
     drain: time::Duration,
     signals: Signals,
 }
@@ -176,12 +178,10 @@
             }
             config::RoleConfig::Runner { .. } => self.open_runner(me, pool, peer_listener)?,
         };
-        let drain_ms = settings::Timeouts::default().drain_ms;
-        let drain = time::Duration::from_millis(drain_ms.into());
         Ok(Serving {
             servers: opened.servers,
             ways: opened.stops,
-            drain,
+            progress: opened.progress,
             signals,
         })
     }
@@ -228,7 +228,8 @@
             incarnation,
         };
         let ways = ways(&control);
-        let public = serve(listener, self.cfg.threads, None, {
+        let progress = progress::Progress::default();
+        let public = serve(listener, self.cfg.threads, None, &progress, {
             let (shared, ways) = (shared.clone(), ways.clone());
             move |cfg| {
                 cfg.app_data(web::Data::new(shared.clone()));
@@ -236,15 +237,22 @@
                 entry::http::public_pages(cfg);
             }
         })?;
-        let peers = serve(peer_listener, self.cfg.threads, None, move |cfg| {
-            cfg.app_data(web::Data::new(shared.clone()));
-            cfg.app_data(web::Data::new(ways.clone()));
-            entry::http::peer_pages(cfg);
-        })?;
+        let peers = serve(
+            peer_listener,
+            self.cfg.threads,
+            None,
+            &progress,
+            move |cfg| {
+                cfg.app_data(web::Data::new(shared.clone()));
+                cfg.app_data(web::Data::new(ways.clone()));
+                entry::http::peer_pages(cfg);
+            },
+        )?;
         announce(&[("peers", peer_address), ("listening", address)])?;
         Ok(Opened {
             servers: vec![public, peers],
             stops: stops(&control),
+            progress,
         })
     }
 
@@ -281,7 +289,9 @@
             control: control.clone(),
         };
         let ways = ways(&control);
-        let server = serve(listener, self.cfg.threads, Some(*connections), move |cfg| {
+        let progress = progress::Progress::default();
+        let most = Some(*connections);
+        let server = serve(listener, self.cfg.threads, most, &progress, move |cfg| {
             cfg.app_data(web::Data::new(shared.clone()));
             cfg.app_data(web::Data::new(ways.clone()));
             runner::http::pages(cfg);
@@ -290,6 +300,7 @@
         Ok(Opened {
             servers: vec![server],
             stops: stops(&control),
+            progress,
         })
     }
 }
@@ -297,6 +308,7 @@
 struct Opened {
     servers: Vec<dev::ServerHandle>,
     stops: Stops,
+    progress: progress::Progress,
 }
 
 /// Starts the control actor on a thread that runs nothing else.
@@ -323,11 +335,13 @@
     A: actix::Actor<Context = actix::Context<A>>
         + actix::Handler<control::WantStatus>
         + actix::Handler<control::WantMetrics>
+        + actix::Handler<control::WantAudit>
         + actix::Handler<control::WantSettings>,
 {
     operators::Ways {
         status: control.clone().recipient(),
         metrics: control.clone().recipient(),
+        audit: control.clone().recipient(),
         settings: control.clone().recipient(),
     }
 }
@@ -350,12 +364,18 @@
     listener: net::TcpListener,
     threads: usize,
     connections: Option<u32>,
+    progress: &progress::Progress,
     pages: F,
 ) -> std::io::Result<dev::ServerHandle>
 where
     F: Fn(&mut web::ServiceConfig) + Clone + Send + 'static,
 {
-    let factory = move || actix_web::App::new().configure(pages.clone());
+    let progress = progress.clone();
+    let factory = move || {
+        let follow = middleware::from_fn(progress::follow);
+        let app = actix_web::App::new().app_data(web::Data::new(progress.clone()));
+        app.wrap(follow).configure(pages.clone())
+    };
     let mut server = actix_web::HttpServer::new(factory)
         .workers(threads)
         .disable_signals()
@@ -384,17 +404,19 @@
     async fn until_told_to_stop(mut self) -> Result<Draining, DaemonError> {
         self.signals.next().await;
         log::info!(event = "daemon.leave"; "stopping gracefully");
+        self.progress.leave();
         let told = self.ways.leave.send(control::Leave).await;
-        told.map_err(|_ended| DaemonError::Thread("control"))?;
+        let drain = told.map_err(|_ended| DaemonError::Thread("control"))?;
         let Self {
             servers,
             ways,
-            drain,
+            progress,
             signals,
         } = self;
         Ok(Draining {
             servers,
             ways,
+            progress,
             drain,
             signals,
         })
@@ -406,7 +428,9 @@
     async fn drain(mut self) -> Result<(), DaemonError> {
         let is_drained = self.ways.is_drained;
         let drained = async {
-            while !is_drained.send(control::IsDrained).await.unwrap_or(true) {
+            while !is_drained.send(control::IsDrained).await.unwrap_or(true)
+                || !self.progress.is_idle()
+            {
                 tokio::time::sleep(DRAIN_POLL).await;
             }
         };
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -19,9 +19,11 @@
 use crate::heartbeats;
 use crate::jobs;
 use crate::keeper;
+use crate::membership::announcements;
 use crate::membership::contacts;
 use crate::metrics;
 use crate::outgoing;
+use crate::streams;
 use crate::wire;
 
 /// How often time is looked at.
@@ -65,15 +67,17 @@
     waiters: collections::HashMap<jobs::Key, Vec<Waiter>>,
     parts: Parts,
     left_ms: Option<u64>,
+    is_published: bool,
 }
 
 impl Control {
     /// An entry that is not yet in touch with anyone.
     pub fn new(parts: Parts) -> Self {
-        let keeper = keeper::Keeper::default();
+        let now_ms = parts.clock.now_ms();
+        let (name, zone) = (parts.me.name.clone(), parts.me.zone.clone());
+        let keeper = keeper::Keeper::new(name, zone, now_ms);
         let settings = sync::Arc::clone(keeper.state().settings());
         let seed = parts.me.incarnation.0;
-        let now_ms = parts.clock.now_ms();
         Self {
             core: core::Core::new(parts.me.clone(), settings, now_ms, seed),
             keeper,
@@ -81,6 +85,7 @@
             waiters: collections::HashMap::new(),
             parts,
             left_ms: None,
+            is_published: false,
         }
     }
 
@@ -174,13 +179,42 @@
         let state = self.keeper.state();
         let settings = sync::Arc::clone(state.settings());
         let revision = state.revision();
-        if let Ok(mut snapshot) = self.parts.snapshot.write() {
-            *snapshot = sync::Arc::clone(&settings);
-        }
-        log::info!(event = "settings.in_force", revision:? = revision; "in force here");
         let now_ms = self.now_ms();
         let actions = self.core.set_settings(now_ms, settings, revision);
         self.act(cx, actions);
+        self.publish();
+    }
+
+    /// Shows the settings to the traffic threads, once there are any.
+    ///
+    /// An entry that started while the log was down has defaults only, which know no
+    /// team and no zone that is out; until it has heard better, calls are refused.
+    fn publish(&mut self) {
+        if !self.core.freshness().has_heard() {
+            return;
+        }
+        let settings = sync::Arc::clone(self.keeper.state().settings());
+        if let Ok(mut snapshot) = self.parts.snapshot.write() {
+            *snapshot = Some(settings);
+            self.is_published = true;
+        }
+    }
+
+    fn write_checkpoint_if_due(&mut self) {
+        let (now_ms, seed) = (self.now_ms(), self.parts.me.incarnation.0);
+        if let Some(checkpoint) = self.keeper.checkpoint_due(now_ms, seed) {
+            streams::write_checkpoint(&self.parts.pool, self.parts.log.clone(), checkpoint);
+        }
+    }
+
+    /// Says on the log that this entry is there and reads who else is.
+    fn announce(&self, cx: &actix::Context<Self>) {
+        if self.core.is_leaving() {
+            return;
+        }
+        let done = cx.address().recipient();
+        let (log, me) = (self.parts.log.clone(), self.parts.me.clone());
+        streams::announce(&self.parts.pool, log, me, done);
     }
 
     fn send_heartbeats(&mut self, cx: &actix::Context<Self>) {
@@ -233,9 +267,15 @@
             let now_ms = actor.now_ms();
             let actions = actor.core.tick(now_ms);
             actor.act(cx, actions);
+            if !actor.is_published {
+                actor.publish();
+            }
         });
+        let interval = time::Duration::from_millis(announcements::INTERVAL_MS);
+        cx.run_interval(interval, |actor, cx| actor.announce(cx));
+        self.announce(cx);
         let done = cx.address().recipient();
-        heartbeats::follow(
+        streams::follow(
             &self.parts.pool,
             self.parts.clock,
             self.parts.log.clone(),
@@ -353,10 +393,10 @@
             return;
         };
         self.contacts.answered(now_ms, &message.address, &reply);
-        if self
+        let is_behind = self
             .core
-            .heartbeat_answered(now_ms, message.asked_ms, &reply)
-        {
+            .heartbeat_answered(now_ms, message.asked_ms, &reply);
+        if is_behind || self.keeper.is_lacking() {
             let position = self.keeper.state().position();
             let done = cx.address().recipient();
             let pool = &self.parts.pool;
@@ -369,26 +409,50 @@
     type Result = ();
 
     fn handle(&mut self, message: heartbeats::SettingsDone, cx: &mut Self::Context) {
-        if self.keeper.take_reply(&message.reply).is_changed {
+        let heartbeats::SettingsDone { address, reply } = message;
+        let (now_ms, unix_ms) = (self.now_ms(), clock::unix_ms());
+        let taken = self.keeper.take_reply(now_ms, unix_ms, &address, reply);
+        if taken.is_changed {
             self.settings_changed(cx);
         }
     }
 }
 
-impl actix::Handler<heartbeats::LogRead> for Control {
+impl actix::Handler<streams::LogRead> for Control {
     type Result = u64;
 
-    fn handle(&mut self, message: heartbeats::LogRead, cx: &mut Self::Context) -> u64 {
-        if let Some(batch) = &message.batch {
-            let taken = self.keeper.take_batch(batch);
-            if taken.is_changed {
-                self.settings_changed(cx);
-            }
+    fn handle(&mut self, message: streams::LogRead, cx: &mut Self::Context) -> u64 {
+        let now_ms = self.now_ms();
+        if let Some(batch) = message.batch {
+            let taken = self.keeper.take_batch(now_ms, clock::unix_ms(), batch);
             if taken.is_at_end {
                 self.core.freshness().hear_log(message.asked_ms);
             }
+            if taken.is_changed {
+                self.settings_changed(cx);
+            }
+            self.write_checkpoint_if_due();
         }
-        self.keeper.state().position()
+        self.keeper.read_from()
+    }
+}
+
+impl actix::Handler<streams::MembersRead> for Control {
+    type Result = ();
+
+    fn handle(&mut self, message: streams::MembersRead, _cx: &mut Self::Context) {
+        let now_ms = self.now_ms();
+        for peer in &message.peers {
+            self.contacts.hear_of(now_ms, peer);
+        }
+    }
+}
+
+impl actix::Handler<control::WantAudit> for Control {
+    type Result = actix::MessageResult<control::WantAudit>;
+
+    fn handle(&mut self, message: control::WantAudit, _cx: &mut Self::Context) -> Self::Result {
+        actix::MessageResult(self.keeper.audit(message.0))
     }
 }
 
@@ -418,12 +482,14 @@
 }
 
 impl actix::Handler<control::Leave> for Control {
-    type Result = ();
+    type Result = actix::MessageResult<control::Leave>;
 
-    fn handle(&mut self, _message: control::Leave, cx: &mut Self::Context) {
+    fn handle(&mut self, _message: control::Leave, cx: &mut Self::Context) -> Self::Result {
         self.core.leave();
         self.left_ms = Some(self.now_ms());
         self.send_heartbeats(cx);
+        let drain_ms = self.core.settings().timeouts.drain_ms;
+        actix::MessageResult(time::Duration::from_millis(drain_ms.into()))
     }
 }
 
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -62,11 +62,12 @@
 }
 
 impl Shared {
-    fn settings(&self) -> Option<sync::Arc<settings::Settings>> {
-        self.snapshot
-            .read()
-            .ok()
-            .map(|snapshot| sync::Arc::clone(&snapshot))
+    /// The settings in force; without any, callers are told that nothing was run
+    /// rather than that their token is unknown.
+    fn settings(&self) -> Result<sync::Arc<settings::Settings>, codes::Code> {
+        let snapshot = self.snapshot.read();
+        let known = snapshot.ok().and_then(|known| known.clone());
+        known.ok_or(codes::Code::NotFresh)
     }
 
     /// The team whose bearer token came with the request.
@@ -75,7 +76,7 @@
         let token = header.and_then(|value| value.to_str().ok());
         let token = token.and_then(|value| value.strip_prefix("Bearer "));
         let token = token.ok_or(codes::Code::BadToken)?;
-        let settings = self.settings().ok_or(codes::Code::Leaving)?;
+        let settings = self.settings()?;
         let hash = hash_token(token);
         let holds = |team: &settings::Team| team.token_sha256.contains(&hash);
         let mut teams = settings.teams.iter();
@@ -86,7 +87,7 @@
     }
 
     async fn read<T: de::DeserializeOwned>(&self, payload: web::Payload) -> Result<T, codes::Code> {
-        let settings = self.settings().ok_or(codes::Code::Leaving)?;
+        let settings = self.settings()?;
         let max = settings.limits.max_body_bytes as usize;
         let body = incoming::read_body(payload, max).await?;
         serde_json::from_slice(&body).map_err(|_bad| codes::Code::BadBody)
@@ -216,7 +217,7 @@
 ) -> Result<api::Answer, codes::Code> {
     let team = shared.team(req)?;
     let submission: api::Submission = shared.read(payload).await?;
-    let settings = shared.settings().ok_or(codes::Code::Leaving)?;
+    let settings = shared.settings()?;
     check(&submission, &settings.limits, most_tasks)?;
     Ok(shared.call(team, wire::Call::Submit(submission)).await)
 }
--- a/src/freshness.rs
+++ b/src/freshness.rs
@@ -25,7 +25,14 @@
     }
 
     /// A process answered a question sent at `asked_ms`.
+    ///
+    /// A process without any evidence has never had settings: it started while the
+    /// log was down. Were its answer to count, all processes replaced at once would
+    /// assure each other of default settings and start work in zones that are out.
     pub fn hear_process(&mut self, asked_ms: u64, is_foreign: bool, evidence: wire::Evidence) {
+        if evidence.log_age_ms.is_none() && evidence.foreign_age_ms.is_none() {
+            return;
+        }
         let at = |age: Option<u64>| age.and_then(|age| asked_ms.checked_sub(age));
         self.log_at_ms = self.log_at_ms.max(at(evidence.log_age_ms));
         let foreign = if is_foreign {
@@ -36,6 +43,11 @@
         self.foreign_at_ms = self.foreign_at_ms.max(foreign);
     }
 
+    /// Whether there ever was evidence, so that the settings are not mere defaults.
+    pub const fn has_heard(&self) -> bool {
+        self.log_at_ms.is_some() || self.foreign_at_ms.is_some()
+    }
+
     /// Whether work may be started on what was heard.
     pub fn is_fresh(&self, now_ms: u64, bound_ms: u64) -> bool {
         self.age_ms(now_ms).is_some_and(|age| age <= bound_ms)
--- a/src/membership/contacts.rs
+++ b/src/membership/contacts.rs
@@ -59,6 +59,11 @@
         self.by_address.iter().map(target).collect()
     }
 
+    /// Whether no address has answered since `since_ms`.
+    pub fn is_alone(&self, since_ms: u64) -> bool {
+        self.live(since_ms).next().is_none()
+    }
+
     /// Peers that answered since `since_ms`.
     pub fn live(&self, since_ms: u64) -> impl Iterator<Item = &wire::Peer> {
         let live = self
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -1,5 +1,6 @@
 //! Which processes there are, as one entry hears it from themselves.
 
+pub mod announcements;
 pub mod contacts;
 
 use std::collections;
--- a/src/operators.rs
+++ b/src/operators.rs
@@ -1,6 +1,8 @@
-//! What either role shows operators: `/status`, `/metrics`, `/healthz`, `/readyz`.
+//! What either role shows operators: `/status`, `/metrics`, `/healthz`, `/readyz`,
+//! `/audit`.
 
 use actix_web::web;
+use serde::Deserialize;
 
 use crate::codes;
 use crate::control;
@@ -15,6 +17,8 @@
     pub status: actix::Recipient<control::WantStatus>,
     /// For the metrics.
     pub metrics: actix::Recipient<control::WantMetrics>,
+    /// For the audit trail.
+    pub audit: actix::Recipient<control::WantAudit>,
     /// For settings.
     pub settings: actix::Recipient<control::WantSettings>,
 }
@@ -31,6 +35,7 @@
     cfg.route("/metrics", web::get().to(scrape));
     cfg.route("/healthz", web::get().to(health));
     cfg.route("/readyz", web::get().to(ready));
+    cfg.route("/audit", web::get().to(audit));
 }
 
 /// Adds the page where peers fetch settings.
@@ -65,8 +70,24 @@
 /// Whether the balancer should send callers here.
 async fn ready(ways: web::Data<Ways>) -> actix_web::HttpResponse {
     match ways.status.send(control::WantStatus).await {
-        Ok(status) if !status.leaving => actix_web::HttpResponse::Ok().body("ready\n"),
-        _ => incoming::refuse(codes::Code::Leaving),
+        Ok(status) if status.leaving => incoming::refuse(codes::Code::Leaving),
+        Ok(status) if !status.has_settings => incoming::refuse(codes::Code::NotFresh),
+        Ok(_ready) => actix_web::HttpResponse::Ok().body("ready\n"),
+        Err(_ended) => incoming::refuse(codes::Code::Leaving),
+    }
+}
+
+#[derive(Deserialize)]
+struct AuditQuery {
+    #[serde(default)]
+    from: u64,
+}
+
+/// One page of the audit trail; `docs/OPERATIONS.md` tells how to follow it.
+async fn audit(ways: web::Data<Ways>, query: web::Query<AuditQuery>) -> actix_web::HttpResponse {
+    match ways.audit.send(control::WantAudit(query.from)).await {
+        Ok(page) => actix_web::HttpResponse::Ok().json(page),
+        Err(_ended) => incoming::refuse(codes::Code::Leaving),
     }
 }
 
--- a/src/runner/control.rs
+++ b/src/runner/control.rs
@@ -15,12 +15,14 @@
 use crate::heartbeats;
 use crate::ids;
 use crate::keeper;
+use crate::membership::announcements;
 use crate::membership::contacts;
 use crate::metrics;
 use crate::outgoing;
 use crate::runner::backend;
 use crate::runner::core;
 use crate::runner::messages;
+use crate::streams;
 use crate::wire;
 
 /// How often time is looked at.
@@ -32,6 +34,10 @@
 /// Longest wait for settings from a peer.
 const FETCH_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
+/// Least time between two reads of the log, so that an outage does not have every
+/// runner ask fifty times a second.
+const LOG_PAUSE_MS: u64 = 250;
+
 /// Least time for which a stopping runner is there to say so.
 const LINGER_MS: u64 = 500;
 
@@ -63,6 +69,8 @@
     waiters: collections::HashMap<ids::Attempt, Vec<Waiter>>,
     parts: Parts,
     is_reading_log: bool,
+    read_log_after_ms: u64,
+    search: announcements::Search,
     left_ms: Option<u64>,
     counts: Counts,
 }
@@ -79,10 +87,12 @@
 impl Control {
     /// A runner that is not yet in touch with anyone and starts nothing.
     pub fn new(parts: Parts) -> Self {
-        let keeper = keeper::Keeper::default();
-        let settings = sync::Arc::clone(keeper.state().settings());
-        let own = parts.runner.me.address.clone();
         let now_ms = parts.clock.now_ms();
+        let me = &parts.runner.me;
+        let keeper = keeper::Keeper::new(me.name.clone(), me.zone.clone(), now_ms);
+        let settings = sync::Arc::clone(keeper.state().settings());
+        let own = me.address.clone();
+        let search = announcements::Search::new(now_ms, me.incarnation.0);
         Self {
             core: core::Core::new(parts.runner.clone(), settings, now_ms),
             keeper,
@@ -90,6 +100,8 @@
             waiters: collections::HashMap::new(),
             parts,
             is_reading_log: false,
+            read_log_after_ms: 0,
+            search,
             left_ms: None,
             counts: Counts::default(),
         }
@@ -155,7 +167,6 @@
 
     fn settings_changed(&mut self, cx: &actix::Context<Self>) {
         let settings = sync::Arc::clone(self.keeper.state().settings());
-        log::info!(event = "settings.in_force", revision:? = self.keeper.state().revision(); "in force here");
         let actions = self.core.set_settings(settings);
         self.act(cx, actions);
     }
@@ -208,15 +219,29 @@
         let half_ms = u64::from(self.timeouts().fresh_ms) / 2;
         let now_ms = self.now_ms();
         let age_ms = self.core.freshness().age_ms(now_ms);
-        if self.is_reading_log || age_ms.is_some_and(|age| age < half_ms) {
+        let is_early = self.is_reading_log || now_ms < self.read_log_after_ms;
+        if is_early || age_ms.is_some_and(|age| age < half_ms) {
             return;
         }
         self.is_reading_log = true;
         self.counts.log_reads += 1;
-        let position = self.keeper.state().position();
+        let position = self.keeper.read_from();
         let done = cx.address().recipient();
         let (pool, clock) = (&self.parts.pool, self.parts.clock);
-        heartbeats::read_once(pool, clock, self.parts.log.clone(), position, done);
+        streams::read_once(pool, clock, self.parts.log.clone(), position, done);
+    }
+
+    /// Without a live contact the entries' announcements on the log are read.
+    fn search_entries_if_alone(&mut self, cx: &actix::Context<Self>) {
+        let now_ms = self.now_ms();
+        let since_ms = now_ms.saturating_sub(self.timeouts().dead_after_ms.into());
+        let is_alone = self.contacts.is_alone(since_ms);
+        if !self.search.is_due(now_ms, is_alone) {
+            return;
+        }
+        let done = cx.address().recipient();
+        let own = self.core.me().name.clone();
+        streams::search(&self.parts.pool, self.parts.log.clone(), own, done);
     }
 
     fn renew_leases(&self, cx: &actix::Context<Self>) {
@@ -244,6 +269,7 @@
             let actions = actor.core.tick(now_ms);
             actor.act(cx, actions);
             actor.read_log_if_needed(cx);
+            actor.search_entries_if_alone(cx);
         });
         cx.run_interval(LEASE_INTERVAL, |actor, cx| actor.renew_leases(cx));
         self.keep_sending_heartbeats(cx);
@@ -356,12 +382,15 @@
         };
         self.contacts
             .answered(self.now_ms(), &message.address, &reply);
-        // No evidence until the revision that it speaks of is in force here.
-        if reply.revision > self.keeper.state().revision() {
+        let is_behind = reply.revision > self.keeper.state().revision();
+        if is_behind || self.keeper.is_lacking() {
             let position = self.keeper.state().position();
             let done = cx.address().recipient();
             let pool = &self.parts.pool;
             heartbeats::fetch_settings(pool, message.address, position, FETCH_TIMEOUT, done);
+        }
+        // No evidence until the revision that it speaks of is in force here.
+        if is_behind {
             return;
         }
         let is_foreign = reply.sender.zone != self.core.me().zone;
@@ -376,27 +405,51 @@
     type Result = ();
 
     fn handle(&mut self, message: heartbeats::SettingsDone, cx: &mut Self::Context) {
-        if self.keeper.take_reply(&message.reply).is_changed {
+        let heartbeats::SettingsDone { address, reply } = message;
+        let (now_ms, unix_ms) = (self.now_ms(), clock::unix_ms());
+        let taken = self.keeper.take_reply(now_ms, unix_ms, &address, reply);
+        if taken.is_changed {
             self.settings_changed(cx);
         }
     }
 }
 
-impl actix::Handler<heartbeats::LogRead> for Control {
+impl actix::Handler<streams::LogRead> for Control {
     type Result = u64;
 
-    fn handle(&mut self, message: heartbeats::LogRead, cx: &mut Self::Context) -> u64 {
+    fn handle(&mut self, message: streams::LogRead, cx: &mut Self::Context) -> u64 {
         self.is_reading_log = false;
-        if let Some(batch) = &message.batch {
-            let taken = self.keeper.take_batch(batch);
-            if taken.is_changed {
-                self.settings_changed(cx);
-            }
+        let now_ms = self.now_ms();
+        self.read_log_after_ms = now_ms + LOG_PAUSE_MS;
+        if let Some(batch) = message.batch {
+            let taken = self.keeper.take_batch(now_ms, clock::unix_ms(), batch);
             if taken.is_at_end {
                 self.core.freshness().hear_log(message.asked_ms);
             }
+            if taken.is_changed {
+                self.settings_changed(cx);
+            }
+        }
+        self.keeper.read_from()
+    }
+}
+
+impl actix::Handler<streams::MembersRead> for Control {
+    type Result = ();
+
+    fn handle(&mut self, message: streams::MembersRead, _cx: &mut Self::Context) {
+        let now_ms = self.now_ms();
+        for peer in &message.peers {
+            self.contacts.hear_of(now_ms, peer);
         }
-        self.keeper.state().position()
+    }
+}
+
+impl actix::Handler<control::WantAudit> for Control {
+    type Result = actix::MessageResult<control::WantAudit>;
+
+    fn handle(&mut self, message: control::WantAudit, _cx: &mut Self::Context) -> Self::Result {
+        actix::MessageResult(self.keeper.audit(message.0))
     }
 }
 
@@ -414,6 +467,7 @@
             zone: me.zone,
             leaving: self.core.is_leaving(),
             revision: self.keeper.state().revision(),
+            has_settings: self.core.freshness().has_heard(),
             log_age_ms: evidence.log_age_ms,
             fresh: self.core.is_fresh(now_ms),
             zones_out: self.keeper.state().settings().zones_out(),
@@ -488,13 +542,15 @@
 }
 
 impl actix::Handler<control::Leave> for Control {
-    type Result = ();
+    type Result = actix::MessageResult<control::Leave>;
 
-    fn handle(&mut self, _message: control::Leave, cx: &mut Self::Context) {
+    fn handle(&mut self, _message: control::Leave, cx: &mut Self::Context) -> Self::Result {
         let actions = self.core.leave();
         self.act(cx, actions);
         self.left_ms = Some(self.now_ms());
         self.send_heartbeats(cx);
+        let drain_ms = self.timeouts().drain_ms;
+        actix::MessageResult(time::Duration::from_millis(drain_ms.into()))
     }
 }
 
--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -184,6 +184,30 @@
         Ok(adopted)
     }
 
+    /// Takes over one record that a peer passes on; none: a checkpoint, left out.
+    ///
+    /// It tells nothing of where the log ends, so it is no evidence of anything: a
+    /// peer may itself be far behind.
+    pub fn take_passed_on(
+        &mut self,
+        now_ms: u64,
+        offset: u64,
+        document: Option<serde_json::Value>,
+    ) -> Option<Applied> {
+        let before = self.state.position();
+        let applied = if let Some(document) = document {
+            self.apply(now_ms, vec![Entry { offset, document }])
+        } else {
+            self.state.pass(offset);
+            Vec::new()
+        };
+        if self.state.position() != before && self.state.position() >= self.front {
+            self.search = None;
+            self.standing = Standing::Behind;
+        }
+        applied.into_iter().next()
+    }
+
     /// Looks for the first checkpoint from which no record is missing.
     fn search_checkpoint(&mut self, batch: &Batch) {
         let mut cursor = self.search.unwrap_or(batch.first).max(batch.first);
--- a/src/settings/state.rs
+++ b/src/settings/state.rs
@@ -159,6 +159,18 @@
         }
     }
 
+    /// Passes the record at `offset` by without looking at it, if it is the next.
+    ///
+    /// For checkpoints that a peer leaves out: at a state that is past them they
+    /// change nothing. The answer is whether it was its turn.
+    pub const fn pass(&mut self, offset: u64) -> bool {
+        let is_next = offset == self.position;
+        if is_next {
+            self.position = offset + 1;
+        }
+        is_next
+    }
+
     /// The verdict on a record that is not the next one.
     ///
     /// Duplicated and re-ordered delivery shows as an offset below the position; to
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -304,8 +304,9 @@
 pub struct LoggedRecord {
     /// Its offset.
     pub offset: u64,
-    /// The record as JSON text.
-    pub record: String,
+    /// The record as JSON text; absent: a checkpoint, which changes nothing for a
+    /// state that is past it and is too large to be passed on.
+    pub record: Option<String>,
 }
 
 /// Answer to a [`SettingsQuery`]: the records from the asker's position on where
