Test zones, leaving, stops and settings under failure, as processes

Relays stand before entries and runners, so that one way is cut and not another; callers and a watch on every process's revision run in the background; starts are taken from the workers' journals.

A caller that connects in the very moment at which a stopping entry closes its port is reset by the system: the entry now lingers 2 s instead of 1 s, so that a balancer that asks /readyz every second is gone by then, and the test's callers stop as the balancer would. Refusing such a connection in the process is not possible.

--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -30,8 +30,10 @@
 const TICK: time::Duration = time::Duration::from_millis(20);
 
 /// Least time for which a stopping entry goes on serving, so that callers fetch
-/// the answers that they were promised.
-const LINGER_MS: u64 = 1_000;
+/// the answers that they were promised, and so that a balancer that asks `/readyz`
+/// every second sends nothing more when the port is closed: connections that the
+/// system took and the process did not are reset then.
+const LINGER_MS: u64 = 2_000;
 
 /// Longest wait for the answer to a question to a runner.
 const FENCE_TIMEOUT: time::Duration = time::Duration::from_secs(1);
--- a/standins/src/site.rs
+++ b/standins/src/site.rs
@@ -20,6 +20,10 @@
     pub zone: SmolStr,
     /// Its rack.
     pub rack: SmolStr,
+    /// Where other processes are served; absent: a port from the system.
+    pub peer_listen: Option<net::SocketAddr>,
+    /// What other processes are told to connect to, if not that.
+    pub advertise: Option<net::SocketAddr>,
 }
 
 impl Place {
@@ -29,6 +33,8 @@
             name: name.into(),
             zone: zone.into(),
             rack: name.into(),
+            peer_listen: None,
+            advertise: None,
         }
     }
 }
@@ -124,16 +130,21 @@
     fn daemon_args(&self, role: &str, place: &Place, links: &Links) -> Vec<ffi::OsString> {
         let log_file = self.folder.join(format!("{}.jsonl", place.name));
         let mut args: Vec<ffi::OsString> = Vec::new();
+        let peer_listen = place.peer_listen.map(|address| address.to_string());
+        let peer_listen = peer_listen.unwrap_or_else(|| ANY_PORT.to_owned());
         for (flag, value) in [
             ("--role", role),
             ("--name", &place.name),
             ("--zone", &place.zone),
             ("--rack", &place.rack),
-            ("--peer-listen", ANY_PORT),
+            ("--peer-listen", &peer_listen),
             ("--log", &links.log.to_string()),
         ] {
             args.extend([flag.into(), value.into()]);
         }
+        if let Some(address) = place.advertise {
+            args.extend(["--advertise".into(), address.to_string().into()]);
+        }
         args.extend(["--log-file".into(), log_file.into_os_string()]);
         for entry in &links.entries {
             args.extend(["--entry".into(), entry.to_string().into()]);
--- /dev/null
+++ b/tests/failure/leaving.rs
@@ -0,0 +1,75 @@
+//! A backend server that is leaving gets no new work (point 7).
+
+use std::thread;
+use std::time;
+
+use bulrushtiller::codes;
+
+use crate::rig;
+use crate::watch;
+
+/// A heartbeat of the default settings, and as much again for a busy machine.
+const HEARTBEAT_MS: u64 = 1_000;
+
+/// Longest time for a graceful stop of what these tests run.
+const STOP: time::Duration = time::Duration::from_secs(20);
+
+// A runner is told to stop while callers keep every slot busy. It says so at once and
+// ends when its tasks have. Nothing new starts beside it after a heartbeat, and no
+// caller sees anything but complete answers.
+#[test]
+fn leaving_runner_gets_no_new_work() {
+    let mut rig = rig::Rig::start(&rig::Plan::default());
+    let entries = watch::addresses(&rig.entries);
+    let callers = watch::Callers::start(&entries, 2, 20, 100);
+    thread::sleep(time::Duration::from_millis(500));
+
+    rig.runners[0].terminate().expect("told to stop");
+    let told_ms = watch::unix_ms();
+    let exit = rig.runners[0].wait_exit(STOP).expect("waited for");
+    thread::sleep(time::Duration::from_secs(1));
+    let outcomes = callers.stop();
+
+    assert!(exit.expect("it ends").success());
+    let late = watch::starts_between(&rig, &[0], told_ms + HEARTBEAT_MS, u64::MAX);
+    assert_eq!(late, Vec::<u64>::new(), "told at {told_ms}");
+    let answers = watch::answers(outcomes);
+    assert!(!answers.is_empty());
+    let failed: Vec<_> = answers
+        .iter()
+        .filter(|one| one.code != codes::Code::Complete)
+        .collect();
+    assert!(failed.is_empty(), "{failed:?}");
+}
+
+// A runner with one long task is told to stop. It lives on until the task has ended,
+// which takes longer than its heartbeats are apart, and in all that time the entry
+// sends it none of the work that comes in.
+#[test]
+fn leaving_runner_finishes_what_it_runs() {
+    let mut rig = rig::Rig::start(&rig::Plan {
+        entries: vec!["caxias"],
+        runners: vec!["caxias"],
+        ..rig::Plan::default()
+    });
+    let entry = rig.entries[0].address();
+    let long = rig::sleep(3_000, "long");
+    let submission = rig::job(std::slice::from_ref(&long));
+    let caller = thread::spawn(move || watch::call(entry, &submission));
+    rig::wait_until("the task runs", || rig.starts_of(&long) == 1);
+    rig.add_runner("later", "bento", &[]);
+    rig.wait_until_serving(2);
+
+    rig.runners[0].terminate().expect("told to stop");
+    let told_ms = watch::unix_ms();
+    let other = rig.submit(0, &rig::job(&vec![rig::sleep(20, "other"); 20]));
+    let exit = rig.runners[0].wait_exit(STOP).expect("waited for");
+
+    assert!(exit.expect("it ends").success());
+    let late = watch::starts_between(&rig, &[0], told_ms + HEARTBEAT_MS, u64::MAX);
+    assert_eq!(late, Vec::<u64>::new());
+    let other = other.expect("an answer");
+    assert_eq!(other.code, codes::Code::Complete);
+    let outcome = vec![caller.join().expect("the caller goes on")];
+    assert_eq!(watch::answers(outcome)[0].code, codes::Code::Complete);
+}
--- a/tests/failure/main.rs
+++ b/tests/failure/main.rs
@@ -2,5 +2,11 @@
 //!
 //! The programs of the whole workspace must be built first: `./test` does it.
 
+mod cuts;
+mod leaving;
 mod path;
 mod rig;
+mod settings;
+mod stops;
+mod watch;
+mod zones;
--- /dev/null
+++ b/tests/failure/stops.rs
@@ -0,0 +1,156 @@
+//! A planned stop cuts no request in progress (point 8).
+
+use std::net;
+use std::thread;
+use std::time;
+
+use bulrushtiller::api;
+use bulrushtiller::codes;
+
+use crate::rig;
+use crate::watch;
+
+/// Longest time for a graceful stop of what these tests run.
+const STOP: time::Duration = time::Duration::from_secs(20);
+
+fn sleep_ms(ms: u64) {
+    thread::sleep(time::Duration::from_millis(ms));
+}
+
+/// HTTP status of a page; none: no answer.
+fn http_status(address: net::SocketAddr, path: &str) -> Option<u16> {
+    let url = format!("http://{address}{path}");
+    actix_rt::System::new().block_on(async move {
+        let response = awc::Client::default().get(url).send().await.ok()?;
+        Some(response.status().as_u16())
+    })
+}
+
+// An entry is told to stop while callers have jobs on it. `/readyz` says 503, and the
+// balancer sends nothing more a moment later; until then calls are refused as not
+// run. Jobs that it took come back whole: no connection breaks off under a request.
+#[test]
+fn entry_stopped_under_load_cuts_nothing() {
+    let mut rig = rig::Rig::start(&rig::Plan::default());
+    let entry = rig.entries[0].address();
+    let callers = watch::Callers::start(&[entry], 6, 10, 150);
+    sleep_ms(700);
+
+    rig.entries[0].terminate().expect("told to stop");
+    sleep_ms(200);
+    let readiness = http_status(entry, "/readyz");
+    sleep_ms(300);
+    let answers = watch::answers(callers.stop());
+    let exit = rig.entries[0].wait_exit(STOP).expect("waited for");
+
+    assert!(exit.expect("it ends").success());
+    assert_eq!(readiness, Some(503));
+    let complete = answers
+        .iter()
+        .filter(|one| one.code == codes::Code::Complete);
+    assert!(complete.count() > 0);
+    let refused = |one: &&api::Answer| one.code != codes::Code::Complete;
+    for answer in answers.iter().filter(refused) {
+        assert_eq!(answer.code, codes::Code::Leaving, "{answer:?}");
+        assert!(answer.tasks.is_empty());
+    }
+    assert!(answers.iter().any(|one| one.code == codes::Code::Leaving));
+}
+
+// A caller waits at one entry for a job that another owns. The one it waits at is
+// told to stop; it owns nothing and could end at once. It stays until the answer has
+// come, and the caller gets it whole.
+#[test]
+fn entry_that_passed_a_call_on_waits_for_its_answer() {
+    let mut rig = rig::Rig::start(&rig::Plan::default());
+    let submission = api::Submission {
+        submission: Some(rig.ticket(1)),
+        ..rig::job(&[rig::sleep(5_000, "elsewhere")])
+    };
+    let entry = rig.entries[0].address();
+    let caller = thread::spawn(move || watch::call(entry, &submission));
+    rig::wait_until("the task runs", || !rig.starts().is_empty());
+
+    rig.entries[0].terminate().expect("told to stop");
+    let outcome = vec![caller.join().expect("the caller goes on")];
+    let exit = rig.entries[0].wait_exit(STOP).expect("waited for");
+
+    assert!(exit.expect("it ends").success());
+    assert_eq!(watch::answers(outcome)[0].code, codes::Code::Complete);
+}
+
+// Runners are told to stop one after another, as in a rollout, while callers go on.
+// Each ends by itself, and every job is answered complete.
+#[test]
+fn runners_stopped_under_load_cut_nothing() {
+    let mut rig = rig::Rig::start(&rig::Plan::default());
+    let entries = watch::addresses(&rig.entries);
+    let callers = watch::Callers::start(&entries, 3, 10, 100);
+    sleep_ms(500);
+
+    let mut exits = Vec::new();
+    for at in 0..2 {
+        rig.runners[at].terminate().expect("told to stop");
+        exits.push(rig.runners[at].wait_exit(STOP).expect("waited for"));
+    }
+    sleep_ms(500);
+    let answers = watch::answers(callers.stop());
+
+    assert!(exits.iter().all(|one| one.is_some_and(|one| one.success())));
+    let failed: Vec<_> = answers
+        .iter()
+        .filter(|one| one.code != codes::Code::Complete)
+        .collect();
+    assert!(failed.is_empty(), "{failed:?}");
+}
+
+// Operators allow a stop one second. An entry with several seconds of work is told to
+// stop. When the second is over the caller gets its last answer, which says that some
+// of it did not run, and the entry ends.
+#[test]
+fn stop_takes_its_deadline_from_the_settings_in_force() {
+    let settings = "[timeouts]\nrun_limit_ms = 700\npark_ms = 300\ndrain_ms = 1000\n";
+    let mut rig = rig::Rig::start(&rig::Plan {
+        settings: settings.to_owned(),
+        ..rig::Plan::default()
+    });
+    let entry = rig.entries[0].address();
+    let submission = rig::job(&vec![rig::sleep(500, "long"); 250]);
+    let caller = thread::spawn(move || watch::call(entry, &submission));
+    rig::wait_until("tasks run", || !rig.starts().is_empty());
+
+    rig.entries[0].terminate().expect("told to stop");
+    let outcome = vec![caller.join().expect("the caller goes on")];
+    let exit = rig.entries[0].wait_exit(STOP).expect("waited for");
+
+    assert!(exit.expect("it ends").success());
+    let answer = &watch::answers(outcome)[0];
+    assert!(answer.is_final);
+    assert_ne!(answer.code, codes::Code::Complete);
+    assert_eq!(answer.tasks.len(), 250);
+}
+
+// An entry is told to stop and has far to go; the operator tells it again. It ends at
+// once, and the caller still gets its last answer instead of a broken connection.
+#[test]
+fn second_signal_ends_at_once_with_an_answer() {
+    let mut rig = rig::Rig::start(&rig::Plan::default());
+    let entry = rig.entries[0].address();
+    let submission = rig::job(&[rig::sleep(15_000, "long")]);
+    let caller = thread::spawn(move || watch::call(entry, &submission));
+    rig::wait_until("the task runs", || !rig.starts().is_empty());
+
+    rig.entries[0].terminate().expect("told to stop");
+    sleep_ms(300);
+    rig.entries[0].terminate().expect("told again");
+    let began = time::Instant::now();
+    let outcome = vec![caller.join().expect("the caller goes on")];
+    let exit = rig.entries[0].wait_exit(STOP).expect("waited for");
+    let took = began.elapsed();
+
+    assert!(exit.expect("it ends").success());
+    assert!(took < time::Duration::from_secs(8), "it took {took:?}");
+    let answer = &watch::answers(outcome)[0];
+    assert!(answer.is_final);
+    assert_ne!(answer.code.class(), codes::Class::NotRun, "it was running");
+}
