Test freshness, the keeper and membership against naive versions

Freshness runs against an observer who notes in global time whose knowledge has reached whom, under random delays, freezes, relays and processes without settings, each with a clock of its own; keepers against a naive replay, whatever came from whom and how often; contacts, lives of runners and announcements against naive models.

Now tasks wait for a slot inside the runner, what it asks is answered 300 ms later, and nobody asks about what it holds.

--- a/tests/failure/cuts.rs
+++ b/tests/failure/cuts.rs
@@ -37,6 +37,11 @@
         self.order(&serde_json::json!({"mode": "cut"}));
     }
 
+    /// Holds bytes back for so long in either direction.
+    pub fn delay(&self, ms: u64) {
+        self.order(&serde_json::json!({"mode": "delay", "ms": ms}));
+    }
+
     /// Lets everything pass again.
     pub fn mend(&self) {
         self.order(&serde_json::json!({"mode": "pass"}));
--- a/tests/failure/zones.rs
+++ b/tests/failure/zones.rs
@@ -273,26 +273,50 @@
     revisions.assert_monotone();
 }
 
-// A runner is frozen with tasks on their way to it. Caxias, its zone, is taken out
-// while it sleeps. It wakes to the tasks and to settings that say its zone is in
-// service. It starts none of them: its evidence has aged while it slept.
+/// A runner that sleeps is not given up, and what it holds is not asked about.
+const PATIENT: &str = "\
+[timeouts]
+heartbeat_ms = 200
+dead_after_ms = 30000
+query_after_ms = 30000
+park_ms = 10000
+fresh_ms = 1500
+";
+
+// A runner is frozen with tasks that run and others that wait for a slot. Caxias, its
+// zone, is taken out while it sleeps. It wakes to free slots, to answers that it asked
+// for before it slept, and to settings that say its zone is in service; what it asks
+// now is answered a little later. It starts nothing: its evidence has aged.
 #[test]
 fn frozen_runner_thaws_and_starts_nothing() {
-    let mut rig = rig::Rig::start(&rig::Plan {
-        entries: vec!["bento"],
-        runners: vec!["caxias"],
-        ..plan()
-    });
-    let mut submission = rig::job(&vec![rig::sleep(20, "frozen"); 4]);
+    let mut rig = cuts::bare(PATIENT);
+    let log = cuts::Relay::start(&rig, rig.log.address());
+    let none = site::Links {
+        log: rig.log.address(),
+        entries: Vec::new(),
+    };
+    let (entry, _direct) = cuts::entry_behind_relay(&mut rig, "entry-0", "bento", &none);
+    let links = site::Links {
+        log: log.address(),
+        entries: vec![entry.address()],
+    };
+    cuts::runner_with(&mut rig, "runner-0", "caxias", &links);
+    rig.wait_until_serving(1);
+    log.delay(300);
+    entry.delay(300);
+    sleep_ms(FRESH_MS);
+    let mut submission = rig::job(&vec![rig::sleep(400, "frozen"); 12]);
     submission.deadline_ms = Some(10_000);
     submission.wait_ms = 0;
 
-    rig.runners[0].freeze().expect("frozen");
     let taken = rig.submit(0, &submission).expect("an answer");
-    sleep_ms(200);
+    rig::wait_until("every slot runs a task", || rig.starts().len() == 8);
+    sleep_ms(100);
+    rig.runners[0].freeze().expect("frozen");
     rig.set_zone("caxias", true);
     let answered_ms = watch::unix_ms();
     sleep_ms(BOUND_MS + 500);
+    let handed_out = rig::status(rig.entries[0].address()).running;
     rig.runners[0].thaw().expect("thawed");
     let id = taken.submission.expect("an id");
     rig::wait_until("the answer is final", || {
@@ -301,6 +325,7 @@
     });
 
     let late = watch::starts_between(&rig, &[0], answered_ms + BOUND_MS, FAR);
+    assert!(handed_out > 8, "some tasks waited at the runner");
     assert_eq!(late, Vec::<u64>::new(), "answered at {answered_ms}");
 }
 
--- a/tests/unit/main.rs
+++ b/tests/unit/main.rs
@@ -2,4 +2,7 @@
 
 mod audit;
 mod codes;
+mod freshness;
+mod keeper;
+mod membership;
 mod settings;
--- /dev/null
+++ b/tests/unit/membership.rs
@@ -0,0 +1,257 @@
+//! Contacts, lives and announcements against naive versions.
+
+use std::collections;
+
+use bulrushtiller::ids;
+use bulrushtiller::membership;
+use bulrushtiller::membership::announcements;
+use bulrushtiller::membership::contacts;
+use bulrushtiller::wire;
+use proptest::prelude::*;
+use smol_str::SmolStr;
+
+use crate::settings::fixtures;
+
+const CASES: u32 = 300;
+const SILENT_MS: u64 = 100;
+const OWN: &str = "address-0";
+const SEED: &str = "address-1";
+
+fn address(number: u64) -> SmolStr {
+    smol_str::format_smolstr!("address-{number}")
+}
+
+/// A life of a process whose address is not that of its other lives.
+fn peer(role: wire::Role, name: u64, incarnation: u64, place: u64) -> wire::Peer {
+    wire::Peer {
+        role,
+        name: smol_str::format_smolstr!("name-{name}"),
+        incarnation: ids::Incarnation(incarnation),
+        zone: SmolStr::new_static("caxias"),
+        rack: SmolStr::new_static("rack"),
+        address: address(place),
+    }
+}
+
+fn reply(sender: wire::Peer, entries: Vec<wire::Peer>) -> wire::HeartbeatReply {
+    wire::HeartbeatReply {
+        version: wire::VERSION,
+        sender,
+        leaving: false,
+        revision: None,
+        evidence: wire::Evidence::default(),
+        entries,
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Op {
+    Named(u64),
+    Answered(u64, u64),
+    Failed(u64),
+    Drop,
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    let place = || 0..6_u64;
+    prop_oneof![
+        place().prop_map(Op::Named),
+        (place(), place()).prop_map(|(from, named)| Op::Answered(from, named)),
+        place().prop_map(Op::Failed),
+        Just(Op::Drop),
+    ]
+}
+
+/// The addresses and when each was last heard; the seed's time is not looked at.
+#[derive(Default)]
+struct NaiveContacts {
+    heard: collections::BTreeMap<SmolStr, u64>,
+}
+
+impl NaiveContacts {
+    fn hear_of(&mut self, now_ms: u64, place: u64) {
+        if address(place) != OWN {
+            self.heard.entry(address(place)).or_insert(now_ms);
+        }
+    }
+
+    fn apply(&mut self, now_ms: u64, op: Op) {
+        match op {
+            Op::Named(place) => self.hear_of(now_ms, place),
+            Op::Answered(from, named) => {
+                if let Some(heard) = self.heard.get_mut(&address(from)) {
+                    *heard = now_ms;
+                }
+                self.hear_of(now_ms, named);
+            }
+            Op::Failed(_) => {}
+            Op::Drop => self
+                .heard
+                .retain(|place, heard| place == SEED || *heard + SILENT_MS > now_ms),
+        }
+    }
+}
+
+fn apply(contacts: &mut contacts::Contacts, now_ms: u64, op: Op) {
+    let entry = |place| peer(wire::Role::Entry, place, 1, place);
+    match op {
+        Op::Named(place) => contacts.hear_of(now_ms, &entry(place)),
+        Op::Answered(from, named) => {
+            let reply = reply(entry(from), vec![entry(named)]);
+            contacts.answered(now_ms, &address(from), &reply);
+        }
+        Op::Failed(place) => contacts.failed(&address(place)),
+        Op::Drop => contacts.drop_silent(now_ms, SILENT_MS),
+    }
+}
+
+#[test]
+fn contacts_equal_the_naive_ones() {
+    let mut runner = fixtures::fixed_runner(CASES);
+    let ops = prop::collection::vec((0..60_u64, op()), 1..80);
+
+    let outcome = runner.run(&ops, |ops| {
+        let seeds = [SmolStr::new(OWN), SmolStr::new(SEED)];
+        let mut contacts = contacts::Contacts::new(SmolStr::new(OWN), &seeds);
+        let mut naive = NaiveContacts::default();
+        naive.heard.insert(SmolStr::new(SEED), 0);
+        let mut now_ms = 0;
+        for (gap_ms, op) in ops {
+            now_ms += gap_ms;
+            apply(&mut contacts, now_ms, op);
+            naive.apply(now_ms, op);
+            let targets = contacts.targets().into_iter().map(|one| one.address);
+            let targets: Vec<_> = targets.collect();
+            let expected: Vec<_> = naive.heard.keys().cloned().collect();
+            prop_assert_eq!(targets, expected);
+        }
+        Ok(())
+    });
+
+    outcome.expect("no counter-example");
+}
+
+#[test]
+fn process_is_alone_until_a_contact_answers() {
+    let seed = SmolStr::new(SEED);
+    let mut contacts = contacts::Contacts::new(SmolStr::new(OWN), std::slice::from_ref(&seed));
+    contacts.hear_of(10, &peer(wire::Role::Entry, 2, 1, 2));
+    let before = contacts.is_alone(0);
+
+    let sender = peer(wire::Role::Entry, 1, 1, 1);
+    contacts.answered(20, &seed, &reply(sender, Vec::new()));
+
+    assert!(before, "to be named is not to have answered");
+    assert!(!contacts.is_alone(20));
+    assert!(contacts.is_alone(21));
+}
+
+fn heartbeat(sender: wire::Peer, sequence: u64) -> wire::Heartbeat {
+    wire::Heartbeat {
+        version: wire::VERSION,
+        sender,
+        leaving: false,
+        revision: None,
+        evidence: wire::Evidence::default(),
+        load: Some(wire::Load {
+            sequence,
+            ..wire::Load::default()
+        }),
+    }
+}
+
+// Heartbeats of a runner's lives come late and crossed. Were an earlier life taken for
+// the present one, tasks would go to a process that is gone.
+#[test]
+fn the_latest_life_counts_in_whatever_order_heartbeats_come() {
+    let mut runner = fixtures::fixed_runner(CASES);
+    let beats = prop::collection::vec((0..3_u64, 0..5_u64, 0..20_u64), 1..60);
+
+    let outcome = runner.run(&beats, |beats| {
+        let mut members = membership::Members::default();
+        let mut naive = collections::BTreeMap::new();
+        for (now_ms, (name, incarnation, sequence)) in (0..).zip(beats) {
+            let sender = peer(wire::Role::Runner, name, incarnation, incarnation);
+            let known = naive.get(&sender.name).copied();
+            let expected = match known {
+                None => "new",
+                Some(known) if known > incarnation => "stale",
+                Some(known) if known < incarnation => "replaced",
+                Some(_) => "same",
+            };
+            naive.insert(
+                sender.name.clone(),
+                known.max(Some(incarnation)).unwrap_or(0),
+            );
+            let heard = match members.hear_runner(now_ms, &heartbeat(sender, sequence)) {
+                membership::Heard::New => "new",
+                membership::Heard::Stale => "stale",
+                membership::Heard::Replaced(_) => "replaced",
+                membership::Heard::Same => "same",
+            };
+            prop_assert_eq!(heard, expected);
+        }
+        Ok(())
+    });
+
+    outcome.expect("no counter-example");
+}
+
+fn naive_choice(announced: &[announcements::Announcement], own: &SmolStr) -> Vec<wire::Peer> {
+    let mut chosen: Vec<wire::Peer> = Vec::new();
+    for announcement in announced.iter().rev() {
+        let peer = &announcement.peer;
+        let is_latest = announced
+            .iter()
+            .filter(|other| other.peer.name == peer.name)
+            .all(|other| other.peer.incarnation <= peer.incarnation);
+        let is_first = chosen.iter().all(|one| one.name != peer.name);
+        if is_latest && is_first && peer.name != *own {
+            chosen.push(peer.clone());
+        }
+    }
+    chosen.truncate(announcements::MAX_TAKEN);
+    chosen
+}
+
+#[test]
+fn chosen_announcements_equal_the_naive_choice() {
+    let mut runner = fixtures::fixed_runner(CASES);
+    let announced = prop::collection::vec((0..25_u64, 0..4_u64), 0..100);
+    let own = SmolStr::new_static("name-0");
+
+    let outcome = runner.run(&announced, |announced| {
+        let announced: Vec<_> = announced
+            .into_iter()
+            .map(|(name, life)| announcements::Announcement {
+                version: wire::VERSION,
+                peer: peer(wire::Role::Entry, name, life, name * 10 + life),
+            })
+            .collect();
+        let chosen = announcements::choose(&announced, &own);
+        prop_assert_eq!(chosen, naive_choice(&announced, &own));
+        Ok(())
+    });
+
+    outcome.expect("no counter-example");
+}
+
+#[test]
+fn search_pauses_grow_to_a_limit_and_begin_anew() {
+    let mut search = announcements::Search::new(0, 0);
+    let due: Vec<u64> = (0..200_000)
+        .filter(|now_ms| search.is_due(*now_ms, true))
+        .collect();
+
+    let found = search.is_due(200_000, false);
+    let again = search.is_due(200_000 + announcements::MAX_PAUSE_MS, true);
+
+    let pauses: Vec<u64> = due.windows(2).map(|pair| pair[1] - pair[0]).collect();
+    assert_eq!(pauses[..5], [1_000, 2_000, 4_000, 8_000, 16_000]);
+    assert!(
+        pauses[5..]
+            .iter()
+            .all(|one| *one == announcements::MAX_PAUSE_MS)
+    );
+    assert_eq!((found, again), (false, true));
+}
