Announce a lonely entry sooner, ask anew for a stale permission to start

An entry whose announcement fell into an outage of the log waited 30 s for the next; without a live contact it now tries after 1 s, 2 s and so on. A permission to start that took over 200 ms to arrive is asked for again: a process frozen while it was on its way acted on an answer from before it slept.

--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -70,6 +70,7 @@
     parts: Parts,
     left_ms: Option<u64>,
     is_published: bool,
+    search: announcements::Search,
 }
 
 impl Control {
@@ -88,6 +89,7 @@
             parts,
             left_ms: None,
             is_published: false,
+            search: announcements::Search::new(now_ms, seed),
         }
     }
 
@@ -209,6 +211,17 @@
         }
     }
 
+    /// Without a live contact the next announcement is not waited for: the log may
+    /// have been down at the one before.
+    fn announce_if_alone(&mut self, cx: &actix::Context<Self>) {
+        let now_ms = self.now_ms();
+        let dead_after_ms = self.core.settings().timeouts.dead_after_ms;
+        let since_ms = now_ms.saturating_sub(dead_after_ms.into());
+        if self.search.is_due(now_ms, self.contacts.is_alone(since_ms)) {
+            self.announce(cx);
+        }
+    }
+
     /// Says on the log that this entry is there and reads who else is.
     fn announce(&self, cx: &actix::Context<Self>) {
         if self.core.is_leaving() {
@@ -272,6 +285,7 @@
             if !actor.is_published {
                 actor.publish();
             }
+            actor.announce_if_alone(cx);
         });
         let interval = time::Duration::from_millis(announcements::INTERVAL_MS);
         cx.run_interval(interval, |actor, cx| actor.announce(cx));
--- a/src/runner/control.rs
+++ b/src/runner/control.rs
@@ -34,6 +34,9 @@
 /// Longest wait for settings from a peer.
 const FETCH_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
+/// Greatest age of the permission on which a task's bytes go out.
+const START_CHECK_MS: u64 = 200;
+
 /// Least time between two reads of the log, so that an outage does not have every
 /// runner ask fifty times a second.
 const LOG_PAUSE_MS: u64 = 250;
@@ -131,12 +134,12 @@
     fn start(&mut self, cx: &actix::Context<Self>, dispatch: wire::Dispatch) {
         self.counts.started += 1;
         let control = cx.address();
+        let clock = self.parts.clock;
         let backend = self.parts.backend.clone();
         self.parts.pool.run(move |client| async move {
             let attempt = dispatch.attempt;
             let (submission, index) = (dispatch.submission.as_str(), dispatch.index);
-            let may_start = control.send(messages::MayStart(attempt)).await;
-            let end = if may_start.unwrap_or(false) {
+            let end = if may_start_now(&control, clock, attempt).await {
                 log::info!(event = "task.start", attempt:% = attempt, submission = submission, index = index; "start");
                 backend::run(&client, &backend, &dispatch).await
             } else {
@@ -259,6 +262,26 @@
     }
 }
 
+/// Asks the control thread whether a task may still be started, and asks again where
+/// the answer was long in coming: a process frozen in between would act on an answer
+/// from before it slept.
+async fn may_start_now(
+    control: &actix::Addr<Control>,
+    clock: clock::Clock,
+    attempt: ids::Attempt,
+) -> bool {
+    loop {
+        let asked_ms = clock.now_ms();
+        let may_start = control.send(messages::MayStart(attempt)).await;
+        if !may_start.unwrap_or(false) {
+            return false;
+        }
+        if clock.now_ms() - asked_ms <= START_CHECK_MS {
+            return true;
+        }
+    }
+}
+
 impl actix::Actor for Control {
     type Context = actix::Context<Self>;
 
--- a/tests/cli/fake_entry.rs
+++ b/tests/cli/fake_entry.rs
@@ -151,6 +151,7 @@
             zone: SmolStr::new("Caxias"),
             leaving: false,
             revision: Some(7),
+            has_settings: true,
             log_age_ms: Some(5),
             fresh: true,
             zones_out: Vec::new(),
