--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod api;
 pub mod audit;
+pub mod claims;
 pub mod cli;
 pub mod client;
 pub mod clock;
@@ -31,6 +32,7 @@
 pub mod placement;
 pub mod progress;
 pub mod queue;
+pub mod retry;
 pub mod runner;
 pub mod settings;
 pub mod starts;
