--- a/src/claims/log.rs
+++ b/src/claims/log.rs
@@ -6,8 +6,8 @@
 use smol_str::SmolStr;
 
 use crate::claims;
+use crate::client::log as log_service;
 use crate::clock;
-use crate::keeper;
 use crate::outgoing;
 
 /// The stream was read.
@@ -98,15 +98,15 @@
         if !response.status().is_success() {
             return None;
         }
-        let read = response.json::<keeper::Batch>().limit(MAX_READ_BYTES);
+        let read = response.json::<log_service::Page>().limit(MAX_READ_BYTES);
         read.await.ok()
     };
     let batch = tokio::time::timeout(limit, exchange).await.ok().flatten()?;
     Some(batch.into())
 }
 
-impl From<keeper::Batch> for claims::Page {
-    fn from(batch: keeper::Batch) -> Self {
+impl From<log_service::Page> for claims::Page {
+    fn from(batch: log_service::Page) -> Self {
         let records = batch.records.into_iter();
         Self {
             first: batch.first,
--- a/tests/unit/main.rs
+++ b/tests/unit/main.rs
@@ -3,6 +3,9 @@
 mod admission;
 mod audit;
 mod codes;
+mod freshness;
+mod keeper;
 mod learning;
+mod membership;
 mod queue;
 mod settings;
