Refuse bad input by number on every port, and bound what was not

Cause: nothing proved what the ports do with malformed, oversized, slow or absurd input, and several amounts had no bound.

Faults found by the new tests (each seen failing on a trial copy without its mend): - a query string that can't be read was answered 400 by the library, without a number; now 410, also for pages added later (one error handler for all). - GET with wait_ms of 2^64-1 for another entry's submission overflowed: the connection broke without an answer. - names and addresses of heartbeats' senders were taken as they came, of any length. - a cancel and a fence could name any number of ids; 1,000 and 10,000 now, and the cancels of one call go out 64 at a time. - calls that wait for one submission had no bound; 64 now (not tried without). - a job passed on by another entry was not checked by the owner (not tried without). - `t:e:+1:01:A` was read as a ticket: one ticket had many texts.

Ruled out: wrong methods already came to 409, since the routes' guards stand at their resources; deep JSON in unknown fields is skipped without recursion and is accepted.

An entry logs task.dispatched and task.answered at debug, so that one task can be followed.

--- a/src/codes.rs
+++ b/src/codes.rs
@@ -138,6 +138,8 @@
     ContentConflict = 408, "the submission id is taken by other content";
     /// No such page.
     NoSuchPage = 409, "no such page";
+    /// The query string is not what the page describes.
+    BadQuery = 410, "the query string can't be read";
 
     /// The file is not TOML.
     SettingsSyntax = 500, "the file is not valid TOML";
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -92,6 +92,7 @@
         for action in actions {
             match action {
                 core::Action::Dispatch { address, dispatch } => {
+                    log_dispatch(&address, &dispatch);
                     self.send_dispatch(cx, address, *dispatch);
                 }
                 core::Action::Fence { address, fence } => self.send_fence(cx, address, fence),
@@ -156,8 +157,13 @@
         if pending.is_final || wait_ms == 0 {
             return ready(pending);
         }
+        let waiters = self.waiters.entry(key).or_default();
+        waiters.retain(|waiter| !waiter.is_closed());
+        if waiters.len() >= MAX_WAITERS {
+            return ready(pending);
+        }
         let (tx, rx) = oneshot::channel();
-        self.waiters.entry(key).or_default().push(tx);
+        waiters.push(tx);
         let control = cx.address();
         let longest = u64::from(self.core.settings().limits.max_wait_ms);
         let limit = time::Duration::from_millis(wait_ms.min(longest));
@@ -211,6 +217,22 @@
     Box::pin(async move { messages::Resolution::Answer(Box::new(answer)) })
 }
 
+/// One line a task is too much at the usual level: an entry may hand out tens of
+/// thousands a second.
+fn log_dispatch(to: &str, dispatch: &wire::Dispatch) {
+    let attempt = dispatch.attempt;
+    let (submission, index) = (dispatch.submission.as_str(), dispatch.index);
+    log::debug!(event = "task.dispatched", attempt:% = attempt, submission = submission, index = index, to = to; "handed out");
+}
+
+fn log_reply(message: &messages::DispatchDone) {
+    let code = match message.reply.as_ref().map(|reply| &reply.outcome) {
+        Ok(wire::Outcome::Ended { code, .. } | wire::Outcome::NotStarted { code }) => code.number(),
+        _ => codes::Code::Pending.number(),
+    };
+    log::debug!(event = "task.answered", attempt:% = message.attempt, code = code; "answered");
+}
+
 /// A refusal with an HTTP status may have come from a release that reads the
 /// message in another way; what it did is asked about like after silence.
 fn fault(err: &outgoing::CallError) -> attempts::Fault {
@@ -245,6 +267,10 @@
     }
 }
 
+/// Calls that may wait for one submission's answer; one more is answered at once
+/// with what there is, as if its wait were over.
+const MAX_WAITERS: usize = 64;
+
 /// Messages that may wait for the control thread.
 const MAILBOX: usize = 4_096;
 
@@ -323,6 +349,7 @@
 
     fn handle(&mut self, message: messages::DispatchDone, cx: &mut Self::Context) {
         let now_ms = self.now_ms();
+        log_reply(&message);
         let actions = match message.reply {
             Ok(reply) => self.core.dispatch_answered(now_ms, reply),
             Err(fault) => self.core.dispatch_failed(now_ms, message.attempt, fault),
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -5,6 +5,8 @@
 
 use actix_web::http;
 use actix_web::web;
+use futures_util::StreamExt as _;
+use futures_util::stream;
 use serde::Deserialize;
 use serde::de;
 use sha2::Digest as _;
@@ -37,11 +39,18 @@
 /// How much longer than its wait a forwarded call may take.
 const FORWARD_GRACE_MS: u64 = 1_000;
 
+/// Most submissions that one call cancels.
+pub const MAX_CANCELS: usize = 1_000;
+
+/// How many of them are under way at once: each may need a connection to its owner.
+const CANCELS_AT_ONCE: usize = 64;
+
 /// When to ask again for an answer whose owner is silent, in milliseconds.
 const SILENT_RETRY_MS: u64 = 1_000;
 
 /// Pages for callers and operators.
 pub fn public_pages(cfg: &mut web::ServiceConfig) {
+    incoming::numbered(cfg);
     cfg.route("/v1/tickets", web::post().to(tickets));
     cfg.route("/v1/jobs", web::post().to(submit_job));
     cfg.route("/v1/requests", web::post().to(submit_request));
@@ -54,6 +63,7 @@
 
 /// Pages for other processes.
 pub fn peer_pages(cfg: &mut web::ServiceConfig) {
+    incoming::numbered(cfg);
     cfg.route(wire::HEARTBEAT_PATH, web::post().to(heartbeat));
     cfg.route(wire::FORWARD_PATH, web::post().to(forwarded));
     operators::peer_pages(cfg);
@@ -152,7 +162,7 @@
         team,
         call,
     };
-    let limit = time::Duration::from_millis(wait_ms + FORWARD_GRACE_MS);
+    let limit = time::Duration::from_millis(wait_ms.saturating_add(FORWARD_GRACE_MS));
     let path = wire::FORWARD_PATH;
     let reply = outgoing::post_afresh(&peer.address, path, &message, limit).await;
     let reply: wire::ForwardReply = reply.ok()?;
@@ -289,11 +299,17 @@
     let work = async {
         let team = shared.team(&req)?;
         let order: api::CancelOrder = shared.read(payload).await?;
+        if order.submissions.len() > MAX_CANCELS {
+            return Err(codes::Code::TooLarge);
+        }
         let calls = order
             .submissions
             .into_iter()
             .map(|submission| shared.call(team.clone(), wire::Call::Cancel { submission }));
-        let answers = futures_util::future::join_all(calls).await;
+        let answers = stream::iter(calls)
+            .buffered(CANCELS_AT_ONCE)
+            .collect()
+            .await;
         Ok::<_, codes::Code>(api::Cancelled { answers })
     };
     match work.await {
@@ -307,10 +323,13 @@
 }
 
 async fn heartbeat(shared: web::Data<Shared>, payload: web::Payload) -> actix_web::HttpResponse {
-    let heartbeat = match incoming::read_message(payload).await {
+    let heartbeat: wire::Heartbeat = match incoming::read_message(payload).await {
         Ok(heartbeat) => heartbeat,
         Err(refusal) => return refusal,
     };
+    if let Err(code) = incoming::check_peer(&heartbeat.sender) {
+        return incoming::refuse(code);
+    }
     match shared.control.send(messages::Heard(heartbeat)).await {
         Ok(reply) => incoming::message(&reply),
         Err(_ended) => incoming::refuse(codes::Code::Leaving),
@@ -323,10 +342,12 @@
         Err(refusal) => return refusal,
     };
     let id = call_id(&forward.call);
-    let answer = if forward.incarnation == shared.incarnation {
-        owned(&shared, forward, id).await
-    } else {
+    let answer = if forward.incarnation != shared.incarnation {
         answer::plain(id, codes::Code::OwnerGone, true)
+    } else if let Err(code) = check_forward(&shared, &forward) {
+        answer::plain(id, code, true)
+    } else {
+        owned(&shared, forward, id).await
     };
     incoming::message(&wire::ForwardReply {
         version: wire::VERSION,
@@ -334,6 +355,19 @@
     })
 }
 
+/// The forwarding entry has checked the call by its own settings, which may be
+/// older than those in force here; a job without tasks would never be answered.
+fn check_forward(shared: &Shared, forward: &wire::Forward) -> Result<(), codes::Code> {
+    let settings = shared.settings().ok_or(codes::Code::Leaving)?;
+    if !settings.teams.contains_key(&forward.team) {
+        return Err(codes::Code::BadToken);
+    }
+    match &forward.call {
+        wire::Call::Submit(submission) => check(submission, &settings.limits, usize::MAX),
+        wire::Call::Fetch { .. } | wire::Call::Cancel { .. } => Ok(()),
+    }
+}
+
 /// A call is passed on once only, so two entries can't send it to and fro.
 async fn owned(
     shared: &Shared,
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -121,12 +121,18 @@
         let ["t", entry, incarnation, epoch, number] = parts[..] else {
             return Err(IdError::Ticket);
         };
-        Ok(Self {
+        let ticket = Self {
             entry: check_name(entry).map_err(|_bad| IdError::Ticket)?,
             incarnation: Incarnation(hex(incarnation)?),
             epoch: hex(epoch)?,
             number: hex(number)?,
-        })
+        };
+        // `+1`, `01` and `A` are numbers too, but not as an entry writes them; one
+        // ticket would have many texts for whoever compares or looks for texts.
+        if ticket.to_string() != text {
+            return Err(IdError::Ticket);
+        }
+        Ok(ticket)
     }
 }
 
--- a/src/incoming.rs
+++ b/src/incoming.rs
@@ -1,5 +1,6 @@
 //! Reading what others send, within bounds, and answering with numbered results.
 
+use std::net;
 use std::time;
 
 use actix_web::http;
@@ -10,6 +11,7 @@
 
 use crate::api;
 use crate::codes;
+use crate::ids;
 use crate::jobs::answer;
 use crate::outgoing;
 use crate::wire;
@@ -83,7 +85,39 @@
     answer(&answer::plain(None, code, true))
 }
 
-/// The answer to a path that is not there.
+/// Gives a query string or a path that can't be read its numbered result.
+///
+/// Without it the library answers with a text of its own, which no client can tell
+/// by its code.
+pub fn numbered(cfg: &mut web::ServiceConfig) {
+    let query = web::QueryConfig::default();
+    cfg.app_data(query.error_handler(|e, _req| numbered_error(e, codes::Code::BadQuery)));
+    let path = web::PathConfig::default();
+    cfg.app_data(path.error_handler(|e, _req| numbered_error(e, codes::Code::BadTicket)));
+}
+
+fn numbered_error<E>(err: E, code: codes::Code) -> actix_web::Error
+where
+    E: std::fmt::Debug + std::fmt::Display + 'static,
+{
+    actix_web::error::InternalError::from_response(err, refuse(code)).into()
+}
+
+/// Refuses a process whose names are none or whose address can't be connected to.
+///
+/// Names are kept for as long as a process is known and go to every other one; a
+/// peer with a name of megabytes would be passed on by every heartbeat.
+pub fn check_peer(peer: &wire::Peer) -> Result<(), codes::Code> {
+    let names = [&peer.name, &peer.zone, &peer.rack];
+    let are_good = names.iter().all(|name| ids::check_name(name).is_ok());
+    let is_address = peer.address.parse::<net::SocketAddr>().is_ok();
+    if are_good && is_address {
+        return Ok(());
+    }
+    Err(codes::Code::BadBody)
+}
+
+/// The answer to a path or a method that is not there.
 pub async fn no_such_page() -> actix_web::HttpResponse {
     refuse(codes::Code::NoSuchPage)
 }
--- a/src/runner/http.rs
+++ b/src/runner/http.rs
@@ -9,6 +9,10 @@
 use crate::runner::messages;
 use crate::wire;
 
+/// Most attempts that one fence may name. Each unknown one that is barred takes
+/// room in the ledger, so a message of 8 MiB of them would fill it.
+pub const MAX_FENCED: usize = 10_000;
+
 /// What the handlers share.
 #[derive(Clone, Debug)]
 pub struct Shared {
@@ -18,6 +22,7 @@
 
 /// All pages.
 pub fn pages(cfg: &mut web::ServiceConfig) {
+    incoming::numbered(cfg);
     cfg.route(wire::DISPATCH_PATH, web::post().to(dispatch));
     cfg.route(wire::FENCE_PATH, web::post().to(fence));
     cfg.route(wire::HEARTBEAT_PATH, web::post().to(heartbeat));
@@ -42,6 +47,9 @@
         Ok(fence) => fence,
         Err(refusal) => return refusal,
     };
+    if fence.attempts.len() > MAX_FENCED {
+        return incoming::refuse(codes::Code::TooLarge);
+    }
     match shared.control.send(messages::Fenced(fence)).await {
         Ok(reply) => incoming::message(&reply),
         Err(_ended) => incoming::refuse(codes::Code::Leaving),
@@ -53,6 +61,9 @@
         Ok(heartbeat) => heartbeat,
         Err(refusal) => return refusal,
     };
+    if let Err(code) = incoming::check_peer(&heartbeat.sender) {
+        return incoming::refuse(code);
+    }
     match shared.control.send(messages::Heard(heartbeat)).await {
         Ok(reply) => incoming::message(&reply),
         Err(_ended) => incoming::refuse(codes::Code::Leaving),
--- a/tests/failure/main.rs
+++ b/tests/failure/main.rs
@@ -2,5 +2,7 @@
 //!
 //! The programs of the whole workspace must be built first: `./test` does it.
 
+mod input;
 mod path;
+mod raw;
 mod rig;
