--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -23,6 +23,10 @@
     }
 }
 
+/// Level from which on the libraries' own lines are written: below it they would bury
+/// this program's, and they carry no event names.
+const LIBRARIES: log::LevelFilter = log::LevelFilter::Warn;
+
 /// Starts the JSON lines: to a file, or to the standard error.
 pub fn start(cfg: &config::Config) -> Result<(), TelemetryError> {
     let encoder = Box::new(json::JsonEncoder::new());
@@ -40,10 +44,14 @@
         ),
     };
     let appender = log_config::Appender::builder().build("lines", appender);
+    let own = log_config::Logger::builder().build(env!("CARGO_CRATE_NAME"), cfg.log_level);
     let root = log_config::Root::builder()
         .appender("lines")
-        .build(cfg.log_level);
-    let built = log_config::Config::builder().appender(appender).build(root);
+        .build(cfg.log_level.min(LIBRARIES));
+    let built = log_config::Config::builder()
+        .appender(appender)
+        .logger(own)
+        .build(root);
     let built = built.map_err(|e| TelemetryError::Setup(e.to_string()))?;
     log4rs::init_config(built).map_err(|e| TelemetryError::Setup(e.to_string()))?;
     Ok(())
--- a/standins/src/site.rs
+++ b/standins/src/site.rs
@@ -47,6 +47,7 @@
 pub struct Site {
     programs: path::PathBuf,
     folder: path::PathBuf,
+    log_level: &'static str,
 }
 
 /// Size of each stand-in worker: the first user's, in thousandths of a core and MiB.
@@ -61,9 +62,17 @@
         Self {
             programs: programs.to_owned(),
             folder: folder.to_owned(),
+            log_level: "info",
         }
     }
 
+    /// The same site, its daemons logging from another level on.
+    #[must_use]
+    pub const fn logging(mut self, log_level: &'static str) -> Self {
+        self.log_level = log_level;
+        self
+    }
+
     /// The folder with configuration and logs.
     pub fn folder(&self) -> &path::Path {
         &self.folder
@@ -131,6 +140,7 @@
             ("--rack", &place.rack),
             ("--peer-listen", ANY_PORT),
             ("--log", &links.log.to_string()),
+            ("--log-level", self.log_level),
         ] {
             args.extend([flag.into(), value.into()]);
         }
--- a/tests/failure/main.rs
+++ b/tests/failure/main.rs
@@ -3,6 +3,7 @@
 //! The programs of the whole workspace must be built first: `./test` does it.
 
 mod input;
+mod logs;
 mod path;
 mod raw;
 mod rig;
--- a/tests/failure/rig.rs
+++ b/tests/failure/rig.rs
@@ -88,7 +88,7 @@
     /// Starts a site and waits until it serves.
     pub fn start(plan: &Plan) -> Self {
         let folder = tempfile::tempdir().expect("a temporary folder");
-        let site = site::Site::new(&programs(), folder.path());
+        let site = site::Site::new(&programs(), folder.path()).logging("debug");
         let log = site.log(&plan.log).expect("the log starts");
         let links = site::Links {
             log: log.address(),
