Show a silent entry once in status, and let config diff end with a status

Cause: an entry that does not answer was shown twice, by its given address and as its peers name it; a script could not tell by `config diff` whether a folder is in force.

`status`: where at least as many named entries are silent as given addresses, the addresses have no rows of their own and are told on the standard error (and as `perhaps_at` in JSON). Ruled out: telling the callers' address in heartbeats, since the wire's types are in other hands at the moment and a peer has no use for it.

--- a/src/client/survey.rs
+++ b/src/client/survey.rs
@@ -18,6 +18,7 @@
 /// Daemons that are asked at the same time.
 const AT_ONCE: usize = 64;
 
+const ENTRY: &str = "entry";
 /// State of a process that answers for itself.
 const ALIVE: &str = "alive";
 /// State of a process that says it is stopping.
@@ -56,6 +57,9 @@
     pub fresh: Option<bool>,
     /// Availability zones that it takes to be out of service.
     pub zones_out: Vec<SmolStr>,
+    /// Given addresses without an answer, of which one may be this process's.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub perhaps_at: Vec<SmolStr>,
 }
 
 impl Process {
@@ -74,9 +78,19 @@
             running: None,
             fresh: None,
             zones_out: Vec::new(),
+            perhaps_at: Vec::new(),
         }
     }
 
+    /// Whether it is an address that nobody knows anything about.
+    fn is_unknown(&self) -> bool {
+        self.role.is_empty()
+    }
+
+    fn is_silent_entry(&self) -> bool {
+        self.role == ENTRY && !self.answered
+    }
+
     /// Its name, or its address while the name is not known.
     pub fn shown_name(&self) -> &SmolStr {
         if self.name.is_empty() {
@@ -172,10 +186,35 @@
                 process.hear(peer);
             }
         }
+        join_silent_entries(&mut self.processes);
         sorted(self.processes)
     }
 }
 
+/// Shows an entry once that does not answer.
+///
+/// It is given by its address for callers and named by its peers with the one for
+/// processes. Only an answer tells that both are one process; without it there
+/// would be two rows, and an operator would look for an entry that never was.
+fn join_silent_entries(processes: &mut collections::BTreeMap<SmolStr, Process>) {
+    let unknown: Vec<_> = processes
+        .values()
+        .filter(|process| process.is_unknown())
+        .map(|process| process.address.clone())
+        .collect();
+    let mut silent: Vec<_> = processes
+        .values_mut()
+        .filter(|process| process.is_silent_entry())
+        .collect();
+    if silent.len() < unknown.len() {
+        return;
+    }
+    for process in &mut silent {
+        process.perhaps_at.clone_from(&unknown);
+    }
+    processes.retain(|_, process| !process.is_unknown());
+}
+
 /// Asks every given entry and the processes that they name.
 ///
 /// Gives the processes by role, zone and name.
--- a/src/cmd/config/diff.rs
+++ b/src/cmd/config/diff.rs
@@ -12,6 +12,8 @@
 use crate::client;
 use crate::client::follow;
 use crate::cmd;
+use crate::cmd::answer;
+use crate::codes;
 use crate::settings;
 use crate::settings::diff;
 use crate::settings::merge;
@@ -26,12 +28,14 @@
 What is in force is read from the log or, when that is not available, from an entry.
 
 Options:
+    --check         End with status 1 (606) unless they are equal
     --json          Print {\"equal\": ..., \"revision\": N, \"files\": {...}, \"keys\": [...]}
 ";
 
 struct Args {
     config: cli::Config,
     folder: path::PathBuf,
+    check: bool,
     json: bool,
 }
 
@@ -39,6 +43,7 @@
     fn parse(mut args: pico_args::Arguments) -> cli::CliResult<Self> {
         Ok(Self {
             config: cli::Config::take(&mut args)?,
+            check: args.contains("--check"),
             json: args.contains("--json"),
             folder: flags::one(args, "folder")?.into(),
         })
@@ -81,9 +86,14 @@
     })?;
     let report = compare(&state, &files, &merged);
     if args.json {
-        return cli::out::json(&report);
+        cli::out::json(&report)?;
+    } else {
+        print_text(&report)?;
     }
-    print_text(&report)
+    if args.check && !report.equal {
+        return answer::end(codes::Code::Differs);
+    }
+    Ok(())
 }
 
 fn compare(state: &settings::State, files: &merge::Files, merged: &merge::Merged) -> Report {
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -54,6 +54,7 @@
     } else {
         cli::out::print(&render(&processes))?;
     }
+    note_silent(&processes);
     if processes.iter().any(|process| process.answered) {
         return Ok(());
     }
@@ -63,6 +64,19 @@
     ))
 }
 
+/// Tells which addresses an operator should look at.
+fn note_silent(processes: &[survey::Process]) {
+    for process in processes {
+        if !process.perhaps_at.is_empty() {
+            let name = process.shown_name();
+            let at = process.perhaps_at.join(", ");
+            cli::out::note(format_args!(
+                "{name} does not answer; given as {at}, perhaps"
+            ));
+        }
+    }
+}
+
 fn render(processes: &[survey::Process]) -> String {
     let heading = [
         "role", "name", "zone", "state", "revision", "busy", "queued", "running", "fresh",
--- a/src/codes.rs
+++ b/src/codes.rs
@@ -174,6 +174,8 @@
     LogUnavailable = 604, "the log service does not answer";
     /// The other side answered something unexpected.
     BadAnswer = 605, "the other side answered something unexpected";
+    /// The folder is not what is in force.
+    Differs = 606, "the folder differs from what is in force";
 }
 
 impl Code {
@@ -200,6 +202,7 @@
             Class::BadRequest => 5,
             Class::Settings => 6,
             Class::Tool => match self {
+                Self::Differs => 1,
                 Self::Usage => 2,
                 _ => 7,
             },
--- a/tests/cli/fake_entry.rs
+++ b/tests/cli/fake_entry.rs
@@ -37,6 +37,7 @@
 struct Shared {
     name: SmolStr,
     behaviour: Behaviour,
+    silent_entry: Option<SmolStr>,
     calls: sync::Arc<sync::Mutex<Vec<Call>>>,
 }
 
@@ -50,9 +51,15 @@
 impl FakeEntry {
     /// Listens; needs a running actix system.
     pub fn start(name: &str, behaviour: Behaviour) -> Self {
+        Self::start_beside(name, behaviour, None)
+    }
+
+    /// The same, naming another entry that does not answer.
+    pub fn start_beside(name: &str, behaviour: Behaviour, silent: Option<&str>) -> Self {
         let shared = Shared {
             name: SmolStr::new(name),
             behaviour,
+            silent_entry: silent.map(SmolStr::new),
             calls: sync::Arc::default(),
         };
         let data = web::Data::new(shared.clone());
@@ -144,6 +151,9 @@
     }
 
     fn status(&self) -> api::Status {
+        let runner = peer("runner", "runner-1", super::workdir::NOBODY);
+        let entry = self.silent_entry.as_ref();
+        let entry = entry.map(|address| peer("entry", "e2", address));
         api::Status {
             role: SmolStr::new("entry"),
             name: self.name.clone(),
@@ -156,20 +166,25 @@
             zones_out: Vec::new(),
             queued: 3,
             running: 2,
-            peers: vec![api::PeerStatus {
-                role: SmolStr::new("runner"),
-                name: SmolStr::new("runner-1"),
-                address: SmolStr::new(super::workdir::NOBODY),
-                zone: SmolStr::new("Vacaria"),
-                state: SmolStr::new("silent"),
-                revision: Some(6),
-                busy: 4,
-                slots: 8,
-            }],
+            peers: std::iter::once(runner).chain(entry).collect(),
         }
     }
 }
 
+/// A process that is silent, as its peers show it.
+fn peer(role: &str, name: &str, address: &str) -> api::PeerStatus {
+    api::PeerStatus {
+        role: SmolStr::new(role),
+        name: SmolStr::new(name),
+        address: SmolStr::new(address),
+        zone: SmolStr::new("Vacaria"),
+        state: SmolStr::new("silent"),
+        revision: Some(6),
+        busy: 4,
+        slots: 8,
+    }
+}
+
 fn answer(code: codes::Code, submission: Option<ids::SubmissionId>) -> api::Answer {
     let ran = api::TaskAnswer {
         fate: api::Fate::Ran,
--- a/tests/cli/test_config_change.rs
+++ b/tests/cli/test_config_change.rs
@@ -155,6 +155,22 @@
     assert_eq!(after.stdout, "equal to revision 3\n");
 }
 
+#[actix_rt::test]
+async fn diff_ends_with_another_status_only_when_asked() {
+    let bench = Bench::start();
+    bench.dir.create("folder/10-a.toml", GOOD);
+
+    let plain = bench.config(&["diff", "folder"]).await;
+    let before = bench.config(&["diff", "folder", "--check", "--json"]).await;
+    bench.config(&["sync", "folder"]).await;
+    let after = bench.config(&["diff", "folder", "--check"]).await;
+
+    assert_eq!(plain.status, 0, "{plain:?}");
+    assert_eq!(before.status, 1, "{before:?}");
+    assert_eq!(before.json()["equal"], false, "{before:?}");
+    assert_eq!(after.status, 0, "{after:?}");
+}
+
 #[actix_rt::test]
 async fn sync_removes_everything_only_when_told() {
     let bench = Bench::start();
--- a/tests/cli/test_status.rs
+++ b/tests/cli/test_status.rs
@@ -51,6 +51,30 @@
     assert_eq!(run.json().as_array().unwrap().len(), 2, "{run:?}");
 }
 
+/// An entry that has died is given by its callers' address and named by its peers with
+/// the other one. Nobody can tell that the two are one, and two rows would have the
+/// operator look for an entry that never was.
+#[actix_rt::test]
+async fn silent_entry_is_shown_once_and_its_given_address_told() {
+    let behaviour = fake_entry::Behaviour::Answer(codes::Code::Complete);
+    let peers_port = Some("127.0.0.1:7");
+    let entry = fake_entry::FakeEntry::start_beside("e1", behaviour, peers_port);
+    let dir = workdir::Workdir::new();
+
+    let entries = format!("{},127.0.0.1:1", entry.address());
+    let run = dir.run_beside(&["status", "--entries", &entries]).await;
+
+    let silent = run.stdout.lines().filter(|line| line.contains("silent"));
+    assert_eq!(run.status, 0, "{run:?}");
+    assert_eq!(run.stdout.lines().count(), 4, "{run:?}");
+    assert_eq!(silent.count(), 2, "{run:?}");
+    assert!(
+        run.stderr
+            .contains("e2 does not answer; given as 127.0.0.1:1"),
+        "{run:?}"
+    );
+}
+
 #[test]
 fn nobody_to_reach_is_shown_and_told() {
     let dir = workdir::Workdir::new();
