--- a/tests/failure/main.rs
+++ b/tests/failure/main.rs
@@ -7,3 +7,4 @@
 mod path;
 mod raw;
 mod rig;
+mod turns;
--- a/tests/failure/rig.rs
+++ b/tests/failure/rig.rs
@@ -16,6 +16,8 @@
 use serde::Serialize;
 use serde::de;
 
+use crate::turns;
+
 /// Longest wait for anything that is expected to happen.
 pub const LIMIT: time::Duration = time::Duration::from_secs(30);
 
@@ -67,6 +69,7 @@
     pub workers: Vec<processes::Process>,
     pub links: site::Links,
     _folder: tempfile::TempDir,
+    _turn: turns::Turn,
 }
 
 /// The folder with the built programs: the test runs from its `deps`.
@@ -87,6 +90,7 @@
 impl Rig {
     /// Starts a site and waits until it serves.
     pub fn start(plan: &Plan) -> Self {
+        let turn = turns::take();
         let folder = tempfile::tempdir().expect("a temporary folder");
         let site = site::Site::new(&programs(), folder.path()).logging("debug");
         let log = site.log(&plan.log).expect("the log starts");
@@ -102,6 +106,7 @@
             workers: Vec::new(),
             links,
             _folder: folder,
+            _turn: turn,
         };
         for (at, zone) in plan.entries.iter().enumerate() {
             rig.add_entry(&format!("entry-{at}"), zone);
