Prove that a frozen runner holds up only what it has

100 jobs at once over three runners of which one is frozen: all but the at most nine tasks that it holds are answered while it stands still, and those after the thaw.

--- a/tests/failure/main.rs
+++ b/tests/failure/main.rs
@@ -7,4 +7,5 @@
 mod path;
 mod raw;
 mod rig;
+mod traffic;
 mod turns;
