--- a/src/entry/load.rs
+++ b/src/entry/load.rs
@@ -180,11 +180,14 @@
     fn usable_slots(&self, now_ms: u64) -> f64 {
         let candidates = self.candidates(now_ms);
         let keys = candidates.iter().map(|one| self.members.runner(one.key));
-        let all: u32 = keys.flatten().map(|runner| runner.load.slots).sum();
-        let part = f64::from(all) / (self.live_entries(now_ms).len() + 1) as f64;
+        let all: f64 = keys
+            .flatten()
+            .map(|runner| f64::from(runner.load.slots))
+            .sum();
+        let part = all / (self.live_entries(now_ms).len() + 1) as f64;
         let free: i64 = candidates.iter().map(|one| one.free_slots.max(0)).sum();
-        let parked: u32 = candidates.iter().map(|one| one.parked).sum();
-        let running = self.in_flight.len().saturating_sub(parked as usize);
+        let parked: u64 = candidates.iter().map(|one| u64::from(one.parked)).sum();
+        let running = (self.in_flight.len() as u64).saturating_sub(parked);
         (running as f64 + free as f64).max(part)
     }
 
