Judge backend servers by comparison, and bring zones back in a ramp

Cause: an entry saw only free slots. A server that fails every task at once looks idle and draws all the work; a slow one is never passed by; a returning zone takes all that waits within a round trip. The slice health compares what a team and kind come to on one runner with the others, ejects with a floor, probes back one task at a time and doubles the time out. The ramp limits a returning zone's slots, and waits until the runner itself shows the revision that brought it back. The pool of candidates is made once a pump instead of once a task; a free slot goes before a wait also where the near zone's bias would have made them equal; racks break ties. No measurement of the new slices yet.

--- a/src/entry/attempts.rs
+++ b/src/entry/attempts.rs
@@ -88,6 +88,11 @@
         let Some(runner) = self.members.runner_mut(key) else {
             return;
         };
+        if code == codes::Code::ZoneOut {
+            let zone = runner.peer.zone.clone();
+            self.members.close_zone(&zone, now_ms + heartbeat_ms);
+            return;
+        }
         let pause_ms = match code {
             codes::Code::Leaving => {
                 runner.is_leaving = true;
@@ -130,7 +135,8 @@
     fn outcome(&mut self, now_ms: u64, number: u64, outcome: wire::Outcome) -> Vec<core::Action> {
         match outcome {
             wire::Outcome::Parked => Vec::new(),
-            wire::Outcome::Running { .. } => {
+            wire::Outcome::Running { run_ms } => {
+                self.judge_running(now_ms, number, run_ms);
                 if let Some(flight) = self.in_flight.get_mut(&number) {
                     flight.ask_ms = now_ms + u64::from(self.settings.timeouts.query_after_ms);
                 }
@@ -191,6 +197,7 @@
             return Vec::new();
         };
         self.counts.started += 1;
+        self.judge_end(now_ms, &flight, run_ms, code);
         let place = self.place_of(flight.runner);
         let fate = match code.class() {
             codes::Class::Complete => api::Fate::Ran,
@@ -272,6 +279,7 @@
             .iter()
             .filter(|(_, flight)| flight.runner == key);
         let numbers: Vec<u64> = on_it.map(|(number, _)| *number).collect();
+        self.health.forget(key);
         let mut actions = Vec::new();
         for number in numbers {
             let Some(flight) = self.take(number) else {
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -14,10 +14,12 @@
 
 use crate::api;
 use crate::freshness;
+use crate::health;
 use crate::ids;
 use crate::jobs;
 use crate::membership;
 use crate::queue;
+use crate::ramp;
 use crate::settings;
 use crate::wire;
 
@@ -56,8 +58,12 @@
     pub runner: membership::RunnerKey,
     /// What it is expected to take.
     pub need: wire::Resources,
+    /// Its team and kind.
+    pub kind: health::Kind,
     /// When it was handed over.
     pub sent_ms: u64,
+    /// How long it is expected to run, milliseconds.
+    pub expected_ms: u64,
     /// When to ask about it if nothing is heard.
     pub ask_ms: u64,
     /// Whether the answer to its dispatch can't come any more.
@@ -95,6 +101,8 @@
     pub(crate) revision: Option<u64>,
     pub(crate) freshness: freshness::Freshness,
     pub(crate) members: membership::Members,
+    pub(crate) health: health::Health,
+    pub(crate) ramps: ramp::Ramps,
     pub(crate) jobs: jobs::Table,
     pub(crate) queue: queue::Queue,
     pub(crate) in_flight: collections::BTreeMap<u64, InFlight>,
@@ -121,6 +129,8 @@
             revision: None,
             freshness: freshness::Freshness::default(),
             members: membership::Members::default(),
+            health: health::Health::default(),
+            ramps: ramp::Ramps::default(),
             jobs: jobs::Table::new(now_ms),
             queue: queue::Queue::default(),
             in_flight: collections::BTreeMap::new(),
@@ -191,6 +201,8 @@
         settings: sync::Arc<settings::Settings>,
         revision: Option<u64>,
     ) -> Vec<Action> {
+        self.ramps
+            .change(now_ms, &self.settings, &settings, revision);
         self.settings = settings;
         self.revision = revision;
         self.pump(now_ms)
--- a/src/entry/pump.rs
+++ b/src/entry/pump.rs
@@ -4,10 +4,12 @@
 
 use crate::codes;
 use crate::entry::core;
+use crate::health;
 use crate::jobs;
 use crate::membership;
 use crate::placement;
 use crate::queue;
+use crate::ramp;
 use crate::wire;
 
 /// How many tasks that can't be placed now one round looks past.
@@ -17,16 +19,26 @@
     /// Hands out waiting tasks while there is somewhere to send them.
     pub(crate) fn pump(&mut self, now_ms: u64) -> Vec<core::Action> {
         let mut actions = Vec::new();
+        if self.queue.is_empty() {
+            return actions;
+        }
+        let mut view = View {
+            pool: placement::Pool::new(self.candidates(now_ms)),
+            spread: placement::Spread::default(),
+        };
         let mut passed_over = Vec::new();
         while passed_over.len() < MAX_PASSED_OVER {
             let Some(item) = self.queue.pop(now_ms) else {
                 break;
             };
-            match self.place(now_ms, &item) {
+            match self.place(now_ms, &item, &mut view) {
                 Placed::Sent(action) => actions.push(action),
                 Placed::Ended(more) => actions.extend(more),
                 Placed::Waits => passed_over.push(item),
             }
+            if !passed_over.is_empty() && view.pool.is_full(&self.settings.policy) {
+                break;
+            }
         }
         for item in passed_over.into_iter().rev() {
             self.queue.push_front(item);
@@ -34,22 +46,69 @@
         actions
     }
 
-    fn place(&mut self, now_ms: u64, item: &queue::Item) -> Placed {
+    fn place(&mut self, now_ms: u64, item: &queue::Item, view: &mut View) -> Placed {
         let Some(need) = self.need(item.task) else {
             return Placed::Ended(Vec::new());
         };
-        let candidates = self.candidates(now_ms);
+        self.count_spread(item.task.submission, &mut view.spread);
         let draw = self.rng.next_u64();
-        match placement::choose(&need, &candidates, &self.settings.policy, draw) {
-            placement::Choice::Send(runner) => match self.send(now_ms, item, runner, need) {
-                Some(action) => Placed::Sent(action),
-                None => Placed::Waits,
-            },
-            placement::Choice::Wait | placement::Choice::NoCapacity => Placed::Waits,
-            placement::Choice::NeverFits => {
+        let choice = view
+            .pool
+            .choose(&need, &view.spread, &self.settings.policy, draw);
+        match choice {
+            placement::Choice::Send(at) => self.send_to(now_ms, item, need, view, at),
+            placement::Choice::NeverFits if !self.fits_any(&need) => {
                 let decided = jobs::Decided::not_run(codes::Code::NeverFits);
                 Placed::Ended(self.decide(now_ms, item.task, decided))
             }
+            _ => Placed::Waits,
+        }
+    }
+
+    fn send_to(
+        &mut self,
+        now_ms: u64,
+        item: &queue::Item,
+        need: wire::Resources,
+        view: &mut View,
+        at: usize,
+    ) -> Placed {
+        let Some(candidate) = view.pool.at(at).copied() else {
+            return Placed::Waits;
+        };
+        let Some(action) = self.send(now_ms, item, candidate.key, need) else {
+            return Placed::Waits;
+        };
+        view.pool.sent(at, &need);
+        view.spread.add(candidate.rack);
+        Placed::Sent(action)
+    }
+
+    /// Whether a worker that is out at the moment is large enough: the task then
+    /// waits, since "no worker is large enough" would not be true.
+    fn fits_any(&self, need: &wire::Resources) -> bool {
+        let mut known = self.members.runners();
+        known.any(|(_, runner)| need.fits_in(&runner.load.size))
+    }
+
+    /// Counts where the tasks of a submission are, unless they are counted already.
+    fn count_spread(&self, submission: jobs::Key, spread: &mut placement::Spread) {
+        if spread.is_of(submission) {
+            return;
+        }
+        spread.restart(submission);
+        let Some(open) = self.jobs.open_at(submission) else {
+            return;
+        };
+        for (_, progress) in open.all() {
+            let jobs::Progress::Dispatched(attempt) = progress else {
+                continue;
+            };
+            let flight = self.in_flight.get(&attempt.number);
+            let runner = flight.and_then(|flight| self.members.runner(flight.runner));
+            if let Some(runner) = runner {
+                spread.add(runner.rack);
+            }
         }
     }
 
@@ -60,35 +119,110 @@
 
     /// Runners that may be sent something now.
     pub(crate) fn candidates(&self, now_ms: u64) -> Vec<placement::Candidate> {
-        let dead_after = u64::from(self.settings.timeouts.dead_after_ms);
-        let usable = self.members.runners().filter(|(_, runner)| {
+        let usable = self.usable(now_ms);
+        usable
+            .filter_map(|(key, runner)| self.candidate(now_ms, key, runner))
+            .collect()
+    }
+
+    /// Runners in service that were heard of lately.
+    ///
+    /// A runner that misses two heartbeats gets nothing new long before it counts as
+    /// dead: what is sent to a frozen one is lost, and nobody may start it again.
+    fn usable(
+        &self,
+        now_ms: u64,
+    ) -> impl Iterator<Item = (membership::RunnerKey, &membership::Runner)> {
+        let timeouts = &self.settings.timeouts;
+        let two_missed = u64::from(timeouts.heartbeat_ms) * 5 / 2;
+        let silent_after = two_missed.min(timeouts.dead_after_ms.into());
+        self.members.runners().filter(move |(_, runner)| {
             !runner.is_leaving
                 && runner.closed_until_ms <= now_ms
-                && runner.heard_ms.saturating_add(dead_after) > now_ms
+                && runner.heard_ms.saturating_add(silent_after) > now_ms
                 && !self.settings.is_zone_out(&runner.peer.zone)
-        });
-        usable
-            .map(|(key, runner)| self.candidate(key, runner))
-            .collect()
+        })
     }
 
     fn candidate(
         &self,
+        now_ms: u64,
         key: membership::RunnerKey,
         runner: &membership::Runner,
-    ) -> placement::Candidate {
+    ) -> Option<placement::Candidate> {
+        let allowance = self.health.allowance(now_ms, key);
         let free_slots = runner.free_slots();
+        let ramp = self.ramp_room(now_ms, runner, free_slots);
+        let probe = allowance
+            .most
+            .map(|most| most.saturating_sub(runner.in_flight));
+        let room = ramp.into_iter().chain(probe).min();
+        if room == Some(0) {
+            return None;
+        }
         let waiting = u32::try_from(-free_slots.min(0)).unwrap_or(u32::MAX);
-        placement::Candidate {
+        Some(placement::Candidate {
             key,
             is_near: runner.peer.zone == self.me.zone,
+            is_suspect: allowance.is_suspect,
+            rack: runner.rack,
             free_slots,
             parked: waiting.min(runner.in_flight),
+            room,
             free: runner.free(),
             size: runner.load.size,
+        })
+    }
+
+    /// How many more tasks a runner in a returning zone may be sent.
+    fn ramp_room(&self, now_ms: u64, runner: &membership::Runner, free_slots: i64) -> Option<u32> {
+        let slots = runner.load.slots;
+        let zone = &runner.peer.zone;
+        let ramp_ms = self.settings.policy.ramp_ms;
+        let share = self
+            .ramps
+            .share(now_ms, zone, slots, runner.revision, ramp_ms);
+        let ramp::Share::Slots(share) = share else {
+            return None;
+        };
+        let taken = i64::from(slots) - free_slots;
+        Some(u32::try_from(i64::from(share) - taken).unwrap_or(0))
+    }
+
+    /// Tells the health slice how an attempt ended.
+    pub(crate) fn judge_end(
+        &mut self,
+        now_ms: u64,
+        flight: &core::InFlight,
+        run_ms: u64,
+        code: codes::Code,
+    ) {
+        let end = end_of(flight, run_ms, code);
+        let policy = self.settings.policy;
+        if self.health.ended(now_ms, flight.runner, &end, &policy) {
+            self.eject(now_ms, flight.runner);
         }
     }
 
+    /// Tells the health slice of an attempt that was found running.
+    pub(crate) fn judge_running(&mut self, now_ms: u64, number: u64, run_ms: u64) {
+        let Some(flight) = self.in_flight.get(&number) else {
+            return;
+        };
+        let runner = flight.runner;
+        let end = end_of(flight, run_ms, codes::Code::Pending);
+        let policy = self.settings.policy;
+        if self.health.running(now_ms, runner, &end, &policy) {
+            self.eject(now_ms, runner);
+        }
+    }
+
+    fn eject(&mut self, now_ms: u64, runner: membership::RunnerKey) {
+        let runners = self.usable(now_ms).count();
+        let policy = self.settings.policy;
+        self.health.eject(now_ms, runner, runners, &policy);
+    }
+
     fn send(
         &mut self,
         now_ms: u64,
@@ -121,11 +255,14 @@
         };
         let address = runner.peer.address.clone();
         let expected = item.expected_ms + u64::from(timeouts.query_after_ms);
+        let kind = self.health.kind(&item.team, &dispatch.kind);
         let in_flight = core::InFlight {
             task: item.task,
             runner: key,
             need,
+            kind,
             sent_ms: now_ms,
+            expected_ms: item.expected_ms,
             ask_ms: now_ms.saturating_add(expected),
             is_lost: false,
             is_stopping: false,
@@ -206,6 +343,22 @@
     }
 }
 
+const fn end_of(flight: &core::InFlight, run_ms: u64, code: codes::Code) -> health::End {
+    health::End {
+        kind: flight.kind,
+        sent_ms: flight.sent_ms,
+        run_ms,
+        expected_ms: flight.expected_ms,
+        code,
+    }
+}
+
+/// What one round of handing out sees.
+struct View {
+    pool: placement::Pool,
+    spread: placement::Spread,
+}
+
 enum Placed {
     Sent(core::Action),
     Ended(Vec<core::Action>),
--- a/src/entry/report.rs
+++ b/src/entry/report.rs
@@ -84,6 +84,16 @@
                 "One more than the revision in force",
                 revision,
             ),
+            counter(
+                "ejections",
+                "Times a runner was taken out for its tasks' ends",
+                self.health.ejections(),
+            ),
+            gauge(
+                "ejected_runners",
+                "Runners that get nothing for their tasks' ends",
+                self.health.ejected(now_ms) as u64,
+            ),
             gauge("fresh", "Whether evidence is recent", is_fresh.into()),
         ]
     }
@@ -114,7 +124,7 @@
         let runners = self
             .members
             .runners()
-            .map(|(_, runner)| self.runner_status(now_ms, runner));
+            .map(|(key, runner)| self.runner_status(now_ms, key, runner));
         let entries = self
             .members
             .entries()
@@ -124,13 +134,18 @@
         peers
     }
 
-    fn runner_status(&self, now_ms: u64, runner: &membership::Runner) -> api::PeerStatus {
+    fn runner_status(
+        &self,
+        now_ms: u64,
+        key: membership::RunnerKey,
+        runner: &membership::Runner,
+    ) -> api::PeerStatus {
         api::PeerStatus {
             role: SmolStr::new_static("runner"),
             name: runner.peer.name.clone(),
             address: runner.peer.address.clone(),
             zone: runner.peer.zone.clone(),
-            state: self.state(now_ms, runner.heard_ms, runner.is_leaving),
+            state: self.runner_state(now_ms, key, runner),
             revision: runner.revision,
             busy: runner.load.busy,
             slots: runner.load.slots,
@@ -150,6 +165,19 @@
         }
     }
 
+    fn runner_state(
+        &self,
+        now_ms: u64,
+        key: membership::RunnerKey,
+        runner: &membership::Runner,
+    ) -> SmolStr {
+        let heard = self.state(now_ms, runner.heard_ms, runner.is_leaving);
+        match self.health.state(key).word(now_ms) {
+            Some(word) if heard == "alive" => SmolStr::new_static(word),
+            _ => heard,
+        }
+    }
+
     fn state(&self, now_ms: u64, heard_ms: u64, is_leaving: bool) -> SmolStr {
         let dead_after = u64::from(self.settings.timeouts.dead_after_ms);
         let is_silent = heard_ms.saturating_add(dead_after) <= now_ms;
--- a/src/entry/tick.rs
+++ b/src/entry/tick.rs
@@ -29,6 +29,9 @@
         actions.extend(self.ask_silent(now_ms));
         self.members
             .forget_silent(now_ms, dead_after * FORGET_FACTOR);
+        let members = &self.members;
+        self.health
+            .retain(|runner| members.runner(runner).is_some());
         actions.extend(self.pump(now_ms));
         actions
     }
--- /dev/null
+++ b/src/health/evidence.rs
@@ -0,0 +1,162 @@
+//! What one runner's tasks came to lately.
+
+use crate::health;
+use crate::health::kinds;
+
+/// Excess that makes a runner slow, as a natural logarithm: twice the time.
+pub const SLOW_EXCESS: f64 = 0.693;
+
+/// Weight of one end in the running mean of the excess: the last dozen count.
+const WEIGHT: f64 = 1.0 / 12.0;
+
+/// Fewest successes after which a runner can be found slow.
+const MIN_ENDS: u32 = 4;
+
+/// Ends after which the running mean is no wider than its weight makes it.
+const MAX_ENDS: u32 = 24;
+
+/// How many standard errors the excess must lie above that of the others. With a
+/// judgement for each of 220 ends a second, 4 lets chance eject one in 140 s at
+/// most, and the running mean keeps neighbouring judgements from being independent.
+const STANDARD_ERRORS: f64 = 4.0;
+
+/// Most kinds remembered of a runner.
+const MAX_KINDS: usize = 16;
+
+/// Most kinds of a streak that are told apart; two are asked for.
+const STREAK_KINDS: usize = 2;
+
+#[derive(Clone, Copy, Debug)]
+struct Last {
+    kind: kinds::Kind,
+    at_ms: u64,
+    was_well: bool,
+}
+
+/// Failures in a row.
+#[derive(Clone, Debug, Default)]
+struct Streak {
+    len: u32,
+    since_sent_ms: u64,
+    kinds: Vec<kinds::Kind>,
+    is_suspect: bool,
+}
+
+impl Streak {
+    fn add(&mut self, kind: kinds::Kind, sent_ms: u64, is_well_elsewhere: bool) {
+        if self.len == 0 {
+            self.since_sent_ms = sent_ms;
+        }
+        self.is_suspect |= is_well_elsewhere;
+        if !is_well_elsewhere {
+            return;
+        }
+        self.len += 1;
+        if self.kinds.len() < STREAK_KINDS && !self.kinds.contains(&kind) {
+            self.kinds.push(kind);
+        }
+    }
+
+    /// A task that was sent before the first of the streak says nothing of the time
+    /// since: a server that turns bad ends well what it had begun.
+    fn success(&mut self, sent_ms: u64) {
+        if sent_ms >= self.since_sent_ms {
+            *self = Self::default();
+        }
+    }
+
+    const fn is_over(&self, bound: u32) -> bool {
+        self.len >= bound && self.kinds.len() >= STREAK_KINDS
+    }
+}
+
+/// The evidence about one runner.
+#[derive(Clone, Debug, Default)]
+pub struct Evidence {
+    last: Vec<Last>,
+    failures: Streak,
+    stuck: Streak,
+    ends: u32,
+    excess: f64,
+}
+
+impl Evidence {
+    /// A task ran well, longer than its kind does by this excess.
+    pub fn succeeded(&mut self, now_ms: u64, end: &health::End, excess: f64) {
+        self.note(now_ms, end.kind, true);
+        self.failures.success(end.sent_ms);
+        self.stuck.success(end.sent_ms);
+        self.ends = (self.ends + 1).min(MAX_ENDS);
+        let weight = WEIGHT.max(1.0 / f64::from(self.ends));
+        self.excess += weight * (excess - self.excess);
+    }
+
+    /// A task failed.
+    pub fn failed(&mut self, now_ms: u64, end: &health::End, is_well_elsewhere: bool) {
+        self.note(now_ms, end.kind, false);
+        self.stuck.success(end.sent_ms);
+        self.failures.add(end.kind, end.sent_ms, is_well_elsewhere);
+    }
+
+    /// A task does not end.
+    pub fn stuck(&mut self, kind: kinds::Kind, sent_ms: u64, is_well_elsewhere: bool) {
+        self.stuck.add(kind, sent_ms, is_well_elsewhere);
+    }
+
+    fn note(&mut self, at_ms: u64, kind: kinds::Kind, was_well: bool) {
+        let fresh = Last {
+            kind,
+            at_ms,
+            was_well,
+        };
+        if let Some(known) = self.last.iter_mut().find(|last| last.kind == kind) {
+            *known = fresh;
+            return;
+        }
+        if self.last.len() >= MAX_KINDS {
+            self.last.remove(0);
+        }
+        self.last.push(fresh);
+    }
+
+    /// How the last task of a kind fared here, if it ended since then.
+    pub fn last(&self, kind: kinds::Kind, since_ms: u64) -> Option<bool> {
+        let last = self.last.iter().find(|last| last.kind == kind)?;
+        (last.at_ms >= since_ms).then_some(last.was_well)
+    }
+
+    /// Whether the last task failed or hangs although such tasks do well elsewhere.
+    pub const fn is_suspect(&self) -> bool {
+        self.failures.is_suspect || self.stuck.is_suspect
+    }
+
+    /// Whether so many failed in a row, or hang, of at least two teams or kinds.
+    pub const fn is_failing(&self, bound: u32) -> bool {
+        self.failures.is_over(bound) || self.stuck.is_over(bound)
+    }
+
+    /// By how much its tasks take longer than their kinds do, once enough ended.
+    pub fn excess(&self) -> Option<f64> {
+        (self.ends >= MIN_ENDS).then_some(self.excess)
+    }
+
+    /// Whether it is slow beside others with a typical excess, where single tasks
+    /// spread so far.
+    pub fn is_slow(&self, typical: f64, spread: f64) -> bool {
+        let Some(excess) = self.excess() else {
+            return false;
+        };
+        let beyond = excess - typical;
+        let error = spread / f64::from(self.ends).sqrt();
+        beyond > SLOW_EXCESS && beyond > STANDARD_ERRORS * error
+    }
+
+    /// Starts over, but for how each kind fared last.
+    pub fn clear(&mut self) {
+        let last = std::mem::take(&mut self.last);
+        *self = Self {
+            last,
+            ..Self::default()
+        };
+    }
+}
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -14,11 +14,17 @@
     pub struct RunnerKey;
 }
 
+/// A rack as a small number, the same for all runners in it.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Rack(pub u32);
+
 /// One life of a runner, as an entry knows it.
 #[derive(Clone, Debug)]
 pub struct Runner {
     /// Who it is.
     pub peer: wire::Peer,
+    /// Its rack.
+    pub rack: Rack,
     /// Its load as last heard.
     pub load: wire::Load,
     /// When it was last heard, monotonic milliseconds.
@@ -67,6 +73,7 @@
 pub struct Members {
     runners: slotmap::SlotMap<RunnerKey, Runner>,
     by_name: collections::HashMap<SmolStr, RunnerKey>,
+    racks: collections::HashMap<SmolStr, Rack>,
     entries: collections::HashMap<SmolStr, Entry>,
 }
 
@@ -98,8 +105,10 @@
     }
 
     fn add_runner(&mut self, now_ms: u64, heartbeat: &wire::Heartbeat, load: wire::Load) {
+        let rack = self.rack(&heartbeat.sender.rack);
         let key = self.runners.insert(Runner {
             peer: heartbeat.sender.clone(),
+            rack,
             load,
             heard_ms: now_ms,
             is_leaving: heartbeat.leaving,
@@ -111,6 +120,22 @@
         self.by_name.insert(heartbeat.sender.name.clone(), key);
     }
 
+    fn rack(&mut self, name: &SmolStr) -> Rack {
+        let next = Rack(u32::try_from(self.racks.len()).unwrap_or(u32::MAX));
+        *self.racks.entry(name.clone()).or_insert(next)
+    }
+
+    /// Sends nothing to the runners of a zone until then.
+    ///
+    /// The first refusal from a zone that was taken out tells for all its runners;
+    /// without this each of them would refuse once.
+    pub fn close_zone(&mut self, zone: &str, until_ms: u64) {
+        let of_zone = self.runners.values_mut();
+        for runner in of_zone.filter(|runner| runner.peer.zone == zone) {
+            runner.closed_until_ms = runner.closed_until_ms.max(until_ms);
+        }
+    }
+
     /// An entry said that it is there, or another named it.
     pub fn hear_entry(&mut self, now_ms: u64, peer: &wire::Peer, leaving: bool, rev: Option<u64>) {
         let known = self.entries.get(&peer.name);
