Let the report tell ratios over 2.047 apart

Cause: an hdrhistogram made without bounds tells values up to 2,047 apart, and saturating_record never widens it, so every ratio above 2.047 was recorded as 2.047. It showed when a server four times slower left p99 under 2.

--- a/measure/src/report.rs
+++ b/measure/src/report.rs
@@ -37,6 +37,10 @@
 /// Histogram units per 1.0 of the ratio.
 const SCALE: f64 = 1_000.0;
 
+/// Greatest ratio told apart, in histogram units: 100,000 times the ideal. A
+/// histogram without bounds begins small, and a saturating record never widens it.
+const MAX_SCALED: u64 = 100_000_000;
+
 /// Works out the figures of the jobs that `counts`; goodput over the window in
 /// milliseconds, against `capacity` slots.
 pub fn figures(
@@ -47,7 +51,8 @@
     capacity: f64,
     counts: impl Fn(&workload::Job) -> bool,
 ) -> Figures {
-    let mut ratios = Histogram::<u64>::new(3).unwrap_or_else(|e| unreachable!("{e}"));
+    let mut ratios =
+        Histogram::<u64>::new_with_bounds(1, MAX_SCALED, 3).unwrap_or_else(|e| unreachable!("{e}"));
     let mut figures = Figures {
         jobs: jobs.iter().filter(|job| counts(job)).count(),
         ..Figures::default()
