Measure bad servers, placement and zone changes

The driver learns servers that get stuck, servers that get well again, and runners that show the revision that is in force with them (they showed the newest at once, which hid refused dispatches at a zone's return).

--- a/measure/src/patterns.rs
+++ b/measure/src/patterns.rs
@@ -1,5 +1,9 @@
 //! The load patterns, one function each.
 
+pub mod placement;
+pub mod servers;
+pub mod zone_change;
+
 use smol_str::SmolStr;
 
 use bulrushtiller::settings;
--- a/measure/src/sim/mod.rs
+++ b/measure/src/sim/mod.rs
@@ -41,6 +41,8 @@
     pub work: Vec<Work>,
     /// Messages that moved nothing forward.
     pub wasted: u64,
+    /// Times an entry took a runner out for what its tasks came to.
+    pub ejections: u64,
     /// Starts of a task that had started before; must stay 0 for jobs.
     pub double_starts: u64,
     /// Starts in a zone later than the bound after it was taken out.
@@ -52,6 +54,8 @@
 pub struct Work {
     /// Index of the job.
     pub job: usize,
+    /// Index of the runner.
+    pub runner: usize,
     /// When it ended, microseconds.
     pub at_us: u64,
     /// Slot time, milliseconds.
--- a/measure/src/sim/site.rs
+++ b/measure/src/sim/site.rs
@@ -94,6 +94,20 @@
         /// Which runner.
         runner: usize,
     },
+    /// Tasks started at a runner's server never end, while the runner itself lives.
+    Stuck {
+        /// When.
+        at_ms: u64,
+        /// Which runner.
+        runner: usize,
+    },
+    /// A runner's server is well again.
+    Well {
+        /// When.
+        at_ms: u64,
+        /// Which runner.
+        runner: usize,
+    },
     /// Operators take a zone out.
     ZoneOut {
         /// When.
@@ -117,6 +131,8 @@
             Self::Slow { at_ms, .. }
             | Self::FailsAll { at_ms, .. }
             | Self::Frozen { at_ms, .. }
+            | Self::Stuck { at_ms, .. }
+            | Self::Well { at_ms, .. }
             | Self::ZoneOut { at_ms, .. }
             | Self::ZoneIn { at_ms, .. } => *at_ms,
         }
--- a/measure/src/sim/world.rs
+++ b/measure/src/sim/world.rs
@@ -121,6 +121,8 @@
     speeds: Vec<f64>,
     fails_all: Vec<bool>,
     frozen: Vec<bool>,
+    stuck: Vec<bool>,
+    applied: Vec<u64>,
     out_since: collections::HashMap<SmolStr, u64>,
     submitted: collections::HashMap<(usize, jobs::Key), usize>,
     placed: Vec<Option<(usize, jobs::Key)>>,
@@ -146,6 +148,11 @@
         .iter()
         .map(|entry| entry.counts().wasted)
         .sum();
+    world.outcome.ejections = world
+        .entries
+        .iter()
+        .map(|entry| entry.health().ejections())
+        .sum();
     world.outcome
 }
 
@@ -198,6 +205,8 @@
             speeds: vec![1.0; site.runners],
             fails_all: vec![false; site.runners],
             frozen: vec![false; site.runners],
+            stuck: vec![false; site.runners],
+            applied: vec![0; site.runners],
             out_since: collections::HashMap::new(),
             submitted: collections::HashMap::new(),
             placed: vec![None; jobs.len()],
@@ -435,6 +444,9 @@
         self.outcome.late_starts += u64::from(self.out_since.get(zone).is_some_and(is_late));
         let words: Vec<&str> = dispatch.payload.split(' ').collect();
         let run_ms: u32 = words.get(1).and_then(|word| word.parse().ok()).unwrap_or(1);
+        if self.stuck[index] {
+            return;
+        }
         let is_failed = self.fails_all[index];
         let run_ms = if is_failed { FAIL_MS } else { run_ms };
         let real_us = micros(f64::from(run_ms) * self.speeds[index]);
@@ -496,6 +508,7 @@
             let at_us = self.now_us - START_US;
             self.outcome.work.push(sim::Work {
                 job: 0,
+                runner: index,
                 at_us,
                 run_ms,
             });
@@ -533,7 +546,7 @@
                     version: wire::VERSION,
                     sender: runner.me().clone(),
                     leaving: false,
-                    revision: Some(self.revision),
+                    revision: Some(self.applied[index]),
                     evidence: wire::Evidence::default(),
                     load: Some(runner.load_for(owner)),
                 };
@@ -549,6 +562,12 @@
             sim::Fault::Slow { runner, factor, .. } => self.speeds[runner] = factor,
             sim::Fault::FailsAll { runner, .. } => self.fails_all[runner] = true,
             sim::Fault::Frozen { runner, .. } => self.frozen[runner] = true,
+            sim::Fault::Stuck { runner, .. } => self.stuck[runner] = true,
+            sim::Fault::Well { runner, .. } => {
+                self.speeds[runner] = 1.0;
+                self.fails_all[runner] = false;
+                self.stuck[runner] = false;
+            }
             sim::Fault::ZoneOut { zone, .. } => {
                 self.out_since.insert(zone.clone(), self.now_us);
                 self.change_zone(zone, true);
@@ -592,6 +611,7 @@
                 self.act(entry, actions);
             }
             Target::Runner(index) => {
+                self.applied[index] = revision;
                 let actions = self.runners[index].set_settings(settings);
                 self.runner_acts(index, actions);
             }
--- a/src/entry/attempts.rs
+++ b/src/entry/attempts.rs
@@ -197,7 +197,7 @@
             return Vec::new();
         };
         self.counts.started += 1;
-        self.judge_end(now_ms, &flight, run_ms, code);
+        self.judge_end(now_ms, number, &flight, run_ms, code);
         let place = self.place_of(flight.runner);
         let fate = match code.class() {
             codes::Class::Complete => api::Fate::Ran,
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -159,6 +159,11 @@
         &mut self.freshness
     }
 
+    /// How the runners fare.
+    pub const fn health(&self) -> &health::Health {
+        &self.health
+    }
+
     /// The processes known.
     pub const fn members(&self) -> &membership::Members {
         &self.members
--- a/src/entry/pump.rs
+++ b/src/entry/pump.rs
@@ -193,11 +193,12 @@
     pub(crate) fn judge_end(
         &mut self,
         now_ms: u64,
+        number: u64,
         flight: &core::InFlight,
         run_ms: u64,
         code: codes::Code,
     ) {
-        let end = end_of(flight, run_ms, code);
+        let end = end_of(number, flight, run_ms, code);
         let policy = self.settings.policy;
         if self.health.ended(now_ms, flight.runner, &end, &policy) {
             self.eject(now_ms, flight.runner);
@@ -210,7 +211,7 @@
             return;
         };
         let runner = flight.runner;
-        let end = end_of(flight, run_ms, codes::Code::Pending);
+        let end = end_of(number, flight, run_ms, codes::Code::Pending);
         let policy = self.settings.policy;
         if self.health.running(now_ms, runner, &end, &policy) {
             self.eject(now_ms, runner);
@@ -343,8 +344,14 @@
     }
 }
 
-const fn end_of(flight: &core::InFlight, run_ms: u64, code: codes::Code) -> health::End {
+const fn end_of(
+    number: u64,
+    flight: &core::InFlight,
+    run_ms: u64,
+    code: codes::Code,
+) -> health::End {
     health::End {
+        attempt: number,
         kind: flight.kind,
         sent_ms: flight.sent_ms,
         run_ms,
--- a/src/health/evidence.rs
+++ b/src/health/evidence.rs
@@ -23,6 +23,9 @@
 /// Most kinds remembered of a runner.
 const MAX_KINDS: usize = 16;
 
+/// Most attempts of a streak; a greater `policy.eject_failures` counts as this.
+const MAX_STREAK: usize = 64;
+
 /// Most kinds of a streak that are told apart; two are asked for.
 const STREAK_KINDS: usize = 2;
 
@@ -36,24 +39,26 @@
 /// Failures in a row.
 #[derive(Clone, Debug, Default)]
 struct Streak {
-    len: u32,
+    attempts: Vec<u64>,
     since_sent_ms: u64,
     kinds: Vec<kinds::Kind>,
-    is_suspect: bool,
 }
 
 impl Streak {
-    fn add(&mut self, kind: kinds::Kind, sent_ms: u64, is_well_elsewhere: bool) {
-        if self.len == 0 {
-            self.since_sent_ms = sent_ms;
-        }
-        self.is_suspect |= is_well_elsewhere;
-        if !is_well_elsewhere {
+    /// Counts an attempt once, where its kind does well elsewhere; one that hangs is
+    /// found hanging again and again.
+    fn add(&mut self, end: &health::End, is_well_elsewhere: bool) {
+        if !is_well_elsewhere || self.attempts.contains(&end.attempt) {
             return;
         }
-        self.len += 1;
-        if self.kinds.len() < STREAK_KINDS && !self.kinds.contains(&kind) {
-            self.kinds.push(kind);
+        if self.attempts.is_empty() {
+            self.since_sent_ms = end.sent_ms;
+        }
+        if self.attempts.len() < MAX_STREAK {
+            self.attempts.push(end.attempt);
+        }
+        if self.kinds.len() < STREAK_KINDS && !self.kinds.contains(&end.kind) {
+            self.kinds.push(end.kind);
         }
     }
 
@@ -65,8 +70,13 @@
         }
     }
 
-    const fn is_over(&self, bound: u32) -> bool {
-        self.len >= bound && self.kinds.len() >= STREAK_KINDS
+    fn is_over(&self, bound: u32) -> bool {
+        let bound = MAX_STREAK.min(bound as usize);
+        self.attempts.len() >= bound && self.kinds.len() >= STREAK_KINDS
+    }
+
+    const fn is_suspect(&self) -> bool {
+        !self.attempts.is_empty()
     }
 }
 
@@ -95,12 +105,12 @@
     pub fn failed(&mut self, now_ms: u64, end: &health::End, is_well_elsewhere: bool) {
         self.note(now_ms, end.kind, false);
         self.stuck.success(end.sent_ms);
-        self.failures.add(end.kind, end.sent_ms, is_well_elsewhere);
+        self.failures.add(end, is_well_elsewhere);
     }
 
     /// A task does not end.
-    pub fn stuck(&mut self, kind: kinds::Kind, sent_ms: u64, is_well_elsewhere: bool) {
-        self.stuck.add(kind, sent_ms, is_well_elsewhere);
+    pub fn stuck(&mut self, end: &health::End, is_well_elsewhere: bool) {
+        self.stuck.add(end, is_well_elsewhere);
     }
 
     fn note(&mut self, at_ms: u64, kind: kinds::Kind, was_well: bool) {
@@ -127,11 +137,11 @@
 
     /// Whether the last task failed or hangs although such tasks do well elsewhere.
     pub const fn is_suspect(&self) -> bool {
-        self.failures.is_suspect || self.stuck.is_suspect
+        self.failures.is_suspect() || self.stuck.is_suspect()
     }
 
     /// Whether so many failed in a row, or hang, of at least two teams or kinds.
-    pub const fn is_failing(&self, bound: u32) -> bool {
+    pub fn is_failing(&self, bound: u32) -> bool {
         self.failures.is_over(bound) || self.stuck.is_over(bound)
     }
 
--- a/src/health/kinds.rs
+++ b/src/health/kinds.rs
@@ -25,10 +25,8 @@
 /// a log scale, `ln(20) / sqrt(12)`.
 const FIRST_SPREAD: f64 = 0.86;
 
-/// A task is far over its time beyond so many spreads and [`FAR_OVER`].
-const FAR_SPREADS: f64 = 4.0;
-
-/// A task that runs is far over its time at four times what its kind takes.
+/// A task is far over its time at so many times what its kind takes, as a natural
+/// logarithm, and one spread more: four times.
 const FAR_OVER: f64 = 1.386;
 
 /// Run times of all kinds.
@@ -90,7 +88,7 @@
     pub fn is_far_over(&self, end: &health::End) -> bool {
         let mean = self.means.get(end.kind.0 as usize).copied().flatten();
         let excess = log_ratio(end) - mean.unwrap_or(0.0);
-        excess > FAR_OVER + FAR_SPREADS * self.spread()
+        excess > FAR_OVER + self.spread()
     }
 }
 
--- a/src/health/mod.rs
+++ b/src/health/mod.rs
@@ -28,6 +28,8 @@
 /// How one attempt ended, as the entry that sent it knows.
 #[derive(Clone, Copy, Debug)]
 pub struct End {
+    /// The attempt's number.
+    pub attempt: u64,
     /// Team and kind of the task.
     pub kind: Kind,
     /// When it was sent, monotonic milliseconds.
@@ -134,7 +136,7 @@
         match end.code {
             codes::Code::Complete => self.succeeded(now_ms, runner, end),
             codes::Code::TaskFailed => self.failed(now_ms, runner, end),
-            codes::Code::TaskTimedOut => self.stuck(now_ms, runner, end.kind, end.sent_ms),
+            codes::Code::TaskTimedOut => self.stuck(now_ms, runner, end),
             _ => return false,
         }
         self.is_bad(runner, policy)
@@ -152,7 +154,7 @@
         if policy.eject_fraction <= 0.0 || !self.kinds.is_far_over(end) {
             return false;
         }
-        self.stuck(now_ms, runner, end.kind, end.sent_ms);
+        self.stuck(now_ms, runner, end);
         self.is_bad(runner, policy)
     }
 
@@ -193,10 +195,10 @@
         }
     }
 
-    fn stuck(&mut self, now_ms: u64, runner: membership::RunnerKey, kind: Kind, sent_ms: u64) {
-        let is_well = self.is_well_elsewhere(now_ms, kind, runner);
+    fn stuck(&mut self, now_ms: u64, runner: membership::RunnerKey, end: &End) {
+        let is_well = self.is_well_elsewhere(now_ms, end.kind, runner);
         let one = self.by_runner.entry(runner).or_default();
-        one.evidence.stuck(kind, sent_ms, is_well);
+        one.evidence.stuck(end, is_well);
     }
 
     /// Whether most other runners where this kind ended lately did it well.
