--- a/measure/src/main.rs
+++ b/measure/src/main.rs
@@ -9,7 +9,6 @@
 
 Usage: bulrushtiller-measure PATTERN [--site taipa|formulario] [--seed N] [--load L]
 
-Patterns: steady, placement, slow-server, fails-all, frozen-server, stuck-server, zone-change, cold-zone
 ";
 
 fn main() {
@@ -29,37 +28,18 @@
         Some("formulario") => sim::Site::formulario(),
         _ => sim::Site::taipa(),
     };
-    let Ok(Some(pattern)) = args.opt_free_from_str::<String>() else {
+    let name = args.opt_free_from_str::<String>().ok().flatten();
+    let Some(pattern) = name.as_deref().and_then(patterns::find) else {
         print!("{USAGE}");
+        println!("Patterns: {}", names().join(", "));
         return;
     };
-    let back = match pattern.as_str() {
-        "zone-change" => Some(patterns::zone_change::Return::Warm),
-        "cold-zone" => Some(patterns::zone_change::Return::Cold),
-        _ => None,
-    };
-    if let Some(back) = back {
-        println!("{}", patterns::zone_change::heads());
-        for (name, change) in patterns::zone_change::table(&site, load, back, seed) {
-            println!("{}", patterns::zone_change::row(&name, &change));
-        }
-        return;
-    }
-    let servers = |badness| patterns::servers::table(&site, badness, load, seed);
-    let rows = match pattern.as_str() {
-        "steady" => patterns::steady(&site, load, seed),
-        "placement" => patterns::placement::table(&site, load, seed),
-        "slow-server" => servers(patterns::servers::Badness::Slow),
-        "fails-all" => servers(patterns::servers::Badness::FailsAll),
-        "frozen-server" => servers(patterns::servers::Badness::Frozen),
-        "stuck-server" => servers(patterns::servers::Badness::Stuck),
-        _ => {
-            print!("{USAGE}");
-            return;
-        }
-    };
     println!("{}", report::HEADS);
-    for (name, figures) in rows {
+    for (name, figures) in pattern(&site, load, seed) {
         println!("{}", report::row(&name, &figures));
     }
 }
+
+fn names() -> Vec<&'static str> {
+    patterns::ALL.iter().map(|(name, _)| *name).collect()
+}
--- a/measure/src/patterns/placement.rs
+++ b/measure/src/patterns/placement.rs
@@ -32,7 +32,7 @@
 
 /// One entry that sees everything, several entries with each early binding and
 /// bias, and a random runner.
-pub fn table(site: &sim::Site, load: f64, seed: u64) -> Vec<(String, report::Figures)> {
+pub fn run(site: &sim::Site, load: f64, seed: u64) -> Vec<patterns::Row> {
     let jobs = jobs(site, load, seed);
     let figures = |outcome: &sim::Outcome| {
         let window = (WARM_MS, END_MS);
--- a/measure/src/patterns/servers.rs
+++ b/measure/src/patterns/servers.rs
@@ -88,12 +88,7 @@
 
 /// Ours, ours without the slice, naive, and both of ours without the fault; all of
 /// the jobs that arrive while the server is bad.
-pub fn table(
-    site: &sim::Site,
-    badness: Badness,
-    load: f64,
-    seed: u64,
-) -> Vec<(String, report::Figures)> {
+pub fn table(site: &sim::Site, badness: Badness, load: f64, seed: u64) -> Vec<patterns::Row> {
     let jobs = jobs(site, load, seed);
     let faults = badness.faults();
     let window = (BAD_MS, WELL_MS);
@@ -114,3 +109,23 @@
         ("switched off, no fault".to_owned(), figures(&well_off)),
     ]
 }
+
+/// A server four times slower.
+pub fn slow(site: &sim::Site, load: f64, seed: u64) -> Vec<patterns::Row> {
+    table(site, Badness::Slow, load, seed)
+}
+
+/// A server that fails every task at once.
+pub fn fails_all(site: &sim::Site, load: f64, seed: u64) -> Vec<patterns::Row> {
+    table(site, Badness::FailsAll, load, seed)
+}
+
+/// A runner that stands still for good.
+pub fn frozen(site: &sim::Site, load: f64, seed: u64) -> Vec<patterns::Row> {
+    table(site, Badness::Frozen, load, seed)
+}
+
+/// A server whose tasks never end.
+pub fn stuck(site: &sim::Site, load: f64, seed: u64) -> Vec<patterns::Row> {
+    table(site, Badness::Stuck, load, seed)
+}
--- a/measure/src/patterns/zone_change.rs
+++ b/measure/src/patterns/zone_change.rs
@@ -31,16 +31,14 @@
 
 const TEAMS: &[&str] = &["escola", "oficina"];
 
-/// What one run over a zone change came to.
+/// What one run over a zone change came to; goodput is over what the slots in service
+/// can do, or over what arrives where that is less.
 #[derive(Clone, Copy, Debug)]
 pub struct Change {
-    /// What callers received.
-    pub figures: report::Figures,
-    /// Work done in the remaining zones while one is out, over what their slots can
-    /// do, or over what arrives where that is less.
-    pub while_out: f64,
-    /// The same for all zones, in the five seconds after the return.
-    pub after_return: f64,
+    /// Jobs that arrive while the zone is out, and the work of the others then.
+    pub while_out: report::Figures,
+    /// Jobs that arrive afterwards, and all work of the first five seconds.
+    pub after_return: report::Figures,
 }
 
 /// Jobs that take such a part of the slots of the zones that remain.
@@ -83,12 +81,12 @@
         },
     ];
     if back == Return::Cold {
-        faults.extend(cold(site));
+        faults.extend(slow_at_first(site));
     }
     faults
 }
 
-fn cold(site: &sim::Site) -> Vec<sim::Fault> {
+fn slow_at_first(site: &sim::Site) -> Vec<sim::Fault> {
     let zone = leaving(site);
     let (factor, span_ms) = COLD;
     let of_zone = (0..site.runners).filter(|runner| *site.zone(*runner) == zone);
@@ -119,16 +117,21 @@
 fn judge(site: &sim::Site, jobs: &[workload::Job], outcome: &sim::Outcome, load: f64) -> Change {
     let zone = leaving(site);
     let stays = |work: &sim::Work| *site.zone(work.runner) != zone;
+    let figures = |from_ms, to_ms, capacity| {
+        let span = from_ms * 1_000..to_ms * 1_000;
+        let is_judged = |job: &workload::Job| span.contains(&job.at_us);
+        report::figures(site, jobs, outcome, (from_ms, to_ms), capacity, is_judged)
+    };
     let out = (OUT_MS, BACK_MS);
     let after = (BACK_MS, AFTER_MS);
-    let is_judged = |job: &workload::Job| job.at_us >= OUT_MS * 1_000;
-    let figures = report::figures(site, jobs, outcome, out, remaining(site), is_judged);
-    let possible = possible(jobs, out, remaining(site), load);
-    let back = possible_after(jobs, site, load);
+    let mut while_out = figures(OUT_MS, BACK_MS, remaining(site));
+    while_out.goodput = done(outcome, out, stays) / possible(jobs, out, remaining(site), load);
+    let mut after_return = figures(BACK_MS, END_MS, site.capacity());
+    let possible = possible(jobs, after, site.capacity(), load);
+    after_return.goodput = done(outcome, after, |_| true) / possible;
     Change {
-        figures,
-        while_out: done(outcome, out, stays) / possible,
-        after_return: done(outcome, after, |_| true) / back,
+        while_out,
+        after_return,
     }
 }
 
@@ -140,10 +143,6 @@
     arrived(jobs, span_ms).min(most)
 }
 
-fn possible_after(jobs: &[workload::Job], site: &sim::Site, load: f64) -> f64 {
-    possible(jobs, (BACK_MS, AFTER_MS), site.capacity(), load)
-}
-
 fn arrived(jobs: &[workload::Job], span_ms: (u64, u64)) -> f64 {
     let span = span_ms.0 * 1_000..span_ms.1 * 1_000;
     let within = jobs.iter().filter(|job| span.contains(&job.at_us));
@@ -186,7 +185,7 @@
 }
 
 /// Both shipped settings, both without the ramp, and the naive version.
-pub fn table(site: &sim::Site, load: f64, back: Return, seed: u64) -> Vec<(String, Change)> {
+fn table(site: &sim::Site, load: f64, back: Return, seed: u64) -> Vec<patterns::Row> {
     let jobs = jobs(site, load, seed);
     let mut rows = Vec::new();
     for name in ["taipa", "formulario"] {
@@ -200,22 +199,22 @@
     let naive = sim::naive::run(site, &jobs, &faults(site, back), seed);
     let naive = judge(site, &jobs, &naive, load);
     rows.push(("naive, heeds no zone".to_owned(), naive));
-    rows
+    rows.into_iter().flat_map(two_rows).collect()
 }
 
-/// Heads of the columns.
-pub fn heads() -> String {
-    let heads = report::HEADS.replace('\n', " while out | after return |\n");
-    format!("{heads} --- | --- |")
+fn two_rows((name, change): (String, Change)) -> [patterns::Row; 2] {
+    [
+        (format!("{name}: while out"), change.while_out),
+        (format!("{name}: after return"), change.after_return),
+    ]
 }
 
-/// One row of the table.
-pub fn row(name: &str, change: &Change) -> String {
-    let Change {
-        figures,
-        while_out,
-        after_return,
-    } = change;
-    let row = report::row(name, figures);
-    format!("{row} {while_out:.3} | {after_return:.3} |")
+/// The zone comes back as it was.
+pub fn warm(site: &sim::Site, load: f64, seed: u64) -> Vec<patterns::Row> {
+    table(site, load, Return::Warm, seed)
+}
+
+/// The zone's servers are slow at first.
+pub fn cold(site: &sim::Site, load: f64, seed: u64) -> Vec<patterns::Row> {
+    table(site, load, Return::Cold, seed)
 }
--- a/measure/src/sim/ways.rs
+++ b/measure/src/sim/ways.rs
@@ -150,7 +150,7 @@
             self.pending[entry].push_back(task);
             return;
         };
-        if let Some(at) = self.idle[runner].iter().position(|slot| lent(slot)) {
+        if let Some(at) = self.idle[runner].iter().position(lent) {
             let last = self.idle[runner].len() - 1;
             self.idle[runner].swap(at, last);
         }
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -12,14 +12,19 @@
 use rand::SeedableRng;
 use smol_str::SmolStr;
 
+use crate::admission::drain;
+use crate::admission::retry as returning;
 use crate::api;
+use crate::claims;
 use crate::freshness;
 use crate::health;
 use crate::ids;
 use crate::jobs;
+use crate::learning;
 use crate::membership;
 use crate::queue;
 use crate::ramp;
+use crate::retry;
 use crate::settings;
 use crate::wire;
 
@@ -47,6 +52,10 @@
         /// The final answer.
         answer: Box<api::Answer>,
     },
+    /// Append this to the log's stream of claims and report when that ended.
+    AppendClaims(claims::Record),
+    /// Have the calls about this id looked at again.
+    ClaimSettled(claims::Name),
 }
 
 /// An attempt that was handed to a runner and is not settled.
@@ -56,14 +65,20 @@
     pub task: jobs::TaskKey,
     /// The runner.
     pub runner: membership::RunnerKey,
+    /// The runner's epoch that the dispatch carried.
+    pub epoch: u64,
+    /// Who pays.
+    pub team: queue::TeamKey,
     /// What it is expected to take.
     pub need: wire::Resources,
     /// Its team and kind.
     pub kind: health::Kind,
+    /// How long it is expected to run, in milliseconds.
+    pub expected_ms: u64,
+    /// Its place in the queue, should it come back unstarted.
+    pub rank_ms: u64,
     /// When it was handed over.
     pub sent_ms: u64,
-    /// How long it is expected to run, milliseconds.
-    pub expected_ms: u64,
     /// When to ask about it if nothing is heard.
     pub ask_ms: u64,
     /// Whether the answer to its dispatch can't come any more.
@@ -72,6 +87,18 @@
     pub is_stopping: bool,
 }
 
+impl InFlight {
+    /// The task as it waited before it was handed out.
+    pub(crate) const fn item(&self) -> queue::Item {
+        queue::Item {
+            task: self.task,
+            team: self.team,
+            expected_ms: self.expected_ms,
+            rank_ms: self.rank_ms,
+        }
+    }
+}
+
 /// Counts for the metrics.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Counts {
@@ -104,12 +131,18 @@
     pub(crate) health: health::Health,
     pub(crate) ramps: ramp::Ramps,
     pub(crate) jobs: jobs::Table,
+    pub(crate) claims: claims::Table,
     pub(crate) queue: queue::Queue,
+    pub(crate) retries: retry::Retries,
     pub(crate) in_flight: collections::BTreeMap<u64, InFlight>,
-    pub(crate) running_by_team: collections::HashMap<SmolStr, u32>,
+    pub(crate) drain: drain::Drain,
+    pub(crate) returning: returning::Returning,
+    pub(crate) no_runner_since_ms: Option<u64>,
+    pub(crate) learned: learning::Table,
     pub(crate) next_attempt: u64,
     pub(crate) next_ticket: u64,
     pub(crate) is_leaving: bool,
+    pub(crate) started_ms: u64,
     pub(crate) last_tick_ms: u64,
     pub(crate) counts: Counts,
     pub(crate) rng: rand_chacha::ChaCha8Rng,
@@ -123,6 +156,13 @@
         now_ms: u64,
         seed: u64,
     ) -> Self {
+        let retries = retry::Retries::new(&settings.policy);
+        let claimer = claims::Claimer {
+            entry: me.name.clone(),
+            incarnation: me.incarnation,
+        };
+        let mut queue = queue::Queue::default();
+        queue.configure(&settings.teams);
         Self {
             me,
             settings,
@@ -132,12 +172,18 @@
             health: health::Health::default(),
             ramps: ramp::Ramps::default(),
             jobs: jobs::Table::new(now_ms),
-            queue: queue::Queue::default(),
+            claims: claims::Table::new(claimer),
+            queue,
+            retries,
             in_flight: collections::BTreeMap::new(),
-            running_by_team: collections::HashMap::new(),
+            drain: drain::Drain::new(now_ms),
+            returning: returning::Returning::default(),
+            no_runner_since_ms: Some(now_ms),
+            learned: learning::Table::default(),
             next_attempt: 1,
             next_ticket: 1,
             is_leaving: false,
+            started_ms: now_ms,
             last_tick_ms: now_ms,
             counts: Counts::default(),
             rng: rand_chacha::ChaCha8Rng::seed_from_u64(seed),
@@ -208,9 +254,14 @@
     ) -> Vec<Action> {
         self.ramps
             .change(now_ms, &self.settings, &settings, revision);
+        let mut actions = self.wake(now_ms);
+        self.queue.configure(&settings.teams);
+        let teams = self.queue.teams();
+        self.returning.retain(|key| teams.get(key).is_some());
         self.settings = settings;
         self.revision = revision;
-        self.pump(now_ms)
+        actions.extend(self.pump(now_ms));
+        actions
     }
 
     /// A runner or another entry said that it is there.
@@ -219,7 +270,7 @@
         now_ms: u64,
         heartbeat: &wire::Heartbeat,
     ) -> (wire::HeartbeatReply, Vec<Action>) {
-        let mut actions = Vec::new();
+        let mut actions = self.wake(now_ms);
         match heartbeat.sender.role {
             wire::Role::Runner => {
                 let heard = self.members.hear_runner(now_ms, heartbeat);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -2,9 +2,11 @@
 
 pub mod attempts;
 pub mod calls;
+pub mod claiming;
 pub mod control;
 pub mod core;
 pub mod http;
+pub mod load;
 pub mod messages;
 pub mod pump;
 pub mod report;
--- a/src/entry/tick.rs
+++ b/src/entry/tick.rs
@@ -14,7 +14,7 @@
 
 /// Silent processes are forgotten after so many times the time after which they
 /// count as dead.
-const FORGET_FACTOR: u64 = 20;
+pub(crate) const FORGET_FACTOR: u64 = 20;
 
 impl core::Core {
     /// Time passes; called several times a second.
@@ -23,10 +23,15 @@
         let timeouts = self.settings.timeouts;
         self.jobs.advance(now_ms, timeouts.retain_ms.into());
         let dead_after = u64::from(timeouts.dead_after_ms);
+        self.tick_load(now_ms);
         let mut actions = self.end_overdue(now_ms);
+        actions.extend(self.end_hopeless(now_ms));
         actions.extend(self.end_unsettled(now_ms));
         actions.extend(self.end_dead_runners(now_ms, dead_after));
         actions.extend(self.ask_silent(now_ms));
+        self.start_due_again(now_ms);
+        actions.extend(self.expire_claims(now_ms));
+        actions.extend(self.append_claims());
         self.members
             .forget_silent(now_ms, dead_after * FORGET_FACTOR);
         let members = &self.members;
@@ -36,6 +41,17 @@
         actions
     }
 
+    /// Comes before anything else that happens: a process that was frozen may be
+    /// thawed by a message, and must find out that it was frozen before it acts on
+    /// what it held. Deadlines that passed meanwhile would be overlooked, and a
+    /// sender's silence be counted from before the pause.
+    pub(crate) fn wake(&mut self, now_ms: u64) -> Vec<core::Action> {
+        if now_ms.saturating_sub(self.last_tick_ms) <= PAUSE_MS {
+            return Vec::new();
+        }
+        self.tick(now_ms)
+    }
+
     /// A process that was frozen wakes up to old times of hearing. Taking its own
     /// pause for everybody's silence it would give up all that runs; so the pause
     /// is taken out of the silence.
@@ -120,6 +136,12 @@
             .collect()
     }
 
+    fn start_due_again(&mut self, now_ms: u64) {
+        for item in self.retries.due(now_ms) {
+            self.requeue(item);
+        }
+    }
+
     fn ask_silent(&mut self, now_ms: u64) -> Vec<core::Action> {
         let due = self
             .in_flight
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,8 +7,10 @@
 #[macro_use]
 extern crate quick_error;
 
+pub mod admission;
 pub mod api;
 pub mod audit;
+pub mod claims;
 pub mod cli;
 pub mod client;
 pub mod clock;
@@ -25,6 +27,7 @@
 pub mod incoming;
 pub mod jobs;
 pub mod keeper;
+pub mod learning;
 pub mod membership;
 pub mod metrics;
 pub mod operators;
@@ -32,6 +35,7 @@
 pub mod placement;
 pub mod queue;
 pub mod ramp;
+pub mod retry;
 pub mod runner;
 pub mod settings;
 pub mod starts;
