Order what waits at a runner by the time it should start

Cause: the queue now hands out the urgent first, but a task bound to a runner went behind all that had been bound there before, in turns of the entries. Dispatches carry the time in which they should start; the lines of the entries go by it, and no line gets ahead of another by more than two starts.

--- a/measure/src/slopes/fixtures.rs
+++ b/measure/src/slopes/fixtures.rs
@@ -146,6 +146,7 @@
         payload: "{\"wall\": 17, \"course\": 4, \"stone\": 233}".to_owned(),
         resources: wire::Resources::default(),
         wait_ms: 2_000,
+        slack_ms: 0,
         limit_ms: 30_000,
         submission: SmolStr::new("t:entry-1:661aec498d38f134:1:2"),
         index: 0,
--- a/src/entry/pump.rs
+++ b/src/entry/pump.rs
@@ -257,6 +257,7 @@
             resources: need,
             wait_ms: u64::from(timeouts.park_ms)
                 .min(open.header.deadline_ms.saturating_sub(now_ms)),
+            slack_ms: item.rank_ms.saturating_sub(now_ms),
             limit_ms: timeouts.run_limit_ms.into(),
             submission: smol_str::format_smolstr!("{}", open.header.id),
             index: item.task.index,
--- a/src/runner/parked.rs
+++ b/src/runner/parked.rs
@@ -1,8 +1,10 @@
 //! Dispatches accepted by a runner that wait for a slot.
 //!
-//! Several entries share a runner's slots. Each has its own line here and the
-//! lines take turns, so an entry with much work can't keep the others waiting:
-//! one line would serve them in proportion to what they send.
+//! They go by the time at which they should start, so that a short task is not kept
+//! waiting by the long ones that were bound to this runner before it. Several
+//! entries share a runner's slots, each with its own line here, and no line may get
+//! ahead of another by more than [`MAX_LEAD`] starts: by the times alone an entry
+//! with much late work would keep the others waiting.
 
 use std::collections;
 
@@ -17,6 +19,9 @@
 /// without passing over at all one large task would idle the other slots.
 pub const MAX_PASSES: u32 = 8;
 
+/// By how many starts a line may get ahead of another that has work too.
+pub const MAX_LEAD: u64 = 2;
+
 /// One waiting dispatch.
 #[derive(Clone, Debug)]
 pub struct Parked {
@@ -24,13 +29,22 @@
     pub dispatch: wire::Dispatch,
     /// When it is handed back, monotonic milliseconds.
     pub until_ms: u64,
+    start_by_ms: u64,
     passes: u32,
 }
 
+/// What waits of one entry, the most urgent first.
+#[derive(Debug, Default)]
+struct Line {
+    entry: SmolStr,
+    parked: collections::VecDeque<Parked>,
+    starts: u64,
+}
+
 /// All waiting dispatches, a line for each entry.
 #[derive(Debug, Default)]
 pub struct Lines {
-    lines: collections::VecDeque<(SmolStr, collections::VecDeque<Parked>)>,
+    lines: Vec<Line>,
     len: usize,
 }
 
@@ -47,33 +61,50 @@
 
     /// How many wait of one life of an entry.
     pub fn len_of(&self, entry: ids::Incarnation) -> usize {
-        let all = self.lines.iter().flat_map(|(_, line)| line);
+        let all = self.lines.iter().flat_map(|line| &line.parked);
         all.filter(|parked| parked.dispatch.attempt.owner == entry)
             .count()
     }
 
-    /// Adds a dispatch at the end of its entry's line.
+    /// Adds a dispatch to its entry's line.
     pub fn push(&mut self, dispatch: wire::Dispatch, now_ms: u64) {
-        let until_ms = now_ms.saturating_add(dispatch.wait_ms);
-        let entry = dispatch.entry.clone();
         let parked = Parked {
-            dispatch,
-            until_ms,
+            until_ms: now_ms.saturating_add(dispatch.wait_ms),
+            start_by_ms: now_ms.saturating_add(dispatch.slack_ms),
             passes: 0,
+            dispatch,
         };
         self.len += 1;
-        if let Some((_, line)) = self.lines.iter_mut().find(|(name, _)| *name == entry) {
-            line.push_back(parked);
-            return;
-        }
-        self.lines
-            .push_back((entry, collections::VecDeque::from([parked])));
+        let line = self.line(&parked.dispatch.entry);
+        let is_before = |one: &Parked| one.start_by_ms <= parked.start_by_ms;
+        let at = line.parked.partition_point(is_before);
+        line.parked.insert(at, parked);
     }
 
-    /// Takes the next dispatch whose need passes `fits`, the lines in turn.
+    /// The line of an entry; a new one begins level with the one furthest behind.
+    fn line(&mut self, entry: &SmolStr) -> &mut Line {
+        let known = self.lines.iter().position(|line| line.entry == *entry);
+        let at = known.unwrap_or_else(|| {
+            let starts = self.least_starts();
+            self.lines.push(Line {
+                entry: entry.clone(),
+                starts,
+                ..Line::default()
+            });
+            self.lines.len() - 1
+        });
+        &mut self.lines[at]
+    }
+
+    fn least_starts(&self) -> u64 {
+        let starts = self.lines.iter().map(|line| line.starts);
+        starts.min().unwrap_or(0)
+    }
+
+    /// Takes the next dispatch whose need passes `fits`.
     pub fn pop(&mut self, fits: impl Fn(&wire::Resources) -> bool) -> Option<wire::Dispatch> {
-        for at in 0..self.lines.len() {
-            let front = self.lines.get_mut(at)?.1.front_mut()?;
+        for at in self.order() {
+            let front = self.lines.get_mut(at)?.parked.front_mut()?;
             if fits(&front.dispatch.resources) {
                 return self.take_front(at);
             }
@@ -85,12 +116,27 @@
         None
     }
 
+    /// The lines in the order of their turns.
+    fn order(&self) -> Vec<usize> {
+        let least = self.least_starts();
+        let rank = |at: &usize| {
+            let line = &self.lines[*at];
+            let is_ahead = line.starts >= least + MAX_LEAD;
+            let start_by_ms = line.parked.front().map(|parked| parked.start_by_ms);
+            (is_ahead, start_by_ms)
+        };
+        let mut order: Vec<usize> = (0..self.lines.len()).collect();
+        order.sort_by_key(rank);
+        order
+    }
+
     fn take_front(&mut self, at: usize) -> Option<wire::Dispatch> {
-        let (name, mut line) = self.lines.remove(at)?;
-        let parked = line.pop_front()?;
+        let line = self.lines.get_mut(at)?;
+        let parked = line.parked.pop_front()?;
+        line.starts += 1;
         self.len -= 1;
-        if !line.is_empty() {
-            self.lines.push_back((name, line));
+        if line.parked.is_empty() {
+            self.lines.remove(at);
         }
         Some(parked.dispatch)
     }
@@ -98,12 +144,13 @@
     /// Takes out those that `leaves` names.
     pub fn remove(&mut self, mut leaves: impl FnMut(&Parked) -> bool) -> Vec<wire::Dispatch> {
         let mut out = Vec::new();
-        for (_, line) in &mut self.lines {
-            let (gone, kept): (Vec<_>, Vec<_>) = line.drain(..).partition(|p| leaves(p));
-            *line = kept.into();
+        for line in &mut self.lines {
+            let all = line.parked.drain(..);
+            let (gone, kept): (Vec<_>, Vec<_>) = all.partition(|p| leaves(p));
+            line.parked = kept.into();
             out.extend(gone.into_iter().map(|parked| parked.dispatch));
         }
-        self.lines.retain(|(_, line)| !line.is_empty());
+        self.lines.retain(|line| !line.parked.is_empty());
         self.len -= out.len();
         out
     }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -206,6 +206,10 @@
     pub resources: Resources,
     /// Longest wait for a slot before it is handed back, in milliseconds.
     pub wait_ms: u64,
+    /// In how many milliseconds it should start; the runner goes by it among what
+    /// waits there.
+    #[serde(default)]
+    pub slack_ms: u64,
     /// Longest run before it is stopped, in milliseconds.
     pub limit_ms: u64,
     /// The submission's id, for logs.
