Give the tests' dispatches their slack

Ruled out: a default for the type (tests should name every field). Before: two test programs did not build. After: all tests pass (383).

--- a/tests/failure/input.rs
+++ b/tests/failure/input.rs
@@ -134,6 +134,7 @@
         resources: wire::Resources::default(),
         wait_ms: u64::MAX,
         limit_ms: u64::MAX,
+        slack_ms: u64::MAX,
         submission: "x".into(),
         index: u32::MAX,
     })
--- a/tests/unit/wire.rs
+++ b/tests/unit/wire.rs
@@ -54,6 +54,7 @@
         resources: wire::Resources::default(),
         wait_ms: figures[2],
         limit_ms: figures[3],
+        slack_ms: figures[3],
         submission: "x".into(),
         index: 0,
     }
