Tell a leaving runner's refusal from the entry's restraint

Now one test asks that entries know within a heartbeat, another sends a dispatch to a leaving runner and asks for its refusal.

--- a/tests/failure/leaving.rs
+++ b/tests/failure/leaving.rs
@@ -1,9 +1,16 @@
 //! A backend server that is leaving gets no new work (point 7).
 
+use std::net;
 use std::thread;
 use std::time;
 
+use bulrushtiller::api;
 use bulrushtiller::codes;
+use bulrushtiller::ids;
+use bulrushtiller::outgoing;
+use bulrushtiller::wire;
+use serde::Serialize;
+use serde::de;
 
 use crate::rig;
 use crate::watch;
@@ -62,10 +69,21 @@
 
     rig.runners[0].terminate().expect("told to stop");
     let told_ms = watch::unix_ms();
+    let told = time::Instant::now();
+    rig::wait_until("the entry knows", || {
+        let peers = rig::status(entry).peers;
+        let is_known = |one: &api::PeerStatus| one.name == "runner-0" && one.state == "leaving";
+        peers.iter().any(is_known)
+    });
+    let known_in = told.elapsed();
     let other = rig.submit(0, &rig::job(&vec![rig::sleep(20, "other"); 20]));
     let exit = rig.runners[0].wait_exit(STOP).expect("waited for");
 
     assert!(exit.expect("it ends").success());
+    assert!(
+        known_in < time::Duration::from_millis(HEARTBEAT_MS),
+        "{known_in:?}"
+    );
     let late = watch::starts_between(&rig, &[0], told_ms + HEARTBEAT_MS, u64::MAX);
     assert_eq!(late, Vec::<u64>::new());
     let other = other.expect("an answer");
@@ -73,3 +91,67 @@
     let outcome = vec![caller.join().expect("the caller goes on")];
     assert_eq!(watch::answers(outcome)[0].code, codes::Code::Complete);
 }
+
+/// Sends a message to a process and reads the answer.
+fn say<M: Serialize, R: de::DeserializeOwned>(to: net::SocketAddr, path: &str, message: &M) -> R {
+    let limit = time::Duration::from_secs(5);
+    let to = to.to_string();
+    let exchange = outgoing::post_afresh(&to, path, message, limit);
+    let answer = actix_rt::System::new().block_on(exchange);
+    answer.expect("an answer")
+}
+
+fn attempt(number: u64) -> ids::Attempt {
+    let owner = ids::Incarnation(1);
+    ids::Attempt { owner, number }
+}
+
+// A runner is told to stop while an entry's task is on its way to it. It is still
+// there, since it runs another task, and has slots. It refuses the task as leaving
+// and never starts it, so the entry can truthfully send it elsewhere.
+#[test]
+fn leaving_runner_refuses_what_is_on_its_way() {
+    let mut rig = rig::Rig::start(&rig::Plan {
+        entries: vec!["caxias"],
+        runners: vec!["caxias"],
+        ..rig::Plan::default()
+    });
+    let (entry, runner) = (rig.entries[0].address(), rig.runners[0].address());
+    let long = rig::sleep(3_000, "long");
+    let submission = rig::job(std::slice::from_ref(&long));
+    let caller = thread::spawn(move || watch::call(entry, &submission));
+    rig::wait_until("the task runs", || rig.starts_of(&long) == 1);
+    let question = wire::Fence {
+        version: wire::VERSION,
+        incarnation: ids::Incarnation(0),
+        attempts: Vec::new(),
+        bar: false,
+        stop: false,
+    };
+    let known: wire::FenceReply = say(runner, wire::FENCE_PATH, &question);
+
+    rig.runners[0].terminate().expect("told to stop");
+    rig::wait_until("it is leaving", || rig::status(runner).leaving);
+    let dispatch = wire::Dispatch {
+        version: wire::VERSION,
+        attempt: attempt(1),
+        incarnation: known.incarnation,
+        epoch: known.load.epoch,
+        entry: "entry-0".into(),
+        team: "escola".into(),
+        kind: "".into(),
+        payload: rig::sleep(10, "on its way"),
+        resources: wire::Resources::default(),
+        wait_ms: 1_000,
+        limit_ms: 1_000,
+        submission: "s".into(),
+        index: 0,
+    };
+    let reply: wire::DispatchReply = say(runner, wire::DISPATCH_PATH, &dispatch);
+    let outcome = vec![caller.join().expect("the caller goes on")];
+
+    let code = codes::Code::Leaving;
+    assert_eq!(reply.outcome, wire::Outcome::NotStarted { code });
+    assert_eq!(rig.starts_of(&rig::sleep(10, "on its way")), 0);
+    assert_eq!(watch::answers(outcome)[0].code, codes::Code::Complete);
+}
