--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -12,11 +12,14 @@
 use rand::SeedableRng;
 use smol_str::SmolStr;
 
+use crate::admission::drain;
+use crate::admission::retry as returning;
 use crate::api;
 use crate::claims;
 use crate::freshness;
 use crate::ids;
 use crate::jobs;
+use crate::learning;
 use crate::membership;
 use crate::queue;
 use crate::retry;
@@ -62,8 +65,14 @@
     pub runner: membership::RunnerKey,
     /// The runner's epoch that the dispatch carried.
     pub epoch: u64,
+    /// Who pays.
+    pub team: queue::TeamKey,
     /// What it is expected to take.
     pub need: wire::Resources,
+    /// How long it is expected to run, in milliseconds.
+    pub expected_ms: u64,
+    /// Its place in the queue, should it come back unstarted.
+    pub rank_ms: u64,
     /// When it was handed over.
     pub sent_ms: u64,
     /// When to ask about it if nothing is heard.
@@ -74,6 +83,18 @@
     pub is_stopping: bool,
 }
 
+impl InFlight {
+    /// The task as it waited before it was handed out.
+    pub(crate) const fn item(&self) -> queue::Item {
+        queue::Item {
+            task: self.task,
+            team: self.team,
+            expected_ms: self.expected_ms,
+            rank_ms: self.rank_ms,
+        }
+    }
+}
+
 /// Counts for the metrics.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Counts {
@@ -108,7 +129,10 @@
     pub(crate) queue: queue::Queue,
     pub(crate) retries: retry::Retries,
     pub(crate) in_flight: collections::BTreeMap<u64, InFlight>,
-    pub(crate) running_by_team: collections::HashMap<SmolStr, u32>,
+    pub(crate) drain: drain::Drain,
+    pub(crate) returning: returning::Returning,
+    pub(crate) no_runner_since_ms: Option<u64>,
+    pub(crate) learned: learning::Table,
     pub(crate) next_attempt: u64,
     pub(crate) next_ticket: u64,
     pub(crate) is_leaving: bool,
@@ -131,6 +155,8 @@
             entry: me.name.clone(),
             incarnation: me.incarnation,
         };
+        let mut queue = queue::Queue::default();
+        queue.configure(&settings.teams);
         Self {
             me,
             settings,
@@ -139,10 +165,13 @@
             members: membership::Members::default(),
             jobs: jobs::Table::new(now_ms),
             claims: claims::Table::new(claimer),
-            queue: queue::Queue::default(),
+            queue,
             retries,
             in_flight: collections::BTreeMap::new(),
-            running_by_team: collections::HashMap::new(),
+            drain: drain::Drain::new(now_ms),
+            returning: returning::Returning::default(),
+            no_runner_since_ms: Some(now_ms),
+            learned: learning::Table::default(),
             next_attempt: 1,
             next_ticket: 1,
             is_leaving: false,
@@ -211,6 +240,9 @@
         revision: Option<u64>,
     ) -> Vec<Action> {
         let mut actions = self.wake(now_ms);
+        self.queue.configure(&settings.teams);
+        let teams = self.queue.teams();
+        self.returning.retain(|key| teams.get(key).is_some());
         self.settings = settings;
         self.revision = revision;
         actions.extend(self.pump(now_ms));
--- a/src/retry/mod.rs
+++ b/src/retry/mod.rs
@@ -11,6 +11,7 @@
 use backon::BackoffBuilder as _;
 
 use crate::jobs;
+use crate::queue;
 use crate::settings;
 
 /// Longest pause before the first retry, in milliseconds; half of it is certain.
@@ -69,7 +70,7 @@
 #[derive(Debug)]
 pub struct Retries {
     budget: Budget,
-    waiting: collections::BTreeMap<(u64, u64), jobs::TaskKey>,
+    waiting: collections::BTreeMap<(u64, u64), queue::Item>,
     made: collections::HashMap<jobs::TaskKey, usize>,
     next: u64,
 }
@@ -93,8 +94,8 @@
     /// Takes in a task that may have run; says whether it will be started again.
     ///
     /// A retry that would begin at or after `deadline_ms` is not made.
-    pub fn plan(&mut self, now_ms: u64, deadline_ms: u64, task: jobs::TaskKey, seed: u64) -> bool {
-        let made = self.made.get(&task).copied().unwrap_or(0);
+    pub fn plan(&mut self, now_ms: u64, deadline_ms: u64, item: queue::Item, seed: u64) -> bool {
+        let made = self.made.get(&item.task).copied().unwrap_or(0);
         let Some(delay_ms) = delay_ms(made, seed) else {
             return false;
         };
@@ -102,14 +103,14 @@
         if due_ms >= deadline_ms || !self.budget.take() {
             return false;
         }
-        self.made.insert(task, made + 1);
-        self.waiting.insert((due_ms, self.next), task);
+        self.made.insert(item.task, made + 1);
+        self.waiting.insert((due_ms, self.next), item);
         self.next += 1;
         true
     }
 
     /// Tasks whose pause is over.
-    pub fn due(&mut self, now_ms: u64) -> Vec<jobs::TaskKey> {
+    pub fn due(&mut self, now_ms: u64) -> Vec<queue::Item> {
         let later = self.waiting.split_off(&(now_ms.saturating_add(1), 0));
         let due = std::mem::replace(&mut self.waiting, later);
         due.into_values().collect()
@@ -118,6 +119,7 @@
     /// Forgets the tasks of a submission that is over.
     pub fn forget(&mut self, submission: jobs::Key) {
         self.made.retain(|task, _| task.submission != submission);
-        self.waiting.retain(|_, task| task.submission != submission);
+        self.waiting
+            .retain(|_, item| item.task.submission != submission);
     }
 }
