--- a/src/runner/control.rs
+++ b/src/runner/control.rs
@@ -9,15 +9,12 @@
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
 
-use crate::api;
 use crate::clock;
-use crate::control;
 use crate::heartbeats;
 use crate::ids;
 use crate::keeper;
 use crate::membership::announcements;
 use crate::membership::contacts;
-use crate::metrics;
 use crate::outgoing;
 use crate::runner::backend;
 use crate::runner::core;
@@ -31,19 +28,9 @@
 /// How often leases are renewed and usage is read: five tries a lease.
 const LEASE_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
-/// Longest wait for settings from a peer.
-const FETCH_TIMEOUT: time::Duration = time::Duration::from_secs(1);
-
 /// Greatest age of the permission on which a task's bytes go out.
 const START_CHECK_MS: u64 = 200;
 
-/// Least time between two reads of the log, so that an outage does not have every
-/// runner ask fifty times a second.
-const LOG_PAUSE_MS: u64 = 250;
-
-/// Least time for which a stopping runner is there to say so.
-const LINGER_MS: u64 = 500;
-
 type Waiter = oneshot::Sender<wire::Outcome>;
 
 /// What the control thread is made of.
@@ -66,25 +53,25 @@
 /// The actor.
 #[derive(Debug)]
 pub struct Control {
-    core: core::Core,
-    keeper: keeper::Keeper,
-    contacts: contacts::Contacts,
-    waiters: collections::HashMap<ids::Attempt, Vec<Waiter>>,
-    parts: Parts,
-    is_reading_log: bool,
-    read_log_after_ms: u64,
-    search: announcements::Search,
-    left_ms: Option<u64>,
-    counts: Counts,
+    pub(super) core: core::Core,
+    pub(super) keeper: keeper::Keeper,
+    pub(super) contacts: contacts::Contacts,
+    pub(super) waiters: collections::HashMap<ids::Attempt, Vec<Waiter>>,
+    pub(super) parts: Parts,
+    pub(super) is_reading_log: bool,
+    pub(super) read_log_after_ms: u64,
+    pub(super) search: announcements::Search,
+    pub(super) left_ms: Option<u64>,
+    pub(super) counts: Counts,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
-struct Counts {
-    dispatches: u64,
-    started: u64,
-    not_started: u64,
-    fences: u64,
-    log_reads: u64,
+pub(super) struct Counts {
+    pub(super) dispatches: u64,
+    pub(super) started: u64,
+    pub(super) not_started: u64,
+    pub(super) fences: u64,
+    pub(super) log_reads: u64,
 }
 
 impl Control {
@@ -110,11 +97,11 @@
         }
     }
 
-    fn now_ms(&self) -> u64 {
+    pub(super) fn now_ms(&self) -> u64 {
         self.parts.clock.now_ms()
     }
 
-    fn act(&mut self, cx: &actix::Context<Self>, actions: Vec<core::Action>) {
+    pub(super) fn act(&mut self, cx: &actix::Context<Self>, actions: Vec<core::Action>) {
         for action in actions {
             match action {
                 core::Action::Start(dispatch) => self.start(cx, dispatch),
@@ -168,17 +155,17 @@
         }
     }
 
-    fn settings_changed(&mut self, cx: &actix::Context<Self>) {
+    pub(super) fn settings_changed(&mut self, cx: &actix::Context<Self>) {
         let settings = sync::Arc::clone(self.keeper.state().settings());
         let actions = self.core.set_settings(settings);
         self.act(cx, actions);
     }
 
-    fn timeouts(&self) -> crate::settings::Timeouts {
+    pub(super) fn timeouts(&self) -> crate::settings::Timeouts {
         self.keeper.state().settings().timeouts
     }
 
-    fn send_heartbeats(&mut self, cx: &actix::Context<Self>) {
+    pub(super) fn send_heartbeats(&mut self, cx: &actix::Context<Self>) {
         let now_ms = self.now_ms();
         let timeouts = self.timeouts();
         let limit = time::Duration::from_millis(u64::from(timeouts.dead_after_ms) / 2);
@@ -349,26 +336,6 @@
     }
 }
 
-impl actix::Handler<messages::Heard> for Control {
-    type Result = actix::MessageResult<messages::Heard>;
-
-    fn handle(&mut self, message: messages::Heard, _cx: &mut Self::Context) -> Self::Result {
-        let now_ms = self.now_ms();
-        if message.0.sender.role == wire::Role::Entry {
-            self.contacts.hear_of(now_ms, &message.0.sender);
-        }
-        let since_ms = now_ms.saturating_sub(self.timeouts().dead_after_ms.into());
-        actix::MessageResult(wire::HeartbeatReply {
-            version: wire::VERSION,
-            sender: self.core.me().clone(),
-            leaving: self.core.is_leaving(),
-            revision: self.keeper.state().revision(),
-            evidence: self.core.freshness().evidence(now_ms),
-            entries: self.contacts.live(since_ms).cloned().collect(),
-        })
-    }
-}
-
 impl actix::Handler<messages::TaskEnded> for Control {
     type Result = ();
 
@@ -394,205 +361,3 @@
         self.core.observe(message.0);
     }
 }
-
-impl actix::Handler<heartbeats::HeartbeatDone> for Control {
-    type Result = ();
-
-    fn handle(&mut self, message: heartbeats::HeartbeatDone, cx: &mut Self::Context) {
-        let Some(reply) = message.reply else {
-            self.contacts.failed(&message.address);
-            return;
-        };
-        self.contacts
-            .answered(self.now_ms(), &message.address, &reply);
-        let is_behind = reply.revision > self.keeper.state().revision();
-        if is_behind || self.keeper.is_lacking() {
-            let position = self.keeper.state().position();
-            let done = cx.address().recipient();
-            let pool = &self.parts.pool;
-            heartbeats::fetch_settings(pool, message.address, position, FETCH_TIMEOUT, done);
-        }
-        // No evidence until the revision that it speaks of is in force here.
-        if is_behind {
-            return;
-        }
-        let is_foreign = reply.sender.zone != self.core.me().zone;
-        let evidence = reply.evidence;
-        self.core
-            .freshness()
-            .hear_process(message.asked_ms, is_foreign, evidence);
-    }
-}
-
-impl actix::Handler<heartbeats::SettingsDone> for Control {
-    type Result = ();
-
-    fn handle(&mut self, message: heartbeats::SettingsDone, cx: &mut Self::Context) {
-        let heartbeats::SettingsDone { address, reply } = message;
-        let (now_ms, unix_ms) = (self.now_ms(), clock::unix_ms());
-        let taken = self.keeper.take_reply(now_ms, unix_ms, &address, reply);
-        if taken.is_changed {
-            self.settings_changed(cx);
-        }
-    }
-}
-
-impl actix::Handler<streams::LogRead> for Control {
-    type Result = u64;
-
-    fn handle(&mut self, message: streams::LogRead, cx: &mut Self::Context) -> u64 {
-        self.is_reading_log = false;
-        let now_ms = self.now_ms();
-        self.read_log_after_ms = now_ms + LOG_PAUSE_MS;
-        if let Some(batch) = message.batch {
-            let taken = self.keeper.take_batch(now_ms, clock::unix_ms(), batch);
-            if taken.is_at_end {
-                self.core.freshness().hear_log(message.asked_ms);
-            }
-            if taken.is_changed {
-                self.settings_changed(cx);
-            }
-        }
-        self.keeper.read_from()
-    }
-}
-
-impl actix::Handler<streams::MembersRead> for Control {
-    type Result = ();
-
-    fn handle(&mut self, message: streams::MembersRead, _cx: &mut Self::Context) {
-        let now_ms = self.now_ms();
-        for peer in &message.peers {
-            self.contacts.hear_of(now_ms, peer);
-        }
-    }
-}
-
-impl actix::Handler<control::WantAudit> for Control {
-    type Result = actix::MessageResult<control::WantAudit>;
-
-    fn handle(&mut self, message: control::WantAudit, _cx: &mut Self::Context) -> Self::Result {
-        actix::MessageResult(self.keeper.audit(message.0))
-    }
-}
-
-impl actix::Handler<control::WantStatus> for Control {
-    type Result = actix::MessageResult<control::WantStatus>;
-
-    fn handle(&mut self, _message: control::WantStatus, _cx: &mut Self::Context) -> Self::Result {
-        let now_ms = self.now_ms();
-        let me = self.core.me().clone();
-        let evidence = self.core.freshness().evidence(now_ms);
-        actix::MessageResult(api::Status {
-            role: SmolStr::new_static("runner"),
-            name: me.name,
-            incarnation: smol_str::format_smolstr!("{}", me.incarnation),
-            zone: me.zone,
-            leaving: self.core.is_leaving(),
-            revision: self.keeper.state().revision(),
-            has_settings: self.core.freshness().has_heard(),
-            log_age_ms: evidence.log_age_ms,
-            fresh: self.core.is_fresh(now_ms),
-            zones_out: self.keeper.state().settings().zones_out(),
-            queued: self.core.parked() as u64,
-            running: self.core.running() as u64,
-            peers: Vec::new(),
-        })
-    }
-}
-
-impl actix::Handler<control::WantMetrics> for Control {
-    type Result = actix::MessageResult<control::WantMetrics>;
-
-    fn handle(&mut self, _message: control::WantMetrics, _cx: &mut Self::Context) -> Self::Result {
-        let counter = metrics::Sample::counter;
-        let gauge = metrics::Sample::gauge;
-        let revision = self
-            .keeper
-            .state()
-            .revision()
-            .map_or(0, |revision| revision + 1);
-        let is_fresh = self.core.is_fresh(self.now_ms());
-        actix::MessageResult(vec![
-            counter(
-                "runner_dispatches",
-                "Tasks handed over by entries",
-                self.counts.dispatches,
-            ),
-            counter("runner_starts", "Tasks started", self.counts.started),
-            counter(
-                "runner_not_started",
-                "Tasks handed back",
-                self.counts.not_started,
-            ),
-            counter("runner_fences", "Questions of entries", self.counts.fences),
-            counter(
-                "runner_log_reads",
-                "Reads of the log",
-                self.counts.log_reads,
-            ),
-            gauge(
-                "runner_running",
-                "Tasks that run",
-                self.core.running() as u64,
-            ),
-            gauge(
-                "runner_parked",
-                "Tasks that wait for a slot",
-                self.core.parked() as u64,
-            ),
-            gauge(
-                "runner_remembered",
-                "Attempts remembered",
-                self.core.remembered() as u64,
-            ),
-            gauge(
-                "settings_position",
-                "One more than the revision in force",
-                revision,
-            ),
-            gauge("fresh", "Whether evidence is recent", is_fresh.into()),
-        ])
-    }
-}
-
-impl actix::Handler<control::WantSettings> for Control {
-    type Result = actix::MessageResult<control::WantSettings>;
-
-    fn handle(&mut self, message: control::WantSettings, _cx: &mut Self::Context) -> Self::Result {
-        actix::MessageResult(self.keeper.reply(&message.0))
-    }
-}
-
-impl actix::Handler<control::Leave> for Control {
-    type Result = actix::MessageResult<control::Leave>;
-
-    fn handle(&mut self, _message: control::Leave, cx: &mut Self::Context) -> Self::Result {
-        let actions = self.core.leave();
-        self.act(cx, actions);
-        self.left_ms = Some(self.now_ms());
-        self.send_heartbeats(cx);
-        let drain_ms = self.timeouts().drain_ms;
-        actix::MessageResult(time::Duration::from_millis(drain_ms.into()))
-    }
-}
-
-impl actix::Handler<control::IsDrained> for Control {
-    type Result = bool;
-
-    fn handle(&mut self, _message: control::IsDrained, _cx: &mut Self::Context) -> bool {
-        let lingered = self
-            .left_ms
-            .is_some_and(|left| left + LINGER_MS <= self.now_ms());
-        lingered && self.core.running() == 0 && self.core.parked() == 0
-    }
-}
-
-impl actix::Handler<control::Abandon> for Control {
-    type Result = ();
-
-    /// What still runs is left to its lease; the entries find out by asking.
-    fn handle(&mut self, _message: control::Abandon, _cx: &mut Self::Context) {
-        log::warn!(event = "runner.abandon", running = self.core.running(); "stopping with tasks");
-    }
-}
--- /dev/null
+++ b/src/runner/hearing.rs
@@ -0,0 +1,112 @@
+//! What a runner hears: from entries, and from the log where they bring no evidence.
+
+use std::time;
+
+use actix::AsyncContext as _;
+
+use crate::clock;
+use crate::heartbeats;
+use crate::runner::control;
+use crate::runner::messages;
+use crate::streams;
+use crate::wire;
+
+/// Longest wait for settings from a peer.
+const FETCH_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+
+/// Least time between two reads of the log, so that an outage does not have every
+/// runner ask fifty times a second.
+const LOG_PAUSE_MS: u64 = 250;
+
+impl actix::Handler<messages::Heard> for control::Control {
+    type Result = actix::MessageResult<messages::Heard>;
+
+    fn handle(&mut self, message: messages::Heard, _cx: &mut Self::Context) -> Self::Result {
+        let now_ms = self.now_ms();
+        if message.0.sender.role == wire::Role::Entry {
+            self.contacts.hear_of(now_ms, &message.0.sender);
+        }
+        let since_ms = now_ms.saturating_sub(self.timeouts().dead_after_ms.into());
+        actix::MessageResult(wire::HeartbeatReply {
+            version: wire::VERSION,
+            sender: self.core.me().clone(),
+            leaving: self.core.is_leaving(),
+            revision: self.keeper.state().revision(),
+            evidence: self.core.freshness().evidence(now_ms),
+            entries: self.contacts.live(since_ms).cloned().collect(),
+        })
+    }
+}
+
+impl actix::Handler<heartbeats::HeartbeatDone> for control::Control {
+    type Result = ();
+
+    fn handle(&mut self, message: heartbeats::HeartbeatDone, cx: &mut Self::Context) {
+        let Some(reply) = message.reply else {
+            self.contacts.failed(&message.address);
+            return;
+        };
+        self.contacts
+            .answered(self.now_ms(), &message.address, &reply);
+        let is_behind = reply.revision > self.keeper.state().revision();
+        if is_behind || self.keeper.is_lacking() {
+            let position = self.keeper.state().position();
+            let done = cx.address().recipient();
+            let pool = &self.parts.pool;
+            heartbeats::fetch_settings(pool, message.address, position, FETCH_TIMEOUT, done);
+        }
+        // No evidence until the revision that it speaks of is in force here.
+        if is_behind {
+            return;
+        }
+        let is_foreign = reply.sender.zone != self.core.me().zone;
+        let evidence = reply.evidence;
+        self.core
+            .freshness()
+            .hear_process(message.asked_ms, is_foreign, evidence);
+    }
+}
+
+impl actix::Handler<heartbeats::SettingsDone> for control::Control {
+    type Result = ();
+
+    fn handle(&mut self, message: heartbeats::SettingsDone, cx: &mut Self::Context) {
+        let heartbeats::SettingsDone { address, reply } = message;
+        let (now_ms, unix_ms) = (self.now_ms(), clock::unix_ms());
+        let taken = self.keeper.take_reply(now_ms, unix_ms, &address, reply);
+        if taken.is_changed {
+            self.settings_changed(cx);
+        }
+    }
+}
+
+impl actix::Handler<streams::LogRead> for control::Control {
+    type Result = u64;
+
+    fn handle(&mut self, message: streams::LogRead, cx: &mut Self::Context) -> u64 {
+        self.is_reading_log = false;
+        let now_ms = self.now_ms();
+        self.read_log_after_ms = now_ms + LOG_PAUSE_MS;
+        if let Some(batch) = message.batch {
+            let taken = self.keeper.take_batch(now_ms, clock::unix_ms(), batch);
+            if taken.is_at_end {
+                self.core.freshness().hear_log(message.asked_ms);
+            }
+            if taken.is_changed {
+                self.settings_changed(cx);
+            }
+        }
+        self.keeper.read_from()
+    }
+}
+
+impl actix::Handler<streams::MembersRead> for control::Control {
+    type Result = ();
+
+    fn handle(&mut self, message: streams::MembersRead, _cx: &mut Self::Context) {
+        let now_ms = self.now_ms();
+        for peer in &message.peers {
+            self.contacts.hear_of(now_ms, peer);
+        }
+    }
+}
--- a/src/runner/mod.rs
+++ b/src/runner/mod.rs
@@ -3,6 +3,8 @@
 pub mod backend;
 pub mod control;
 pub mod core;
+mod hearing;
 pub mod http;
 pub mod messages;
 pub mod parked;
+mod report;
--- /dev/null
+++ b/src/runner/report.rs
@@ -0,0 +1,142 @@
+//! What a runner tells operators of itself, and how it is stopped.
+
+use std::time;
+
+use smol_str::SmolStr;
+
+use crate::api;
+use crate::control;
+use crate::metrics;
+use crate::runner;
+
+/// Least time for which a stopping runner is there to say so.
+const LINGER_MS: u64 = 500;
+
+impl actix::Handler<control::WantAudit> for runner::control::Control {
+    type Result = actix::MessageResult<control::WantAudit>;
+
+    fn handle(&mut self, message: control::WantAudit, _cx: &mut Self::Context) -> Self::Result {
+        actix::MessageResult(self.keeper.audit(message.0))
+    }
+}
+
+impl actix::Handler<control::WantStatus> for runner::control::Control {
+    type Result = actix::MessageResult<control::WantStatus>;
+
+    fn handle(&mut self, _message: control::WantStatus, _cx: &mut Self::Context) -> Self::Result {
+        let now_ms = self.now_ms();
+        let me = self.core.me().clone();
+        let evidence = self.core.freshness().evidence(now_ms);
+        actix::MessageResult(api::Status {
+            role: SmolStr::new_static("runner"),
+            name: me.name,
+            incarnation: smol_str::format_smolstr!("{}", me.incarnation),
+            zone: me.zone,
+            leaving: self.core.is_leaving(),
+            revision: self.keeper.state().revision(),
+            has_settings: self.core.freshness().has_heard(),
+            log_age_ms: evidence.log_age_ms,
+            fresh: self.core.is_fresh(now_ms),
+            zones_out: self.keeper.state().settings().zones_out(),
+            queued: self.core.parked() as u64,
+            running: self.core.running() as u64,
+            peers: Vec::new(),
+        })
+    }
+}
+
+impl actix::Handler<control::WantMetrics> for runner::control::Control {
+    type Result = actix::MessageResult<control::WantMetrics>;
+
+    fn handle(&mut self, _message: control::WantMetrics, _cx: &mut Self::Context) -> Self::Result {
+        let counter = metrics::Sample::counter;
+        let gauge = metrics::Sample::gauge;
+        let revision = self
+            .keeper
+            .state()
+            .revision()
+            .map_or(0, |revision| revision + 1);
+        let is_fresh = self.core.is_fresh(self.now_ms());
+        actix::MessageResult(vec![
+            counter(
+                "runner_dispatches",
+                "Tasks handed over by entries",
+                self.counts.dispatches,
+            ),
+            counter("runner_starts", "Tasks started", self.counts.started),
+            counter(
+                "runner_not_started",
+                "Tasks handed back",
+                self.counts.not_started,
+            ),
+            counter("runner_fences", "Questions of entries", self.counts.fences),
+            counter(
+                "runner_log_reads",
+                "Reads of the log",
+                self.counts.log_reads,
+            ),
+            gauge(
+                "runner_running",
+                "Tasks that run",
+                self.core.running() as u64,
+            ),
+            gauge(
+                "runner_parked",
+                "Tasks that wait for a slot",
+                self.core.parked() as u64,
+            ),
+            gauge(
+                "runner_remembered",
+                "Attempts remembered",
+                self.core.remembered() as u64,
+            ),
+            gauge(
+                "settings_position",
+                "One more than the revision in force",
+                revision,
+            ),
+            gauge("fresh", "Whether evidence is recent", is_fresh.into()),
+        ])
+    }
+}
+
+impl actix::Handler<control::WantSettings> for runner::control::Control {
+    type Result = actix::MessageResult<control::WantSettings>;
+
+    fn handle(&mut self, message: control::WantSettings, _cx: &mut Self::Context) -> Self::Result {
+        actix::MessageResult(self.keeper.reply(&message.0))
+    }
+}
+
+impl actix::Handler<control::Leave> for runner::control::Control {
+    type Result = actix::MessageResult<control::Leave>;
+
+    fn handle(&mut self, _message: control::Leave, cx: &mut Self::Context) -> Self::Result {
+        let actions = self.core.leave();
+        self.act(cx, actions);
+        self.left_ms = Some(self.now_ms());
+        self.send_heartbeats(cx);
+        let drain_ms = self.timeouts().drain_ms;
+        actix::MessageResult(time::Duration::from_millis(drain_ms.into()))
+    }
+}
+
+impl actix::Handler<control::IsDrained> for runner::control::Control {
+    type Result = bool;
+
+    fn handle(&mut self, _message: control::IsDrained, _cx: &mut Self::Context) -> bool {
+        let lingered = self
+            .left_ms
+            .is_some_and(|left| left + LINGER_MS <= self.now_ms());
+        lingered && self.core.running() == 0 && self.core.parked() == 0
+    }
+}
+
+impl actix::Handler<control::Abandon> for runner::control::Control {
+    type Result = ();
+
+    /// What still runs is left to its lease; the entries find out by asking.
+    fn handle(&mut self, _message: control::Abandon, _cx: &mut Self::Context) {
+        log::warn!(event = "runner.abandon", running = self.core.running(); "stopping with tasks");
+    }
+}
