--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -263,6 +263,13 @@
         }
     }
 
+    /// The first evidence came in: the defaults are now known to be in force.
+    fn publish_first(&mut self) {
+        if !self.is_published {
+            self.publish();
+        }
+    }
+
     fn write_checkpoint_if_due(&mut self) {
         let (now_ms, seed) = (self.now_ms(), self.parts.me.incarnation.0);
         if let Some(checkpoint) = self.keeper.checkpoint_due(now_ms, seed) {
@@ -357,9 +364,6 @@
             let now_ms = actor.now_ms();
             let actions = actor.core.tick(now_ms);
             actor.act(cx, actions);
-            if !actor.is_published {
-                actor.publish();
-            }
             actor.announce_if_alone(cx);
         });
         let interval = time::Duration::from_millis(announcements::INTERVAL_MS);
@@ -519,6 +523,7 @@
         let is_behind = self
             .core
             .heartbeat_answered(now_ms, message.asked_ms, &reply);
+        self.publish_first();
         if is_behind || self.keeper.is_lacking() {
             let position = self.keeper.state().position();
             let done = cx.address().recipient();
@@ -554,6 +559,7 @@
             if taken.is_changed {
                 self.settings_changed(cx);
             }
+            self.publish_first();
             self.write_checkpoint_if_due();
         }
         self.keeper.read_from()
