Cause the failures of starts and answers against separate processes

Faults that the new tests found, mended here: - Claims pending when unread records expired were forgotten at once instead of barred. - A second copy of a dispatch, two epochs late, was refused as stale and taken for "not run" although the first copy had run and its answer was lost (schedule of seed 801). - For a second after its start an entry refused own ids, since its first read of the claims waited for something new.

--- a/src/claims/log.rs
+++ b/src/claims/log.rs
@@ -67,15 +67,18 @@
     pool.run(move |_client| async move {
         let mut client = outgoing::client();
         let mut position = 0;
+        // The first answer is not waited for: until it is there, nothing is known.
+        let mut wait_ms = 0;
         loop {
             let asked_ms = clock.now_ms();
-            let page = read(&client, &log, position).await;
+            let page = read(&client, &log, position, wait_ms).await;
             let is_answered = page.is_some();
             if let Ok(next) = done.send(ClaimsRead { page }).await {
                 position = next;
             } else {
                 return;
             }
+            wait_ms = if is_answered { WAIT_MS } else { 0 };
             if !is_answered {
                 // The kept connection may be the one that is dead.
                 client = outgoing::client();
@@ -87,12 +90,17 @@
     });
 }
 
-async fn read(client: &awc::Client, log: &str, position: u64) -> Option<claims::Page> {
+async fn read(
+    client: &awc::Client,
+    log: &str,
+    position: u64,
+    wait_ms: u64,
+) -> Option<claims::Page> {
     let stream = claims::STREAM;
     let url = format!(
-        "http://{log}/v1/streams/{stream}/records?from={position}&max={MAX_RECORDS}&wait_ms={WAIT_MS}"
+        "http://{log}/v1/streams/{stream}/records?from={position}&max={MAX_RECORDS}&wait_ms={wait_ms}"
     );
-    let limit = time::Duration::from_millis(WAIT_MS) + GRACE;
+    let limit = time::Duration::from_millis(wait_ms) + GRACE;
     let exchange = async {
         let mut response = client.get(url).send().await.ok()?;
         if !response.status().is_success() {
--- a/src/claims/mod.rs
+++ b/src/claims/mod.rs
@@ -124,7 +124,7 @@
 }
 
 impl Table {
-    /// Nothing was read, so nothing can be claimed.
+    /// Nothing was read yet; a claim made now is settled when it is read back.
     pub fn new(me: Claimer) -> Self {
         Self {
             me,
@@ -132,7 +132,7 @@
             pending: collections::BTreeMap::new(),
             unsent: collections::VecDeque::new(),
             is_appending: false,
-            is_reachable: false,
+            is_reachable: true,
             first: 0,
             position: 0,
             overflow_at: None,
@@ -311,8 +311,8 @@
     fn forget_expired(&mut self, first: u64) -> Vec<Name> {
         let mut settled = Vec::new();
         if first > self.position {
-            settled = self.bar_pending(|_| true);
             self.position = first;
+            settled = self.bar_pending(|_| true);
         }
         if first > self.first {
             self.first = first;
--- a/src/entry/attempts.rs
+++ b/src/entry/attempts.rs
@@ -46,8 +46,13 @@
             self.counts.wasted += 1;
             return actions;
         };
+        let is_unsure = is_unsure(flight, &reply.outcome, reply.load.epoch);
         self.hear_load(flight.runner, now_ms, reply.load);
-        actions.extend(self.outcome(now_ms, number, reply.outcome));
+        if is_unsure {
+            actions.extend(self.forgotten(now_ms, number));
+        } else {
+            actions.extend(self.outcome(now_ms, number, reply.outcome));
+        }
         actions.extend(self.pump(now_ms));
         actions
     }
@@ -118,9 +123,8 @@
                 continue;
             };
             let runner = flight.runner;
-            let may_be_forgotten = flight.epoch.saturating_add(1) < reply.load.epoch;
             match outcome {
-                Some(outcome) if is_same_life && may_be_forgotten && is_fenced(&outcome) => {
+                Some(outcome) if is_same_life && is_unsure(flight, &outcome, reply.load.epoch) => {
                     actions.extend(self.forgotten(now_ms, attempt.number));
                 }
                 Some(outcome) if is_same_life => {
@@ -184,8 +188,9 @@
     /// The runner promises that the attempt will not start, but it no longer
     /// remembers attempts as old as this one.
     ///
-    /// It shows after this process was frozen for minutes: the task ran, its answer
-    /// went unheard, and the runner has forgotten it. "Not run" would be untrue and
+    /// It shows after this process was frozen for minutes, or when a second copy of a
+    /// dispatch arrives that late: the task ran, its answer went unheard, and the
+    /// runner has forgotten it. "Not run" would be untrue and
     /// would have the task started a second time. The runner's epoch tells: it
     /// forgets nothing whose dispatch carried its current or previous one.
     fn forgotten(&mut self, now_ms: u64, number: u64) -> Vec<core::Action> {
@@ -384,11 +389,14 @@
     }
 }
 
-const fn is_fenced(outcome: &wire::Outcome) -> bool {
-    matches!(
+/// Whether "it did not and will not start" is said by a runner that may have
+/// forgotten that it did.
+const fn is_unsure(flight: &core::InFlight, outcome: &wire::Outcome, epoch: u64) -> bool {
+    let is_promise = matches!(
         outcome,
         wire::Outcome::NotStarted {
-            code: codes::Code::Fenced
+            code: codes::Code::Fenced | codes::Code::StaleDispatch
         }
-    )
+    );
+    is_promise && flight.epoch.saturating_add(1) < epoch
 }
--- a/standins/src/site.rs
+++ b/standins/src/site.rs
@@ -96,6 +96,7 @@
     ) -> Result<processes::Process, processes::Error> {
         let mut args = self.daemon_args("entry", place, links);
         args.extend(["--listen".into(), ANY_PORT.into()]);
+        args.extend(["--peer-listen".into(), ANY_PORT.into()]);
         self.start("bulrushtillerd", &args, &place.name)
     }
 
@@ -118,9 +119,21 @@
         args.extend(["--config".into(), config.into_os_string()]);
         args.extend(["--backend".into(), backend.to_string().into()]);
         args.extend(more.iter().map(ffi::OsString::from));
+        if !more.contains(&"--peer-listen") {
+            args.extend(["--peer-listen".into(), ANY_PORT.into()]);
+        }
         self.start("bulrushtillerd", &args, &place.name)
     }
 
+    /// Starts a relay to an address; its control is at `announced("control")`.
+    pub fn relay(
+        &self,
+        name: &str,
+        to: net::SocketAddr,
+    ) -> Result<processes::Process, processes::Error> {
+        self.start("standin-relay", &["--to", &to.to_string()], name)
+    }
+
     fn daemon_args(&self, role: &str, place: &Place, links: &Links) -> Vec<ffi::OsString> {
         let log_file = self.folder.join(format!("{}.jsonl", place.name));
         let mut args: Vec<ffi::OsString> = Vec::new();
@@ -129,7 +142,6 @@
             ("--name", &place.name),
             ("--zone", &place.zone),
             ("--rack", &place.rack),
-            ("--peer-listen", ANY_PORT),
             ("--log", &links.log.to_string()),
         ] {
             args.extend([flag.into(), value.into()]);
--- a/tests/failure/rig.rs
+++ b/tests/failure/rig.rs
@@ -11,10 +11,12 @@
 use bulrushtiller::api;
 use bulrushtiller::ids;
 use bulrushtiller_standins::processes;
+use bulrushtiller_standins::relay;
 use bulrushtiller_standins::site;
 use bulrushtiller_standins::worker;
 use serde::Serialize;
 use serde::de;
+use smol_str::SmolStr;
 
 /// Longest wait for anything that is expected to happen.
 pub const LIMIT: time::Duration = time::Duration::from_secs(30);
@@ -65,6 +67,7 @@
     pub entries: Vec<processes::Process>,
     pub runners: Vec<processes::Process>,
     pub workers: Vec<processes::Process>,
+    pub relays: Vec<processes::Process>,
     pub links: site::Links,
     _folder: tempfile::TempDir,
 }
@@ -100,6 +103,7 @@
             entries: Vec::new(),
             runners: Vec::new(),
             workers: Vec::new(),
+            relays: Vec::new(),
             links,
             _folder: folder,
         };
@@ -144,6 +148,35 @@
         self.workers.push(worker);
     }
 
+    /// Starts one more runner that others reach through a relay only; gives the
+    /// relay's index.
+    pub fn add_relayed_runner(&mut self, name: &str, zone: &str) -> usize {
+        // Free again when this returns, for the runner that comes next.
+        let listener = net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let listen = listener.local_addr().expect("an address");
+        drop(listener);
+        let relay = self.add_relay(&format!("relay-of-{name}"), listen);
+        let advertise = self.relays[relay].address().to_string();
+        let listen = listen.to_string();
+        let more = ["--peer-listen", &listen, "--advertise", &advertise];
+        self.add_runner(name, zone, &more);
+        relay
+    }
+
+    /// Starts a relay; gives its index.
+    pub fn add_relay(&mut self, name: &str, to: net::SocketAddr) -> usize {
+        let relay = self.site.relay(name, to).expect("a relay starts");
+        self.relays.push(relay);
+        self.relays.len() - 1
+    }
+
+    /// Sets a relay's behaviour.
+    pub fn control_relay(&self, relay: usize, behaviour: &relay::Behaviour) {
+        let control = self.relays[relay].announced("control").expect("a port");
+        let done: Option<relay::Counts> = post(control, "/control", TOKEN, behaviour);
+        assert!(done.is_some(), "the relay takes {behaviour:?}");
+    }
+
     /// Waits until every entry knows so many fresh runners and the newest settings.
     pub fn wait_until_serving(&self, runners: usize) {
         let next = self.log_next("settings");
@@ -252,6 +285,11 @@
     get(address, "/status", TOKEN).expect("a status")
 }
 
+/// A submission id of a client's own choice.
+pub fn own_id(text: &str) -> ids::SubmissionId {
+    ids::SubmissionId::try_from(SmolStr::new(text)).expect("an own id")
+}
+
 /// A payload that makes the stand-in worker sleep; the mark tells it from others.
 pub fn sleep(ms: u64, mark: &str) -> String {
     format!("{{\"sleep_ms\": {ms}, \"output\": \"{mark}\"}}")
@@ -296,6 +334,16 @@
     })
 }
 
+/// Gets a page as text.
+pub fn get_text(address: net::SocketAddr, path: &str) -> Option<String> {
+    let url = format!("http://{address}{path}");
+    actix_rt::System::new().block_on(async move {
+        let mut response = client().get(url).send().await.ok()?;
+        let body = response.body().limit(MAX_BODY).await.ok()?;
+        String::from_utf8(body.to_vec()).ok()
+    })
+}
+
 /// Posts a JSON document and reads one.
 pub fn post<M: Serialize, R: de::DeserializeOwned>(
     address: net::SocketAddr,
--- /dev/null
+++ b/tests/unit/jobs.rs
@@ -0,0 +1,194 @@
+//! Jobs and their answers, against a naive list of fates.
+
+use bulrushtiller::api;
+use bulrushtiller::codes;
+use bulrushtiller::ids;
+use bulrushtiller::jobs;
+use proptest::prelude::Strategy;
+use proptest::prop_assert;
+use proptest::prop_assert_eq;
+use proptest::prop_oneof;
+use proptest::test_runner;
+
+use crate::settings::fixtures;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Step {
+    Dispatched(usize),
+    Lost(usize),
+    Decided(usize, api::Fate),
+}
+
+impl Step {
+    fn index(self) -> u32 {
+        let (Self::Dispatched(at) | Self::Lost(at) | Self::Decided(at, _)) = self;
+        u32::try_from(at).expect("few tasks")
+    }
+}
+
+fn any_step() -> impl Strategy<Value = Step> {
+    let at = 0_usize..5;
+    let fates = [
+        api::Fate::Ran,
+        api::Fate::Ran,
+        api::Fate::Ran,
+        api::Fate::Failed,
+        api::Fate::NotRun,
+        api::Fate::MayHaveRun,
+    ];
+    let fate = proptest::sample::select(fates.to_vec());
+    prop_oneof![
+        2 => at.clone().prop_map(Step::Dispatched),
+        1 => at.clone().prop_map(Step::Lost),
+        4 => (at, fate).prop_map(|(at, fate)| Step::Decided(at, fate)),
+    ]
+}
+
+fn header(number: u64) -> jobs::Header {
+    jobs::Header {
+        id: ids::SubmissionId::Ticket(ids::Ticket {
+            entry: "entry-0".into(),
+            incarnation: ids::Incarnation(1),
+            epoch: 1,
+            number,
+        }),
+        team: "escola".into(),
+        fingerprint: 1,
+        arrived_ms: 0,
+        deadline_ms: 1_000,
+        is_idempotent: true,
+    }
+}
+
+fn decided(fate: api::Fate, index: usize) -> jobs::Decided {
+    let code = match fate {
+        api::Fate::Ran => codes::Code::Complete,
+        api::Fate::Failed => codes::Code::TaskFailed,
+        api::Fate::NotRun => codes::Code::DeadlineNotRun,
+        _ => codes::Code::RunnerLost,
+    };
+    jobs::Decided {
+        output: format!("output-{index}"),
+        fate,
+        ..jobs::Decided::not_run(code)
+    }
+}
+
+/// What was done to each task: the first decision stands, and what was lost once is
+/// never "not run".
+#[derive(Clone, Copy, Default)]
+struct Naive {
+    is_lost: bool,
+    fate: Option<api::Fate>,
+}
+
+fn run(tasks: usize, steps: &[Step]) -> Result<(), test_runner::TestCaseError> {
+    let mut table = jobs::Table::new(0);
+    let key = table.insert(jobs::Open::new(
+        header(1),
+        vec![api::Task::default(); tasks],
+    ));
+    let mut naive = vec![Naive::default(); tasks];
+    for step in steps {
+        let index = step.index();
+        let open = table.open_mut(key).expect("it is open");
+        match *step {
+            Step::Dispatched(_) => {
+                let attempt = ids::Attempt {
+                    owner: ids::Incarnation(1),
+                    number: 1,
+                };
+                open.dispatched(index, attempt);
+            }
+            Step::Lost(at) if at < tasks && naive[at].fate.is_none() => {
+                open.lost(index, codes::Code::RunnerLost, None);
+                naive[at].is_lost = true;
+            }
+            Step::Decided(at, fate) if at < tasks => {
+                open.decide(1, index, decided(fate, at));
+                let truth = match fate {
+                    api::Fate::NotRun if naive[at].is_lost => api::Fate::MayHaveRun,
+                    fate => fate,
+                };
+                naive[at].fate.get_or_insert(truth);
+            }
+            _ => {}
+        }
+        let answer = table.settle(key, 2);
+        let fates: Option<Vec<_>> = naive.iter().map(|one| one.fate).collect();
+        prop_assert_eq!(
+            answer.is_some(),
+            fates.is_some(),
+            "an answer before the end"
+        );
+        let (Some(answer), Some(fates)) = (answer, fates) else {
+            continue;
+        };
+        return check(&answer, &fates);
+    }
+    Ok(())
+}
+
+fn check(answer: &api::Answer, fates: &[api::Fate]) -> Result<(), test_runner::TestCaseError> {
+    let told: Vec<_> = answer.tasks.iter().map(|task| task.fate).collect();
+    let all = |wanted| fates.iter().all(|fate| *fate == wanted);
+    let any = |wanted| fates.contains(&wanted);
+    let expected = if all(api::Fate::Ran) {
+        codes::Class::Complete
+    } else if all(api::Fate::NotRun) {
+        codes::Class::NotRun
+    } else if any(api::Fate::MayHaveRun) {
+        codes::Class::MayHaveRun
+    } else {
+        codes::Class::Failed
+    };
+    prop_assert_eq!(&told, fates);
+    prop_assert_eq!(answer.code.class(), expected);
+    for (index, task) in answer.tasks.iter().enumerate() {
+        let output = (expected == codes::Class::Complete).then(|| format!("output-{index}"));
+        prop_assert_eq!(&task.output, &output);
+    }
+    prop_assert!(answer.is_final);
+    Ok(())
+}
+
+// Tasks end in any order, are lost and decided twice. What a user would see if this went
+// wrong: part of a job's outputs, or "not run" of an enrolment that may have been made.
+#[test]
+fn answer_equals_the_naive_one_and_is_never_partial() {
+    let mut runner = fixtures::fixed_runner(2_000);
+    let schedule = (1_usize..5, proptest::collection::vec(any_step(), 1..40));
+
+    let result = runner.run(&schedule, |(tasks, steps)| run(tasks, &steps));
+
+    assert_eq!(result, Ok(()));
+}
+
+#[test]
+fn refusals_are_remembered_within_a_bound_and_then_forgotten() {
+    let mut table = jobs::Table::new(0);
+    let answer = |header: &jobs::Header| {
+        let id = Some(header.id.clone());
+        jobs::answer::plain(id, codes::Code::TeamQueueFull, true)
+    };
+
+    let remembered = (0..jobs::table::MAX_REFUSALS as u64 + 5)
+        .map(header)
+        .filter(|header| table.refuse(header.clone(), answer(header)))
+        .count();
+    let first = header(0);
+    let is_found = table.find(&first.team, &first.id).is_some();
+    let len = table.len();
+    table.advance(100, 100);
+    table.advance(200, 100);
+    table.advance(300, 100);
+
+    assert_eq!(remembered, jobs::table::MAX_REFUSALS);
+    assert!(is_found);
+    assert_eq!(len, 0, "refusals take no room from submissions");
+    assert_eq!(table.find(&first.team, &first.id), None);
+    assert!(
+        table.refuse(first.clone(), answer(&first)),
+        "there is room again"
+    );
+}
