--- /dev/null
+++ b/src/entry/claim_calls.rs
@@ -0,0 +1,71 @@
+//! The control thread's part in claims: appending, reading back, waking calls.
+
+use actix::AsyncContext as _;
+use tokio::sync::oneshot;
+
+use crate::claims;
+use crate::codes;
+use crate::entry::control;
+use crate::entry::messages;
+use crate::ids;
+use crate::jobs;
+use crate::wire;
+
+/// Whether a call is about an own id, and may have to wait for a claim.
+pub(super) const fn needs_claim(call: &wire::Call) -> bool {
+    match call {
+        wire::Call::Submit(submission) => {
+            matches!(submission.submission, Some(ids::SubmissionId::Own(_)))
+        }
+        wire::Call::Fetch { submission, .. } | wire::Call::Cancel { submission } => {
+            matches!(submission, ids::SubmissionId::Own(_))
+        }
+    }
+}
+
+impl control::Control {
+    pub(super) fn append_claims(&self, cx: &actix::Context<Self>, record: claims::Record) {
+        let log = self.parts.log.clone();
+        claims::log::append(&self.parts.pool, log, record, cx.address().recipient());
+    }
+
+    /// Makes the call once more when the claim is settled, one way or the other.
+    pub(super) fn call_again(
+        &mut self,
+        cx: &actix::Context<Self>,
+        name: claims::Name,
+        message: messages::CallerCall,
+    ) -> actix::ResponseFuture<messages::Resolution> {
+        let (tx, rx) = oneshot::channel();
+        self.claim_waiters.entry(name).or_default().push(tx);
+        let control = cx.address();
+        Box::pin(async move {
+            // The settling drops the sender, which ends the wait like a message would.
+            let _settled = rx.await;
+            control.send(message).await.unwrap_or_else(|_ended| {
+                let answer = jobs::answer::plain(None, codes::Code::OwnerGone, true);
+                messages::Resolution::Answer(Box::new(answer))
+            })
+        })
+    }
+}
+
+impl actix::Handler<claims::log::ClaimsRead> for control::Control {
+    type Result = u64;
+
+    fn handle(&mut self, message: claims::log::ClaimsRead, cx: &mut Self::Context) -> u64 {
+        let now_ms = self.now_ms();
+        let actions = self.core.claims_read(now_ms, message.page.as_ref());
+        self.act(cx, actions);
+        self.core.claims_position()
+    }
+}
+
+impl actix::Handler<claims::log::Appended> for control::Control {
+    type Result = ();
+
+    fn handle(&mut self, _message: claims::log::Appended, cx: &mut Self::Context) {
+        let actions = self.core.claims_appended();
+        self.act(cx, actions);
+    }
+}
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -15,10 +15,10 @@
 use crate::control;
 use crate::entry::attempts;
 use crate::entry::calls;
+use crate::entry::claim_calls;
 use crate::entry::core;
 use crate::entry::messages;
 use crate::heartbeats;
-use crate::ids;
 use crate::jobs;
 use crate::keeper;
 use crate::membership::contacts;
@@ -61,12 +61,12 @@
 /// The actor.
 #[derive(Debug)]
 pub struct Control {
-    core: core::Core,
+    pub(super) core: core::Core,
     keeper: keeper::Keeper,
     contacts: contacts::Contacts,
     waiters: collections::HashMap<jobs::Key, Vec<Waiter>>,
-    claim_waiters: collections::HashMap<claims::Name, Vec<oneshot::Sender<()>>>,
-    parts: Parts,
+    pub(super) claim_waiters: collections::HashMap<claims::Name, Vec<oneshot::Sender<()>>>,
+    pub(super) parts: Parts,
     left_ms: Option<u64>,
     suspects: collections::HashMap<SmolStr, u64>,
 }
@@ -90,11 +90,11 @@
         }
     }
 
-    fn now_ms(&self) -> u64 {
+    pub(super) fn now_ms(&self) -> u64 {
         self.parts.clock.now_ms()
     }
 
-    fn act(&mut self, cx: &actix::Context<Self>, actions: Vec<core::Action>) {
+    pub(super) fn act(&mut self, cx: &actix::Context<Self>, actions: Vec<core::Action>) {
         for action in actions {
             match action {
                 core::Action::Dispatch { address, dispatch } => {
@@ -155,31 +155,6 @@
         });
     }
 
-    fn append_claims(&self, cx: &actix::Context<Self>, record: claims::Record) {
-        let log = self.parts.log.clone();
-        claims::log::append(&self.parts.pool, log, record, cx.address().recipient());
-    }
-
-    /// Makes the call once more when the claim is settled, one way or the other.
-    fn call_again(
-        &mut self,
-        cx: &actix::Context<Self>,
-        name: claims::Name,
-        message: messages::CallerCall,
-    ) -> actix::ResponseFuture<messages::Resolution> {
-        let (tx, rx) = oneshot::channel();
-        self.claim_waiters.entry(name).or_default().push(tx);
-        let control = cx.address();
-        Box::pin(async move {
-            // The settling drops the sender, which ends the wait like a message would.
-            let _settled = rx.await;
-            control.send(message).await.unwrap_or_else(|_ended| {
-                let answer = jobs::answer::plain(None, codes::Code::OwnerGone, true);
-                messages::Resolution::Answer(Box::new(answer))
-            })
-        })
-    }
-
     fn answer(&mut self, key: jobs::Key, answer: &api::Answer) {
         let id = answer
             .submission
@@ -311,7 +286,7 @@
     type Result = actix::ResponseFuture<messages::Resolution>;
 
     fn handle(&mut self, message: messages::CallerCall, cx: &mut Self::Context) -> Self::Result {
-        let again = needs_claim(&message.call).then(|| message.clone());
+        let again = claim_calls::needs_claim(&message.call).then(|| message.clone());
         let messages::CallerCall { team, call } = message;
         let now_ms = self.now_ms();
         let (wait_ms, (reply, actions)) = match call {
@@ -345,18 +320,6 @@
     }
 }
 
-/// Whether a call is about an own id, and may have to wait for a claim.
-const fn needs_claim(call: &wire::Call) -> bool {
-    match call {
-        wire::Call::Submit(submission) => {
-            matches!(submission.submission, Some(ids::SubmissionId::Own(_)))
-        }
-        wire::Call::Fetch { submission, .. } | wire::Call::Cancel { submission } => {
-            matches!(submission, ids::SubmissionId::Own(_))
-        }
-    }
-}
-
 /// A cancelled submission ends within the time that a question to a runner takes.
 const CANCEL_WAIT_MS: u64 = 1_000;
 
@@ -472,26 +435,6 @@
     }
 }
 
-impl actix::Handler<claims::log::ClaimsRead> for Control {
-    type Result = u64;
-
-    fn handle(&mut self, message: claims::log::ClaimsRead, cx: &mut Self::Context) -> u64 {
-        let now_ms = self.now_ms();
-        let actions = self.core.claims_read(now_ms, message.page.as_ref());
-        self.act(cx, actions);
-        self.core.claims_position()
-    }
-}
-
-impl actix::Handler<claims::log::Appended> for Control {
-    type Result = ();
-
-    fn handle(&mut self, _message: claims::log::Appended, cx: &mut Self::Context) {
-        let actions = self.core.claims_appended();
-        self.act(cx, actions);
-    }
-}
-
 impl actix::Handler<control::WantStatus> for Control {
     type Result = actix::MessageResult<control::WantStatus>;
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod attempts;
 pub mod calls;
+mod claim_calls;
 pub mod claiming;
 pub mod control;
 pub mod core;
