--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -17,11 +17,13 @@
 use crate::api;
 use crate::claims;
 use crate::freshness;
+use crate::health;
 use crate::ids;
 use crate::jobs;
 use crate::learning;
 use crate::membership;
 use crate::queue;
+use crate::ramp;
 use crate::retry;
 use crate::settings;
 use crate::wire;
@@ -69,6 +71,8 @@
     pub team: queue::TeamKey,
     /// What it is expected to take.
     pub need: wire::Resources,
+    /// Its team and kind.
+    pub kind: health::Kind,
     /// How long it is expected to run, in milliseconds.
     pub expected_ms: u64,
     /// Its place in the queue, should it come back unstarted.
@@ -124,6 +128,8 @@
     pub(crate) revision: Option<u64>,
     pub(crate) freshness: freshness::Freshness,
     pub(crate) members: membership::Members,
+    pub(crate) health: health::Health,
+    pub(crate) ramps: ramp::Ramps,
     pub(crate) jobs: jobs::Table,
     pub(crate) claims: claims::Table,
     pub(crate) queue: queue::Queue,
@@ -163,6 +169,8 @@
             revision: None,
             freshness: freshness::Freshness::default(),
             members: membership::Members::default(),
+            health: health::Health::default(),
+            ramps: ramp::Ramps::default(),
             jobs: jobs::Table::new(now_ms),
             claims: claims::Table::new(claimer),
             queue,
@@ -197,6 +205,11 @@
         &mut self.freshness
     }
 
+    /// How the runners fare.
+    pub const fn health(&self) -> &health::Health {
+        &self.health
+    }
+
     /// The processes known.
     pub const fn members(&self) -> &membership::Members {
         &self.members
@@ -239,6 +252,8 @@
         settings: sync::Arc<settings::Settings>,
         revision: Option<u64>,
     ) -> Vec<Action> {
+        self.ramps
+            .change(now_ms, &self.settings, &settings, revision);
         let mut actions = self.wake(now_ms);
         self.queue.configure(&settings.teams);
         let teams = self.queue.teams();
--- a/standins/src/site.rs
+++ b/standins/src/site.rs
@@ -20,6 +20,10 @@
     pub zone: SmolStr,
     /// Its rack.
     pub rack: SmolStr,
+    /// Where other processes are served; absent: a port from the system.
+    pub peer_listen: Option<net::SocketAddr>,
+    /// What other processes are told to connect to, if not that.
+    pub advertise: Option<net::SocketAddr>,
 }
 
 impl Place {
@@ -29,6 +33,8 @@
             name: name.into(),
             zone: zone.into(),
             rack: name.into(),
+            peer_listen: None,
+            advertise: None,
         }
     }
 }
@@ -47,6 +53,7 @@
 pub struct Site {
     programs: path::PathBuf,
     folder: path::PathBuf,
+    log_level: &'static str,
 }
 
 /// Size of each stand-in worker: the first user's, in thousandths of a core and MiB.
@@ -61,9 +68,17 @@
         Self {
             programs: programs.to_owned(),
             folder: folder.to_owned(),
+            log_level: "info",
         }
     }
 
+    /// The same site, its daemons logging from another level on.
+    #[must_use]
+    pub const fn logging(mut self, log_level: &'static str) -> Self {
+        self.log_level = log_level;
+        self
+    }
+
     /// The folder with configuration and logs.
     pub fn folder(&self) -> &path::Path {
         &self.folder
@@ -96,7 +111,6 @@
     ) -> Result<processes::Process, processes::Error> {
         let mut args = self.daemon_args("entry", place, links);
         args.extend(["--listen".into(), ANY_PORT.into()]);
-        args.extend(["--peer-listen".into(), ANY_PORT.into()]);
         self.start("bulrushtillerd", &args, &place.name)
     }
 
@@ -119,33 +133,28 @@
         args.extend(["--config".into(), config.into_os_string()]);
         args.extend(["--backend".into(), backend.to_string().into()]);
         args.extend(more.iter().map(ffi::OsString::from));
-        if !more.contains(&"--peer-listen") {
-            args.extend(["--peer-listen".into(), ANY_PORT.into()]);
-        }
         self.start("bulrushtillerd", &args, &place.name)
     }
 
-    /// Starts a relay to an address; its control is at `announced("control")`.
-    pub fn relay(
-        &self,
-        name: &str,
-        to: net::SocketAddr,
-    ) -> Result<processes::Process, processes::Error> {
-        self.start("standin-relay", &["--to", &to.to_string()], name)
-    }
-
     fn daemon_args(&self, role: &str, place: &Place, links: &Links) -> Vec<ffi::OsString> {
         let log_file = self.folder.join(format!("{}.jsonl", place.name));
         let mut args: Vec<ffi::OsString> = Vec::new();
+        let peer_listen = place.peer_listen.map(|address| address.to_string());
+        let peer_listen = peer_listen.unwrap_or_else(|| ANY_PORT.to_owned());
         for (flag, value) in [
             ("--role", role),
             ("--name", &place.name),
             ("--zone", &place.zone),
             ("--rack", &place.rack),
+            ("--peer-listen", &peer_listen),
             ("--log", &links.log.to_string()),
+            ("--log-level", self.log_level),
         ] {
             args.extend([flag.into(), value.into()]);
         }
+        if let Some(address) = place.advertise {
+            args.extend(["--advertise".into(), address.to_string().into()]);
+        }
         args.extend(["--log-file".into(), log_file.into_os_string()]);
         for entry in &links.entries {
             args.extend(["--entry".into(), entry.to_string().into()]);
--- a/tests/failure/main.rs
+++ b/tests/failure/main.rs
@@ -4,8 +4,19 @@
 
 mod answers;
 mod check;
+mod cuts;
 mod idempotence;
+mod input;
+mod leaving;
+mod logs;
 mod path;
+mod raw;
 mod rig;
+mod settings;
 mod starts;
+mod stops;
+mod traffic;
 mod truth;
+mod turns;
+mod watch;
+mod zones;
--- a/tests/failure/rig.rs
+++ b/tests/failure/rig.rs
@@ -11,13 +11,14 @@
 use bulrushtiller::api;
 use bulrushtiller::ids;
 use bulrushtiller_standins::processes;
-use bulrushtiller_standins::relay;
 use bulrushtiller_standins::site;
 use bulrushtiller_standins::worker;
 use serde::Serialize;
 use serde::de;
 use smol_str::SmolStr;
 
+use crate::turns;
+
 /// Longest wait for anything that is expected to happen.
 pub const LIMIT: time::Duration = time::Duration::from_secs(30);
 
@@ -67,9 +68,9 @@
     pub entries: Vec<processes::Process>,
     pub runners: Vec<processes::Process>,
     pub workers: Vec<processes::Process>,
-    pub relays: Vec<processes::Process>,
     pub links: site::Links,
     _folder: tempfile::TempDir,
+    _turn: turns::Turn,
 }
 
 /// The folder with the built programs: the test runs from its `deps`.
@@ -90,8 +91,9 @@
 impl Rig {
     /// Starts a site and waits until it serves.
     pub fn start(plan: &Plan) -> Self {
+        let turn = turns::take();
         let folder = tempfile::tempdir().expect("a temporary folder");
-        let site = site::Site::new(&programs(), folder.path());
+        let site = site::Site::new(&programs(), folder.path()).logging("debug");
         let log = site.log(&plan.log).expect("the log starts");
         let links = site::Links {
             log: log.address(),
@@ -103,9 +105,9 @@
             entries: Vec::new(),
             runners: Vec::new(),
             workers: Vec::new(),
-            relays: Vec::new(),
             links,
             _folder: folder,
+            _turn: turn,
         };
         for (at, zone) in plan.entries.iter().enumerate() {
             rig.add_entry(&format!("entry-{at}"), zone);
@@ -148,35 +150,6 @@
         self.workers.push(worker);
     }
 
-    /// Starts one more runner that others reach through a relay only; gives the
-    /// relay's index.
-    pub fn add_relayed_runner(&mut self, name: &str, zone: &str) -> usize {
-        // Free again when this returns, for the runner that comes next.
-        let listener = net::TcpListener::bind("127.0.0.1:0").expect("a port");
-        let listen = listener.local_addr().expect("an address");
-        drop(listener);
-        let relay = self.add_relay(&format!("relay-of-{name}"), listen);
-        let advertise = self.relays[relay].address().to_string();
-        let listen = listen.to_string();
-        let more = ["--peer-listen", &listen, "--advertise", &advertise];
-        self.add_runner(name, zone, &more);
-        relay
-    }
-
-    /// Starts a relay; gives its index.
-    pub fn add_relay(&mut self, name: &str, to: net::SocketAddr) -> usize {
-        let relay = self.site.relay(name, to).expect("a relay starts");
-        self.relays.push(relay);
-        self.relays.len() - 1
-    }
-
-    /// Sets a relay's behaviour.
-    pub fn control_relay(&self, relay: usize, behaviour: &relay::Behaviour) {
-        let control = self.relays[relay].announced("control").expect("a port");
-        let done: Option<relay::Counts> = post(control, "/control", TOKEN, behaviour);
-        assert!(done.is_some(), "the relay takes {behaviour:?}");
-    }
-
     /// Waits until every entry knows so many fresh runners and the newest settings.
     pub fn wait_until_serving(&self, runners: usize) {
         let next = self.log_next("settings");
--- a/tests/failure/starts.rs
+++ b/tests/failure/starts.rs
@@ -9,6 +9,7 @@
 use rstest::rstest;
 
 use crate::check;
+use crate::cuts;
 use crate::rig;
 
 /// When the entry that owns the submission is killed.
@@ -34,13 +35,14 @@
 }
 
 /// A site whose only runner is reached through a relay.
-fn relayed_rig(settings: &str) -> (rig::Rig, usize) {
+fn relayed_rig(settings: &str) -> (rig::Rig, cuts::Relay) {
     let mut rig = rig::Rig::start(&rig::Plan {
         runners: Vec::new(),
         settings: settings.to_owned(),
         ..rig::Plan::default()
     });
-    let relay = rig.add_relayed_runner("runner-0", "caxias");
+    let links = rig.links.clone();
+    let relay = cuts::runner_behind_relay(&mut rig, "runner-0", "caxias", &links);
     rig.wait_until_serving(1);
     (rig, relay)
 }
@@ -120,12 +122,12 @@
     rig::wait_until("it runs", || rig.starts_of(told.payload(0)) == 1);
 
     rig.entries[0].freeze().expect("it is frozen");
-    rig.control_relay(relay, &relay::Behaviour::Cut);
+    relay.cut();
     rig::wait_until("the runner has forgotten", || {
         let address = rig.runners[0].address();
         metric(address, "runner_remembered") == Some(0)
     });
-    rig.control_relay(relay, &relay::Behaviour::Pass);
+    relay.mend();
     rig.entries[0].thaw().expect("it is thawed");
     let answer = told.submit_until_final(&rig, 0);
 
@@ -195,7 +197,7 @@
         told.submit(&rig, 0).expect("an answer");
         rig::wait_until("it runs", || rig.starts().len() >= 6);
     }
-    rig.control_relay(relay, &behaviour);
+    relay.set(&behaviour);
     let answer = told.submit_until_final(&rig, 0);
 
     assert_eq!(warmed.code, codes::Code::Complete);
@@ -210,14 +212,13 @@
 fn dispatch_arrives_after_the_task_was_handed_out_again() {
     let (rig, relay) = relayed_rig("");
     let late = time::Duration::from_secs(5);
-    let delay = relay::Behaviour::Delay { ms: 5_000 };
     let told = check::Told::sleeping(Some(rig.ticket(0)), 50, &["once"]).waiting(0);
 
-    rig.control_relay(relay, &delay);
+    relay.delay(5_000);
     told.submit(&rig, 0).expect("an answer");
     let since = time::Instant::now();
     thread::sleep(time::Duration::from_millis(500));
-    rig.control_relay(relay, &relay::Behaviour::Pass);
+    relay.mend();
     let answer = told.submit_until_final(&rig, 0);
     let answered_after = since.elapsed();
     rig::wait_until("the first dispatch has arrived", || {
@@ -279,16 +280,16 @@
 #[case::ticket(true)]
 #[case::own_id(false)]
 fn first_attempt_arrives_after_second(#[case] has_ticket: bool) {
-    let mut rig = rig::Rig::start(&rig::Plan::default());
-    let relay = rig.add_relay("relay-of-entry", rig.entries[0].address());
-    rig.control_relay(relay, &relay::Behaviour::Delay { ms: 700 });
+    let rig = rig::Rig::start(&rig::Plan::default());
+    let relay = cuts::Relay::start(&rig, rig.entries[0].address());
+    relay.delay(700);
     let id = if has_ticket {
         Some(rig.ticket(0))
     } else {
         Some(rig::own_id("certificado:17"))
     };
     let told = check::Told::sleeping(id, 50, &["once"]);
-    let late_way = rig.relays[relay].address();
+    let late_way = relay.address();
 
     let (first, second) = thread::scope(|scope| {
         let first = scope.spawn(|| told.submit_at(late_way));
--- a/tests/failure/truth.rs
+++ b/tests/failure/truth.rs
@@ -8,14 +8,16 @@
 use bulrushtiller_standins::relay;
 
 use crate::check;
+use crate::cuts;
 use crate::rig;
 
-fn relayed_rig() -> (rig::Rig, usize) {
+fn relayed_rig() -> (rig::Rig, cuts::Relay) {
     let mut rig = rig::Rig::start(&rig::Plan {
         runners: Vec::new(),
         ..rig::Plan::default()
     });
-    let relay = rig.add_relayed_runner("runner-0", "caxias");
+    let links = rig.links.clone();
+    let relay = cuts::runner_behind_relay(&mut rig, "runner-0", "caxias", &links);
     rig.wait_until_serving(1);
     (rig, relay)
 }
@@ -32,17 +34,14 @@
     told.submit(&rig, 0).expect("an answer");
     rig::wait_until("it runs", || rig.starts_of(told.payload(0)) == 1);
 
-    rig.control_relay(
-        relay,
-        &relay::Behaviour::Silent {
-            direction: relay::Direction::FromTarget,
-            new_too: true,
-        },
-    );
+    relay.set(&relay::Behaviour::Silent {
+        direction: relay::Direction::FromTarget,
+        new_too: true,
+    });
     let answer = told.submit_until_final(&rig, 0);
 
     assert_eq!(answer.tasks[0].fate, api::Fate::MayHaveRun);
-    rig.control_relay(relay, &relay::Behaviour::Pass);
+    relay.mend();
     check::check(&rig, &[&told]);
 }
 
@@ -56,9 +55,9 @@
     told.submit(&rig, 0).expect("an answer");
     rig::wait_until("it runs", || rig.starts_of(told.payload(0)) == 1);
 
-    rig.control_relay(relay, &relay::Behaviour::Cut);
+    relay.cut();
     thread::sleep(time::Duration::from_millis(50));
-    rig.control_relay(relay, &relay::Behaviour::Pass);
+    relay.mend();
     let answer = told.submit_until_final(&rig, 0);
 
     assert_eq!(answer.code, codes::Code::Complete);
