--- a/tests/failure/cuts.rs
+++ b/tests/failure/cuts.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic;
 
 use bulrushtiller_standins::processes;
+use bulrushtiller_standins::relay;
 use bulrushtiller_standins::site;
 
 use crate::rig;
@@ -32,6 +33,11 @@
         self.process.address()
     }
 
+    /// Has it behave in any of its ways.
+    pub fn set(&self, behaviour: &relay::Behaviour) {
+        self.order(&serde_json::json!(behaviour));
+    }
+
     /// Closes all connections, and new ones at once.
     pub fn cut(&self) {
         self.order(&serde_json::json!({"mode": "cut"}));
