--- a/src/entry/pump.rs
+++ b/src/entry/pump.rs
@@ -143,11 +143,14 @@
         let timeouts = &self.settings.timeouts;
         let two_missed = u64::from(timeouts.heartbeat_ms) * 5 / 2;
         let silent_after = two_missed.min(timeouts.dead_after_ms.into());
+        // Looked up once and not for each runner: of thousands of runners most are in
+        // the same few zones, and mostly none is out.
+        let zones_out = self.settings.zones_out();
         self.members.runners().filter(move |(_, runner)| {
             !runner.is_leaving
                 && runner.closed_until_ms <= now_ms
                 && runner.heard_ms.saturating_add(silent_after) > now_ms
-                && !self.settings.is_zone_out(&runner.peer.zone)
+                && !zones_out.contains(&runner.peer.zone)
         })
     }
 
--- a/src/health/mod.rs
+++ b/src/health/mod.rs
@@ -16,8 +16,6 @@
 pub mod kinds;
 pub mod state;
 
-use std::collections;
-
 use crate::codes;
 use crate::membership;
 use crate::settings;
@@ -61,7 +59,7 @@
 #[derive(Debug, Default)]
 pub struct Health {
     kinds: kinds::Kinds,
-    by_runner: collections::HashMap<membership::RunnerKey, One>,
+    by_runner: slotmap::SecondaryMap<membership::RunnerKey, One>,
     ejections: u64,
 }
 
@@ -73,6 +71,14 @@
 const ELSEWHERE_MS: u64 = 30_000;
 
 impl Health {
+    /// What is known of a runner; `SecondaryMap` gives no entry only for a null key.
+    fn one(&mut self, runner: membership::RunnerKey) -> &mut One {
+        if !self.by_runner.contains_key(runner) {
+            self.by_runner.insert(runner, One::default());
+        }
+        &mut self.by_runner[runner]
+    }
+
     /// The key of a team and kind.
     pub fn kind(&mut self, team: &str, kind: &str) -> Kind {
         self.kinds.intern(team, kind)
@@ -92,13 +98,13 @@
     /// How a runner stands.
     pub fn state(&self, runner: membership::RunnerKey) -> State {
         self.by_runner
-            .get(&runner)
+            .get(runner)
             .map_or_else(State::default, |one| one.state)
     }
 
     /// What a runner may be sent now.
     pub fn allowance(&self, now_ms: u64, runner: membership::RunnerKey) -> Allowance {
-        let Some(one) = self.by_runner.get(&runner) else {
+        let Some(one) = self.by_runner.get(runner) else {
             return Allowance::default();
         };
         let is_suspect = one.evidence.is_suspect();
@@ -112,12 +118,12 @@
 
     /// A runner's life is over.
     pub fn forget(&mut self, runner: membership::RunnerKey) {
-        self.by_runner.remove(&runner);
+        self.by_runner.remove(runner);
     }
 
     /// Forgets all runners but those that are still known.
     pub fn retain(&mut self, is_known: impl Fn(membership::RunnerKey) -> bool) {
-        self.by_runner.retain(|runner, _| is_known(*runner));
+        self.by_runner.retain(|runner, _| is_known(runner));
     }
 
     /// An attempt ended. Gives whether the runner is now to be ejected, see
@@ -168,7 +174,7 @@
         policy: &settings::Policy,
     ) -> bool {
         let has_room = self.ejected(now_ms) < most_out(runners, policy.eject_fraction);
-        let one = self.by_runner.entry(runner).or_default();
+        let one = self.one(runner);
         if !has_room || one.state.is_out(now_ms) {
             return false;
         }
@@ -181,14 +187,14 @@
     fn succeeded(&mut self, now_ms: u64, runner: membership::RunnerKey, end: &End) {
         let excess = self.kinds.learn(end);
         let spread = self.kinds.spread();
-        let one = self.by_runner.entry(runner).or_default();
+        let one = self.one(runner);
         one.evidence.succeeded(now_ms, end, excess);
         one.state.probed(now_ms, excess <= slow_bound(spread));
     }
 
     fn failed(&mut self, now_ms: u64, runner: membership::RunnerKey, end: &End) {
         let is_well = self.is_well_elsewhere(now_ms, end.kind, runner);
-        let one = self.by_runner.entry(runner).or_default();
+        let one = self.one(runner);
         one.evidence.failed(now_ms, end, is_well);
         if is_well {
             one.state.probed(now_ms, false);
@@ -197,13 +203,13 @@
 
     fn stuck(&mut self, now_ms: u64, runner: membership::RunnerKey, end: &End) {
         let is_well = self.is_well_elsewhere(now_ms, end.kind, runner);
-        let one = self.by_runner.entry(runner).or_default();
+        let one = self.one(runner);
         one.evidence.stuck(end, is_well);
     }
 
     /// Whether most other runners where this kind ended lately did it well.
     fn is_well_elsewhere(&self, now_ms: u64, kind: Kind, runner: membership::RunnerKey) -> bool {
-        let others = self.by_runner.iter().filter(|(key, _)| **key != runner);
+        let others = self.by_runner.iter().filter(|(key, _)| *key != runner);
         let since_ms = now_ms.saturating_sub(ELSEWHERE_MS);
         let (mut well, mut all) = (0, 0);
         for (_, one) in others {
@@ -217,7 +223,7 @@
     }
 
     fn is_bad(&self, runner: membership::RunnerKey, policy: &settings::Policy) -> bool {
-        let Some(one) = self.by_runner.get(&runner) else {
+        let Some(one) = self.by_runner.get(runner) else {
             return false;
         };
         one.evidence.is_failing(policy.eject_failures)
@@ -237,7 +243,7 @@
 
     /// The median excess of the other runners; absent until two have shown one.
     fn typical(&self, runner: membership::RunnerKey) -> Option<f64> {
-        let others = self.by_runner.iter().filter(|(key, _)| **key != runner);
+        let others = self.by_runner.iter().filter(|(key, _)| *key != runner);
         let mut known: Vec<f64> = others
             .filter_map(|(_, one)| one.evidence.excess())
             .collect();
