--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -107,6 +107,7 @@
         for action in actions {
             match action {
                 core::Action::Dispatch { address, dispatch } => {
+                    log_dispatch(&address, &dispatch);
                     self.send_dispatch(cx, address, *dispatch);
                 }
                 core::Action::Fence { address, fence } => self.send_fence(cx, address, fence),
@@ -218,8 +219,13 @@
         if pending.is_final || wait_ms == 0 {
             return ready(pending);
         }
+        let waiters = self.waiters.entry(key).or_default();
+        waiters.retain(|waiter| !waiter.is_closed());
+        if waiters.len() >= MAX_WAITERS {
+            return ready(pending);
+        }
         let (tx, rx) = oneshot::channel();
-        self.waiters.entry(key).or_default().push(tx);
+        waiters.push(tx);
         let control = cx.address();
         let longest = u64::from(self.core.settings().limits.max_wait_ms);
         let limit = time::Duration::from_millis(wait_ms.min(longest));
@@ -257,6 +263,14 @@
         }
     }
 
+    /// After the first evidence, and before anybody is told that there are settings:
+    /// a caller who was told must not be refused for want of them.
+    fn publish_first(&mut self) {
+        if !self.is_published {
+            self.publish();
+        }
+    }
+
     fn write_checkpoint_if_due(&mut self) {
         let (now_ms, seed) = (self.now_ms(), self.parts.me.incarnation.0);
         if let Some(checkpoint) = self.keeper.checkpoint_due(now_ms, seed) {
@@ -313,6 +327,22 @@
     Box::pin(async move { messages::Resolution::Answer(Box::new(answer)) })
 }
 
+/// One line a task is too much at the usual level: an entry may hand out tens of
+/// thousands a second.
+fn log_dispatch(to: &str, dispatch: &wire::Dispatch) {
+    let attempt = dispatch.attempt;
+    let (submission, index) = (dispatch.submission.as_str(), dispatch.index);
+    log::debug!(event = "task.dispatched", attempt:% = attempt, submission = submission, index = index, to = to; "handed out");
+}
+
+fn log_reply(message: &messages::DispatchDone) {
+    let code = match message.reply.as_ref().map(|reply| &reply.outcome) {
+        Ok(wire::Outcome::Ended { code, .. } | wire::Outcome::NotStarted { code }) => code.number(),
+        _ => codes::Code::Pending.number(),
+    };
+    log::debug!(event = "task.answered", attempt:% = message.attempt, code = code; "answered");
+}
+
 /// A refusal with an HTTP status may have come from a release that reads the
 /// message in another way; what it did is asked about like after silence.
 fn fault(err: &outgoing::CallError) -> attempts::Fault {
@@ -335,9 +365,6 @@
             let now_ms = actor.now_ms();
             let actions = actor.core.tick(now_ms);
             actor.act(cx, actions);
-            if !actor.is_published {
-                actor.publish();
-            }
             actor.announce_if_alone(cx);
         });
         let interval = time::Duration::from_millis(announcements::INTERVAL_MS);
@@ -360,6 +387,10 @@
     }
 }
 
+/// Calls that may wait for one submission's answer; one more is answered at once
+/// with what there is, as if its wait were over.
+const MAX_WAITERS: usize = 64;
+
 /// Messages that may wait for the control thread.
 const MAILBOX: usize = 4_096;
 
@@ -458,6 +489,7 @@
 
     fn handle(&mut self, message: messages::DispatchDone, cx: &mut Self::Context) {
         let now_ms = self.now_ms();
+        log_reply(&message);
         let actions = match message.reply {
             Ok(reply) => self.core.dispatch_answered(now_ms, reply),
             Err(fault) => self.core.dispatch_failed(now_ms, message.attempt, fault),
@@ -492,6 +524,7 @@
         let is_behind = self
             .core
             .heartbeat_answered(now_ms, message.asked_ms, &reply);
+        self.publish_first();
         if is_behind || self.keeper.is_lacking() {
             let position = self.keeper.state().position();
             let done = cx.address().recipient();
@@ -527,6 +560,7 @@
             if taken.is_changed {
                 self.settings_changed(cx);
             }
+            self.publish_first();
             self.write_checkpoint_if_due();
         }
         self.keeper.read_from()
