--- a/tests/unit/wire.rs
+++ b/tests/unit/wire.rs
@@ -55,6 +55,7 @@
         wait_ms: figures[2],
         slack_ms: figures[3],
         limit_ms: figures[3],
+        slack_ms: figures[3],
         submission: "x".into(),
         index: 0,
     }
