--- a/tests/failure/input.rs
+++ b/tests/failure/input.rs
@@ -133,7 +133,6 @@
         payload: "bad".to_owned(),
         resources: wire::Resources::default(),
         wait_ms: u64::MAX,
-        slack_ms: u64::MAX,
         limit_ms: u64::MAX,
         slack_ms: u64::MAX,
         submission: "x".into(),
--- a/tests/unit/wire.rs
+++ b/tests/unit/wire.rs
@@ -53,7 +53,6 @@
         payload,
         resources: wire::Resources::default(),
         wait_ms: figures[2],
-        slack_ms: figures[3],
         limit_ms: figures[3],
         slack_ms: figures[3],
         submission: "x".into(),
