--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -238,7 +238,8 @@
         }
     }
 
-    /// The first evidence came in: the defaults are now known to be in force.
+    /// After the first evidence, and before anybody is told that there are settings:
+    /// a caller who was told must not be refused for want of them.
     fn publish_first(&mut self) {
         if !self.is_published {
             self.publish();
