--- a/tests/unit/dispatching.rs
+++ b/tests/unit/dispatching.rs
@@ -483,3 +483,31 @@
     }
     assert!(submitted > 2_000, "too little happened: {submitted}");
 }
+
+// An entry stands still with a task waiting, whose deadline passes meanwhile. What thaws it
+// is a runner's heartbeat, before its own clock has ticked. The caller gave up long ago: the
+// task must not be handed to the runner on the strength of what the entry still holds.
+#[test]
+fn pause_is_noticed_before_the_message_that_ends_it_is_acted_upon() {
+    let mut world = World::new(
+        0,
+        Trouble {
+            lost: 0,
+            repeated: 0,
+            late: 0,
+            frozen: 0,
+            replaced: 0,
+        },
+    );
+    world.submit(0);
+    let waiting = world.entry.queued();
+    world.now_ms = 20_000;
+
+    world.tick_runner(0);
+
+    assert!(waiting > 0 && world.refused == 0);
+    assert_eq!(world.entry.queued(), 0);
+    assert!(world.messages.is_empty(), "handed out after its deadline");
+    let codes: Vec<_> = world.answers.values().map(|answer| answer.code).collect();
+    assert_eq!(codes, vec![codes::Code::DeadlineNotRun]);
+}
