Keep runners without room in the list of candidates

Cause: admission asks the same list whether any runner is there. A runner that was only out of room (suspect, probed, or in a zone that begins its return) was left out of it, so the last one in service would have looked like none, and submissions would have been refused for want of capacity. Found by reading.

--- a/src/entry/pump.rs
+++ b/src/entry/pump.rs
@@ -161,15 +161,18 @@
         runner: &membership::Runner,
     ) -> Option<placement::Candidate> {
         let allowance = self.health.allowance(now_ms, key);
+        // An ejected runner is none at all. One that has no room at the moment stays in
+        // the list: left out, the last one in service would look like none being there,
+        // and submissions would be refused for want of capacity.
+        if allowance.most == Some(0) {
+            return None;
+        }
         let free_slots = runner.free_slots();
         let ramp = self.ramp_room(now_ms, runner, free_slots);
         let probe = allowance
             .most
             .map(|most| most.saturating_sub(runner.in_flight));
         let room = ramp.into_iter().chain(probe).min();
-        if room == Some(0) {
-            return None;
-        }
         let waiting = u32::try_from(-free_slots.min(0)).unwrap_or(u32::MAX);
         Some(placement::Candidate {
             key,
