--- a/measure/src/patterns/mod.rs
+++ b/measure/src/patterns/mod.rs
@@ -6,7 +6,10 @@
 pub mod hot_caller;
 pub mod long_among_short;
 pub mod overload;
+pub mod placement;
+pub mod servers;
 pub mod steady;
+pub mod zone_change;
 
 use smol_str::SmolStr;
 
@@ -104,6 +107,13 @@
     ("overload", overload::run),
     ("cancel-wave", cancel_wave::run),
     ("far-off", far_off::run),
+    ("placement", placement::run),
+    ("slow-server", servers::slow),
+    ("fails-all", servers::fails_all),
+    ("frozen-server", servers::frozen),
+    ("stuck-server", servers::stuck),
+    ("zone-change", zone_change::warm),
+    ("cold-zone", zone_change::cold),
 ];
 
 /// Finds a pattern by its name.
--- a/src/client/settle.rs
+++ b/src/client/settle.rs
@@ -26,6 +26,12 @@
 const MIN_PAUSE: time::Duration = time::Duration::from_millis(20);
 const MAX_PAUSE: time::Duration = time::Duration::from_secs(1);
 
+/// How long after its deadline a submission's final answer is still awaited.
+///
+/// An entry gives it up at the deadline; without this its answer would cross with the
+/// caller's own end, and the caller would not learn what ran.
+pub const GRACE: time::Duration = time::Duration::from_secs(2);
+
 /// How long a caller goes on.
 #[derive(Clone, Copy, Debug)]
 pub struct Patience {
@@ -79,6 +85,16 @@
     Fetch(&'a ids::SubmissionId),
 }
 
+impl Subject<'_> {
+    /// The submission's id, if the caller has one.
+    const fn id(&self) -> Option<&ids::SubmissionId> {
+        match self {
+            Self::Submit(_, submission) => submission.submission.as_ref(),
+            Self::Fetch(id) => Some(id),
+        }
+    }
+}
+
 /// Calls the entries in turn until a final answer is there or the patience is over.
 ///
 /// At least one call is made. When no call is answered to the end, the last failure is given.
@@ -94,7 +110,11 @@
     let mut subject = subject;
     loop {
         let pause = match step(entries, place, &subject, patience.wait()).await {
-            Ok(answer) if answer.is_final || patience.wait().is_zero() => {
+            Ok(mut answer) if answer.is_final || patience.wait().is_zero() => {
+                // A final answer without an id says that nothing was taken in.
+                if !answer.is_final && answer.submission.is_none() {
+                    answer.submission = subject.id().cloned();
+                }
                 return Ok(Settled { answer, repeats });
             }
             Ok(answer) => {
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -22,9 +22,6 @@
     --json          Print a JSON array, one object a process
 ";
 
-/// Connections to each process.
-const CONNECTIONS: usize = 1;
-
 struct Args {
     config: cli::Config,
     json: bool,
@@ -49,7 +46,7 @@
     let args = Args::parse(args)?;
     let entries = args.config.entries()?;
     let processes = cmd::block_on(async {
-        let http = client::Http::new(CONNECTIONS);
+        let http = client::Http::open();
         survey::survey(&http, entries).await
     });
     if args.json {
@@ -57,6 +54,7 @@
     } else {
         cli::out::print(&render(&processes))?;
     }
+    note_silent(&processes);
     if processes.iter().any(|process| process.answered) {
         return Ok(());
     }
@@ -66,6 +64,19 @@
     ))
 }
 
+/// Tells which addresses an operator should look at.
+fn note_silent(processes: &[survey::Process]) {
+    for process in processes {
+        if !process.perhaps_at.is_empty() {
+            let name = process.shown_name();
+            let at = process.perhaps_at.join(", ");
+            cli::out::note(format_args!(
+                "{name} does not answer; given as {at}, perhaps"
+            ));
+        }
+    }
+}
+
 fn render(processes: &[survey::Process]) -> String {
     let heading = [
         "role", "name", "zone", "state", "revision", "busy", "queued", "running", "fresh",
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -13,14 +13,18 @@
 use smol_str::SmolStr;
 
 use crate::admission::drain;
-use crate::admission::retry;
+use crate::admission::retry as returning;
 use crate::api;
+use crate::claims;
 use crate::freshness;
+use crate::health;
 use crate::ids;
 use crate::jobs;
 use crate::learning;
 use crate::membership;
 use crate::queue;
+use crate::ramp;
+use crate::retry;
 use crate::settings;
 use crate::wire;
 
@@ -48,6 +52,10 @@
         /// The final answer.
         answer: Box<api::Answer>,
     },
+    /// Append this to the log's stream of claims and report when that ended.
+    AppendClaims(claims::Record),
+    /// Have the calls about this id looked at again.
+    ClaimSettled(claims::Name),
 }
 
 /// An attempt that was handed to a runner and is not settled.
@@ -57,10 +65,14 @@
     pub task: jobs::TaskKey,
     /// The runner.
     pub runner: membership::RunnerKey,
+    /// The runner's epoch that the dispatch carried.
+    pub epoch: u64,
     /// Who pays.
     pub team: queue::TeamKey,
     /// What it is expected to take.
     pub need: wire::Resources,
+    /// Its team and kind.
+    pub kind: health::Kind,
     /// How long it is expected to run, in milliseconds.
     pub expected_ms: u64,
     /// Its place in the queue, should it come back unstarted.
@@ -116,11 +128,15 @@
     pub(crate) revision: Option<u64>,
     pub(crate) freshness: freshness::Freshness,
     pub(crate) members: membership::Members,
+    pub(crate) health: health::Health,
+    pub(crate) ramps: ramp::Ramps,
     pub(crate) jobs: jobs::Table,
+    pub(crate) claims: claims::Table,
     pub(crate) queue: queue::Queue,
+    pub(crate) retries: retry::Retries,
     pub(crate) in_flight: collections::BTreeMap<u64, InFlight>,
     pub(crate) drain: drain::Drain,
-    pub(crate) returning: retry::Returning,
+    pub(crate) returning: returning::Returning,
     /// An equal part of all slots in service, beside the other entries.
     pub(crate) part: f64,
     pub(crate) no_runner_since_ms: Option<u64>,
@@ -128,6 +144,7 @@
     pub(crate) next_attempt: u64,
     pub(crate) next_ticket: u64,
     pub(crate) is_leaving: bool,
+    pub(crate) started_ms: u64,
     pub(crate) last_tick_ms: u64,
     pub(crate) counts: Counts,
     pub(crate) rng: rand_chacha::ChaCha8Rng,
@@ -141,6 +158,11 @@
         now_ms: u64,
         seed: u64,
     ) -> Self {
+        let retries = retry::Retries::new(&settings.policy);
+        let claimer = claims::Claimer {
+            entry: me.name.clone(),
+            incarnation: me.incarnation,
+        };
         let mut queue = queue::Queue::default();
         queue.configure(&settings.teams);
         Self {
@@ -149,17 +171,22 @@
             revision: None,
             freshness: freshness::Freshness::default(),
             members: membership::Members::default(),
+            health: health::Health::default(),
+            ramps: ramp::Ramps::default(),
             jobs: jobs::Table::new(now_ms),
+            claims: claims::Table::new(claimer),
             queue,
+            retries,
             in_flight: collections::BTreeMap::new(),
             drain: drain::Drain::new(now_ms),
-            returning: retry::Returning::default(),
+            returning: returning::Returning::default(),
             part: 0.0,
             no_runner_since_ms: Some(now_ms),
             learned: learning::Table::default(),
             next_attempt: 1,
             next_ticket: 1,
             is_leaving: false,
+            started_ms: now_ms,
             last_tick_ms: now_ms,
             counts: Counts::default(),
             rng: rand_chacha::ChaCha8Rng::seed_from_u64(seed),
@@ -181,6 +208,11 @@
         &mut self.freshness
     }
 
+    /// How the runners fare.
+    pub const fn health(&self) -> &health::Health {
+        &self.health
+    }
+
     /// The processes known.
     pub const fn members(&self) -> &membership::Members {
         &self.members
@@ -223,12 +255,16 @@
         settings: sync::Arc<settings::Settings>,
         revision: Option<u64>,
     ) -> Vec<Action> {
+        self.ramps
+            .change(now_ms, &self.settings, &settings, revision);
+        let mut actions = self.wake(now_ms);
         self.queue.configure(&settings.teams);
         let teams = self.queue.teams();
         self.returning.retain(|key| teams.get(key).is_some());
         self.settings = settings;
         self.revision = revision;
-        self.pump(now_ms)
+        actions.extend(self.pump(now_ms));
+        actions
     }
 
     /// A runner or another entry said that it is there.
@@ -237,7 +273,7 @@
         now_ms: u64,
         heartbeat: &wire::Heartbeat,
     ) -> (wire::HeartbeatReply, Vec<Action>) {
-        let mut actions = Vec::new();
+        let mut actions = self.wake(now_ms);
         match heartbeat.sender.role {
             wire::Role::Runner => {
                 let heard = self.members.hear_runner(now_ms, heartbeat);
--- a/src/entry/load.rs
+++ b/src/entry/load.rs
@@ -9,44 +9,51 @@
 use crate::entry::core;
 use crate::ids;
 use crate::jobs;
-use crate::jobs::answer;
 use crate::learning;
+use crate::membership;
 use crate::placement;
 use crate::queue;
 use crate::queue::order;
+use crate::settings;
 use crate::wire;
 
 /// Run time expected of a task that declares none, in milliseconds: the middle of
 /// the brief's "50 ms to a second", on a log scale.
 pub const DEFAULT_RUN_MS: u64 = 220;
 
+/// Why a submission is not taken in, and when to come back.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Refusal {
+    /// The reason.
+    pub code: codes::Code,
+    /// Milliseconds, where time mends it.
+    pub retry_after_ms: Option<u64>,
+}
+
 impl core::Core {
-    /// Why a submission is not taken in, with a time to come back, or `None`.
+    /// Why a submission is not taken in, if so.
     pub(crate) fn refusal(
         &mut self,
         now_ms: u64,
         team: &SmolStr,
         id: &ids::SubmissionId,
         submission: &api::Submission,
-    ) -> Option<api::Answer> {
-        if let Some(code) = self.closed_code(id) {
-            return Some(answer::plain(Some(id.clone()), code, true));
+    ) -> Option<Refusal> {
+        let closed = self.is_leaving.then_some(codes::Code::Leaving);
+        if let Some(code) = self.past_use(team, id).or(closed) {
+            return Some(Refusal {
+                code,
+                retry_after_ms: None,
+            });
         }
         let asked = self.asked(team, submission);
         let view = self.load_view(now_ms, team);
         let code = self.admission_code(team, submission, &asked, &view)?;
-        let mut refusal = answer::plain(Some(id.clone()), code, true);
-        refusal.retry_after_ms = self.retry_after_ms(now_ms, team, code, &asked, &view);
-        Some(refusal)
-    }
-
-    fn closed_code(&self, id: &ids::SubmissionId) -> Option<codes::Code> {
-        if let ids::SubmissionId::Ticket(ticket) = id
-            && !self.jobs.epochs().contains(ticket.epoch)
-        {
-            return Some(codes::Code::TicketExpired);
-        }
-        self.is_leaving.then_some(codes::Code::Leaving)
+        let retry_after_ms = self.retry_after_ms(now_ms, team, code, &asked, &view);
+        Some(Refusal {
+            code,
+            retry_after_ms,
+        })
     }
 
     fn asked(&self, team: &SmolStr, submission: &api::Submission) -> admission::Asked {
@@ -175,24 +182,24 @@
     /// entries in turns, so an entry that comes new to full runners soon has its part.
     fn usable_slots(&self, candidates: &[placement::Candidate], part: f64) -> f64 {
         let free: i64 = candidates.iter().map(|one| one.free_slots.max(0)).sum();
-        let parked: u32 = candidates.iter().map(|one| one.parked).sum();
-        let running = self.in_flight.len().saturating_sub(parked as usize);
+        let parked: u64 = candidates.iter().map(|one| u64::from(one.parked)).sum();
+        let running = (self.in_flight.len() as u64).saturating_sub(parked);
         (running as f64 + free as f64).max(part)
     }
 
-    /// How many tasks of this entry may wait at one runner for a slot.
+    /// The policy by which runners are chosen now.
     ///
-    /// None while the entry has its part of the slots: what waits at a runner is
+    /// Nothing is sent to wait at a runner while the entry has more than its part of the slots: what waits at a runner is
     /// started before anything that comes later and is not shared between teams there,
     /// so a task of another team, or a shorter one, would wait behind it. An entry with
     /// less than its part has its tasks wait at runners, since it hears of slots that
     /// come free only through the answers to its own dispatches.
-    pub(crate) fn park_per_runner(&self) -> u32 {
-        if (self.in_flight.len() as f64) < self.part {
-            self.settings.policy.park_per_runner
-        } else {
-            0
+    pub(crate) fn placement_policy(&self) -> settings::Policy {
+        let mut policy = self.settings.policy;
+        if self.in_flight.len() as f64 > self.part {
+            policy.park_per_runner = 0;
         }
+        policy
     }
 
     /// A task ended at its backend server.
@@ -231,8 +238,9 @@
     pub(crate) fn tick_load(&mut self, now_ms: u64) {
         let candidates = self.candidates(now_ms);
         let runners = candidates.iter().map(|one| self.members.runner(one.key));
-        let all: u32 = runners.flatten().map(|runner| runner.load.slots).sum();
-        self.part = f64::from(all) / (self.live_entries(now_ms).len() + 1) as f64;
+        let slots = |runner: &membership::Runner| f64::from(runner.load.slots);
+        let all: f64 = runners.flatten().map(slots).sum();
+        self.part = all / (self.live_entries(now_ms).len() + 1) as f64;
         let slots = self.usable_slots(&candidates, self.part);
         self.drain.tick(now_ms, slots, !self.queue.is_empty());
         let is_none = candidates.is_empty();
--- a/src/queue/order.rs
+++ b/src/queue/order.rs
@@ -1,7 +1,7 @@
 //! Order within a team: by the time at which a task should start.
 //!
 //! A job is answered when its last task is, so its tasks share one target, the time
-//! by which callers should have the answer: arrival and [`STRETCH`] times the job's
+//! by which callers should have the answer: arrival and `STRETCH_PERCENT` times the job's
 //! ideal. A short job's target is soon, so it goes before long ones that came a
 //! little earlier; a job's longest tasks start first; and a job that came long ago
 //! goes before every new one, so jobs finish instead of all being half done.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -206,6 +206,10 @@
     pub resources: Resources,
     /// Longest wait for a slot before it is handed back, in milliseconds.
     pub wait_ms: u64,
+    /// In how many milliseconds it should start; the runner goes by it among what
+    /// waits there.
+    #[serde(default)]
+    pub slack_ms: u64,
     /// Longest run before it is stopped, in milliseconds.
     pub limit_ms: u64,
     /// The submission's id, for logs.
@@ -304,8 +308,9 @@
 pub struct LoggedRecord {
     /// Its offset.
     pub offset: u64,
-    /// The record as JSON text.
-    pub record: String,
+    /// The record as JSON text; absent: a checkpoint, which changes nothing for a
+    /// state that is past it and is too large to be passed on.
+    pub record: Option<String>,
 }
 
 /// Answer to a [`SettingsQuery`]: the records from the asker's position on where
