--- a/src/entry/load.rs
+++ b/src/entry/load.rs
@@ -189,11 +189,11 @@
 
     /// The policy by which runners are chosen now.
     ///
-    /// Nothing is sent to wait at a runner while the entry has more than its part of the slots: what waits at a runner is
-    /// started before anything that comes later and is not shared between teams there,
-    /// so a task of another team, or a shorter one, would wait behind it. An entry with
-    /// less than its part has its tasks wait at runners, since it hears of slots that
-    /// come free only through the answers to its own dispatches.
+    /// Nothing is sent to wait at a runner while the entry has more than its part of
+    /// the slots: what waits there is not shared between teams, so a task of another
+    /// team, or a shorter one, would wait behind it. An entry with less has its tasks
+    /// wait at runners, since it hears of slots that come free only through the
+    /// answers to its own dispatches.
     pub(crate) fn placement_policy(&self) -> settings::Policy {
         let mut policy = self.settings.policy;
         if self.in_flight.len() as f64 > self.part {
