--- a/src/entry/load.rs
+++ b/src/entry/load.rs
@@ -10,8 +10,11 @@
 use crate::ids;
 use crate::jobs;
 use crate::learning;
+use crate::membership;
+use crate::placement;
 use crate::queue;
 use crate::queue::order;
+use crate::settings;
 use crate::wire;
 
 /// Run time expected of a task that declares none, in milliseconds: the middle of
@@ -177,20 +180,28 @@
     ///
     /// Those taken by others don't count, but for an equal part of all: runners serve
     /// entries in turns, so an entry that comes new to full runners soon has its part.
-    fn usable_slots(&self, now_ms: u64) -> f64 {
-        let candidates = self.candidates(now_ms);
-        let keys = candidates.iter().map(|one| self.members.runner(one.key));
-        let all: f64 = keys
-            .flatten()
-            .map(|runner| f64::from(runner.load.slots))
-            .sum();
-        let part = all / (self.live_entries(now_ms).len() + 1) as f64;
+    fn usable_slots(&self, candidates: &[placement::Candidate], part: f64) -> f64 {
         let free: i64 = candidates.iter().map(|one| one.free_slots.max(0)).sum();
         let parked: u64 = candidates.iter().map(|one| u64::from(one.parked)).sum();
         let running = (self.in_flight.len() as u64).saturating_sub(parked);
         (running as f64 + free as f64).max(part)
     }
 
+    /// The policy by which runners are chosen now.
+    ///
+    /// Nothing is sent to wait at a runner while the entry has more than its part of
+    /// the slots: what waits there is not shared between teams, so a task of another
+    /// team, or a shorter one, would wait behind it. An entry with less has its tasks
+    /// wait at runners, since it hears of slots that come free only through the
+    /// answers to its own dispatches.
+    pub(crate) fn placement_policy(&self) -> settings::Policy {
+        let mut policy = self.settings.policy;
+        if self.in_flight.len() as f64 > self.part {
+            policy.park_per_runner = 0;
+        }
+        policy
+    }
+
     /// A task ended at its backend server.
     pub(crate) fn learn(
         &mut self,
@@ -225,9 +236,14 @@
     }
 
     pub(crate) fn tick_load(&mut self, now_ms: u64) {
-        let slots = self.usable_slots(now_ms);
+        let candidates = self.candidates(now_ms);
+        let runners = candidates.iter().map(|one| self.members.runner(one.key));
+        let slots = |runner: &membership::Runner| f64::from(runner.load.slots);
+        let all: f64 = runners.flatten().map(slots).sum();
+        self.part = all / (self.live_entries(now_ms).len() + 1) as f64;
+        let slots = self.usable_slots(&candidates, self.part);
         self.drain.tick(now_ms, slots, !self.queue.is_empty());
-        let is_none = self.candidates(now_ms).is_empty();
+        let is_none = candidates.is_empty();
         self.no_runner_since_ms = is_none.then(|| self.no_runner_since_ms.unwrap_or(now_ms));
     }
 
--- a/src/entry/pump.rs
+++ b/src/entry/pump.rs
@@ -42,7 +42,7 @@
                 }
                 Placed::Waits => passed_over.push(item),
             }
-            if !passed_over.is_empty() && view.pool.is_full(&self.settings.policy) {
+            if !passed_over.is_empty() && view.pool.is_full(&self.placement_policy()) {
                 break;
             }
         }
@@ -58,9 +58,8 @@
         };
         self.count_spread(item.task.submission, &mut view.spread);
         let draw = self.rng.next_u64();
-        let choice = view
-            .pool
-            .choose(&need, &view.spread, &self.settings.policy, draw);
+        let policy = self.placement_policy();
+        let choice = view.pool.choose(&need, &view.spread, &policy, draw);
         match choice {
             placement::Choice::Send(at) => self.send_to(now_ms, item, need, view, at),
             placement::Choice::NeverFits if !self.fits_any(&need) => {
