--- a/src/entry/attempts.rs
+++ b/src/entry/attempts.rs
@@ -157,8 +157,11 @@
                 code,
                 output,
                 run_ms,
-                ..
-            } => self.ended(now_ms, number, code, output, run_ms),
+                peak,
+            } => {
+                self.learn(number, code, run_ms, peak);
+                self.ended(now_ms, number, code, output, run_ms)
+            }
         }
     }
 
@@ -167,6 +170,7 @@
         let Some(flight) = self.take(number) else {
             return Vec::new();
         };
+        self.queue.recharge(flight.team, flight.expected_ms, 0);
         self.close(now_ms, flight.runner, code);
         let Some(open) = self.jobs.open_mut(flight.task.submission) else {
             return Vec::new();
@@ -177,7 +181,7 @@
             return self.decide(now_ms, flight.task, jobs::Decided::not_run(code));
         }
         open.requeued(flight.task.index);
-        self.requeue(flight.task);
+        self.requeue(flight.item());
         Vec::new()
     }
 
@@ -195,25 +199,16 @@
         self.lost(now_ms, &flight, codes::Code::RunnerLost)
     }
 
-    /// Puts a task that came back at the head of the queue.
-    pub(crate) fn requeue(&mut self, task: jobs::TaskKey) {
-        let Some(open) = self.jobs.open_at(task.submission) else {
+    /// Puts a task that came back into its place in the queue.
+    pub(crate) fn requeue(&mut self, item: queue::Item) {
+        let Some(open) = self.jobs.open_at(item.task.submission) else {
             return;
         };
-        let is_waiting = matches!(open.progress(task.index), Some(jobs::Progress::Queued));
-        if !is_waiting || open.verdict().is_some() {
-            return;
+        let progress = open.progress(item.task.index);
+        let is_waiting = matches!(progress, Some(jobs::Progress::Queued));
+        if is_waiting && open.verdict().is_none() {
+            self.queue.push(item);
         }
-        let team = open.header.team.clone();
-        let since_ms = open.header.arrived_ms;
-        let expected_ms = open.task(task.index).map_or(0, super::calls::expected_ms);
-        let item = queue::Item {
-            task,
-            team,
-            expected_ms,
-            since_ms,
-        };
-        self.queue.push_front(item);
     }
 
     fn ended(
@@ -294,7 +289,7 @@
             return false;
         }
         let deadline_ms = open.header.deadline_ms;
-        if !self.retries.plan(now_ms, deadline_ms, flight.task, seed) {
+        if !self.retries.plan(now_ms, deadline_ms, flight.item(), seed) {
             return false;
         }
         open.lost(flight.task.index, code, place.cloned());
@@ -317,13 +312,7 @@
         if let Some(runner) = self.members.runner_mut(flight.runner) {
             runner.settled(&flight.need);
         }
-        let team = self
-            .jobs
-            .get(flight.task.submission)
-            .map(|known| known.header().team.clone());
-        if let Some(count) = team.and_then(|team| self.running_by_team.get_mut(&team)) {
-            *count = count.saturating_sub(1);
-        }
+        self.queue.released(flight.team);
         Some(flight)
     }
 
--- a/src/entry/calls.rs
+++ b/src/entry/calls.rs
@@ -12,20 +12,16 @@
 use crate::codes;
 use crate::entry::claiming;
 use crate::entry::core;
+use crate::entry::load;
 use crate::entry::tick;
 use crate::ids;
 use crate::jobs;
 use crate::jobs::answer;
-use crate::queue;
 use crate::wire;
 
 /// Most tickets given at once.
 pub const MAX_TICKETS: u32 = 1_000;
 
-/// Run time expected of a task that declares none, in milliseconds: the middle of
-/// the brief's "50 ms to a second", on a log scale.
-pub const DEFAULT_RUN_MS: u64 = 220;
-
 /// What a call about a submission comes to.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Reply {
@@ -156,8 +152,8 @@
             deadline_ms: now_ms.saturating_add(wanted),
             is_idempotent: submission.idempotent,
         };
-        if let Some(code) = self.refusal_code(team, &header.id, &submission) {
-            let refusal = self.refuse(header, code, is_known_to_caller);
+        if let Some(refusal) = self.refusal(now_ms, team, &header.id, &submission) {
+            let refusal = self.refuse(header, refusal, is_known_to_caller);
             return (Reply::Answer(Box::new(refusal)), Vec::new());
         }
         if let Some(name) = claiming::claim_name(team, &header.id) {
@@ -185,28 +181,6 @@
         }
     }
 
-    fn enqueue_all(&mut self, now_ms: u64, key: jobs::Key) {
-        let Some(open) = self.jobs.open_at(key) else {
-            return;
-        };
-        let team = open.header.team.clone();
-        let items: Vec<_> = (0..)
-            .zip(&open.tasks)
-            .map(|(index, task)| queue::Item {
-                task: jobs::TaskKey {
-                    submission: key,
-                    index,
-                },
-                team: team.clone(),
-                expected_ms: expected_ms(task),
-                since_ms: now_ms,
-            })
-            .collect();
-        for item in items {
-            self.queue.push(item);
-        }
-    }
-
     /// Refuses a submission; one that may come again is refused for good.
     ///
     /// Without room to remember the refusal it is not the last word. Of a ticket
@@ -214,18 +188,26 @@
     fn refuse(
         &mut self,
         header: jobs::Header,
-        code: codes::Code,
+        refusal: load::Refusal,
         is_known_to_caller: bool,
     ) -> api::Answer {
         self.counts.refused += 1;
+        let load::Refusal {
+            code,
+            retry_after_ms,
+        } = refusal;
+        let plain = |id| api::Answer {
+            retry_after_ms,
+            ..answer::plain(id, code, true)
+        };
         if !is_known_to_caller {
-            return answer::plain(None, code, true);
+            return plain(None);
         }
         let id = Some(header.id.clone());
         if code.class() != codes::Class::NotRun {
-            return answer::plain(id, code, true);
+            return plain(id);
         }
-        let refusal = answer::plain(id, code, true);
+        let refusal = plain(id);
         let is_remembered = self.jobs.refuse(header, refusal.clone());
         api::Answer {
             is_final: is_remembered,
@@ -233,37 +215,12 @@
         }
     }
 
-    fn refusal_code(
-        &self,
-        team: &SmolStr,
-        id: &ids::SubmissionId,
-        submission: &api::Submission,
-    ) -> Option<codes::Code> {
-        if let Some(code) = self.past_use(team, id) {
-            return Some(code);
-        }
-        if self.is_leaving {
-            return Some(codes::Code::Leaving);
-        }
-        let limits = &self.settings.limits;
-        if self.jobs.len() >= limits.max_submissions as usize {
-            return Some(codes::Code::EntryQueueFull);
-        }
-        let tasks = submission.tasks.len();
-        if self.queue.len() + tasks > limits.max_queued as usize {
-            return Some(codes::Code::EntryQueueFull);
-        }
-        let quota = self.settings.teams.get(team)?;
-        let is_over = self.queue.len_of(team) + tasks > quota.max_queued as usize;
-        is_over.then_some(codes::Code::TeamQueueFull)
-    }
-
     /// Why an id that this life owns can't be used any more, though it is not
     /// remembered.
     ///
     /// A ticket older than the window may have been used, and its submission be
     /// forgotten: the truth is "may have run".
-    fn past_use(&self, team: &SmolStr, id: &ids::SubmissionId) -> Option<codes::Code> {
+    pub(crate) fn past_use(&self, team: &SmolStr, id: &ids::SubmissionId) -> Option<codes::Code> {
         let ids::SubmissionId::Ticket(ticket) = id else {
             let used = claims::Standing::Mine { is_used: true };
             let is_used = self.standing(team, id) == Some(used);
@@ -384,14 +341,6 @@
     }
 }
 
-/// Expected run time of a task as declared.
-pub fn expected_ms(task: &api::Task) -> u64 {
-    match task.run_ms {
-        0 => DEFAULT_RUN_MS,
-        declared => declared.into(),
-    }
-}
-
 /// Tells a repeat of a submission from other content under the same id.
 fn fingerprint(submission: &api::Submission) -> u64 {
     let mut hasher = hash::DefaultHasher::new();
--- a/src/entry/tick.rs
+++ b/src/entry/tick.rs
@@ -23,7 +23,9 @@
         let timeouts = self.settings.timeouts;
         self.jobs.advance(now_ms, timeouts.retain_ms.into());
         let dead_after = u64::from(timeouts.dead_after_ms);
+        self.tick_load(now_ms);
         let mut actions = self.end_overdue(now_ms);
+        actions.extend(self.end_hopeless(now_ms));
         actions.extend(self.end_unsettled(now_ms));
         actions.extend(self.end_dead_runners(now_ms, dead_after));
         actions.extend(self.ask_silent(now_ms));
@@ -132,8 +134,8 @@
     }
 
     fn start_due_again(&mut self, now_ms: u64) {
-        for task in self.retries.due(now_ms) {
-            self.requeue(task);
+        for item in self.retries.due(now_ms) {
+            self.requeue(item);
         }
     }
 
