--- a/src/entry/load.rs
+++ b/src/entry/load.rs
@@ -180,11 +180,12 @@
     fn usable_slots(&self, now_ms: u64) -> f64 {
         let candidates = self.candidates(now_ms);
         let keys = candidates.iter().map(|one| self.members.runner(one.key));
-        let all: u32 = keys.flatten().map(|runner| runner.load.slots).sum();
-        let part = f64::from(all) / (self.live_entries(now_ms).len() + 1) as f64;
+        // What runners say of themselves; a faulty one must not overflow the sum.
+        let slots = keys.flatten().map(|runner| u64::from(runner.load.slots));
+        let part = slots.sum::<u64>() as f64 / (self.live_entries(now_ms).len() + 1) as f64;
         let free: i64 = candidates.iter().map(|one| one.free_slots.max(0)).sum();
-        let parked: u32 = candidates.iter().map(|one| one.parked).sum();
-        let running = self.in_flight.len().saturating_sub(parked as usize);
+        let parked = candidates.iter().map(|one| one.parked as usize);
+        let running = self.in_flight.len().saturating_sub(parked.sum());
         (running as f64 + free as f64).max(part)
     }
 
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -1,5 +1,8 @@
 //! Structured logs: JSON lines with stable event names, through log4rs.
 
+use std::panic;
+use std::process;
+
 use log4rs::append;
 use log4rs::config as log_config;
 use log4rs::encode::json;
@@ -27,6 +30,21 @@
 /// this program's, and they carry no event names.
 const LIBRARIES: log::LevelFilter = log::LevelFilter::Warn;
 
+/// Ends the whole process when a thread panics.
+///
+/// A process without its control thread still serves some pages and does nothing
+/// more: its callers wait, and its peers take it for slow. One that is gone is known
+/// to be gone, and what it owned is answered as such.
+pub fn end_on_panic() {
+    let usual = panic::take_hook();
+    panic::set_hook(Box::new(move |info| {
+        usual(info);
+        log::error!(event = "daemon.panic"; "{info}");
+        log::logger().flush();
+        process::abort();
+    }));
+}
+
 /// Starts the JSON lines: to a file, or to the standard error.
 pub fn start(cfg: &config::Config) -> Result<(), TelemetryError> {
     let encoder = Box::new(json::JsonEncoder::new());
