--- a/measure/src/patterns/mod.rs
+++ b/measure/src/patterns/mod.rs
@@ -1,6 +1,9 @@
 //! The load patterns, one module each.
 
+pub mod placement;
+pub mod servers;
 pub mod steady;
+pub mod zone_change;
 
 use smol_str::SmolStr;
 
@@ -51,7 +54,16 @@
 pub type Pattern = fn(&sim::Site, f64, u64) -> Vec<Row>;
 
 /// All patterns by name.
-pub const ALL: &[(&str, Pattern)] = &[("steady", steady::run)];
+pub const ALL: &[(&str, Pattern)] = &[
+    ("steady", steady::run),
+    ("placement", placement::run),
+    ("slow-server", servers::slow),
+    ("fails-all", servers::fails_all),
+    ("frozen-server", servers::frozen),
+    ("stuck-server", servers::stuck),
+    ("zone-change", zone_change::warm),
+    ("cold-zone", zone_change::cold),
+];
 
 /// Finds a pattern by its name.
 pub fn find(name: &str) -> Option<Pattern> {
--- a/src/entry/tick.rs
+++ b/src/entry/tick.rs
@@ -34,6 +34,9 @@
         actions.extend(self.append_claims());
         self.members
             .forget_silent(now_ms, dead_after * FORGET_FACTOR);
+        let members = &self.members;
+        self.health
+            .retain(|runner| members.runner(runner).is_some());
         actions.extend(self.pump(now_ms));
         actions
     }
