--- a/tests/cli/test_help.rs
+++ b/tests/cli/test_help.rs
@@ -104,3 +104,25 @@
     assert_eq!(output.status.code(), Some(0));
     assert_eq!(String::from_utf8_lossy(&output.stderr), "");
 }
+
+/// Commands of the tool's own help, in order.
+fn commands(help: &str) -> Vec<String> {
+    let after = help.split("Callers:").nth(1).unwrap();
+    let listed = after.split("Exit status").next().unwrap();
+    let lines = listed.lines().filter(|line| line.starts_with("    "));
+    let words = lines.filter_map(|line| line.split_whitespace().next());
+    words.map(str::to_owned).collect()
+}
+
+#[test]
+fn page_has_every_command() {
+    const PAGE: &str = include_str!("../../docs/TOOL.md");
+    let dir = workdir::Workdir::new();
+
+    let help = dir.run(&["--help"]).stdout;
+
+    let commands = commands(&help);
+    let is_missing = |name: &&String| !PAGE.contains(&format!("`bulrushtiller {name}"));
+    assert!(commands.len() >= 9, "{commands:?}");
+    assert_eq!(commands.iter().find(is_missing), None);
+}
