--- a/tests/failure/main.rs
+++ b/tests/failure/main.rs
@@ -2,7 +2,10 @@
 //!
 //! The programs of the whole workspace must be built first: `./test` does it.
 
+mod answers;
+mod check;
 mod cuts;
+mod idempotence;
 mod input;
 mod leaving;
 mod logs;
@@ -10,8 +13,10 @@
 mod raw;
 mod rig;
 mod settings;
+mod starts;
 mod stops;
 mod traffic;
+mod truth;
 mod turns;
 mod watch;
 mod zones;
--- a/tests/failure/rig.rs
+++ b/tests/failure/rig.rs
@@ -15,6 +15,7 @@
 use bulrushtiller_standins::worker;
 use serde::Serialize;
 use serde::de;
+use smol_str::SmolStr;
 
 use crate::turns;
 
@@ -257,6 +258,11 @@
     get(address, "/status", TOKEN).expect("a status")
 }
 
+/// A submission id of a client's own choice.
+pub fn own_id(text: &str) -> ids::SubmissionId {
+    ids::SubmissionId::try_from(SmolStr::new(text)).expect("an own id")
+}
+
 /// A payload that makes the stand-in worker sleep; the mark tells it from others.
 pub fn sleep(ms: u64, mark: &str) -> String {
     format!("{{\"sleep_ms\": {ms}, \"output\": \"{mark}\"}}")
@@ -301,6 +307,16 @@
     })
 }
 
+/// Gets a page as text.
+pub fn get_text(address: net::SocketAddr, path: &str) -> Option<String> {
+    let url = format!("http://{address}{path}");
+    actix_rt::System::new().block_on(async move {
+        let mut response = client().get(url).send().await.ok()?;
+        let body = response.body().limit(MAX_BODY).await.ok()?;
+        String::from_utf8(body.to_vec()).ok()
+    })
+}
+
 /// Posts a JSON document and reads one.
 pub fn post<M: Serialize, R: de::DeserializeOwned>(
     address: net::SocketAddr,
