--- a/tests/failure/cuts.rs
+++ b/tests/failure/cuts.rs
@@ -38,6 +38,12 @@
         self.order(&serde_json::json!(behaviour));
     }
 
+    /// Connections taken so far.
+    pub fn accepted(&self) -> u64 {
+        let counts: Option<relay::Counts> = rig::get(self.control, "/control", rig::TOKEN);
+        counts.expect("counts").accepted
+    }
+
     /// Closes all connections, and new ones at once.
     pub fn cut(&self) {
         self.order(&serde_json::json!({"mode": "cut"}));
--- a/tests/failure/traffic.rs
+++ b/tests/failure/traffic.rs
@@ -6,6 +6,7 @@
 use bulrushtiller::api;
 use bulrushtiller::codes;
 
+use crate::cuts;
 use crate::rig;
 
 /// Nobody is taken for dead, and nothing is asked about, while the test runs.
@@ -48,3 +49,28 @@
     let codes: Vec<_> = answers.iter().map(|answer| answer.code).collect();
     assert_eq!(codes, vec![codes::Code::Complete; JOBS]);
 }
+
+/// A connection for each task would cost a round trip, and a port that stays in
+/// `TIME_WAIT` for a minute; at some hundreds of tasks a second an entry would run out
+/// of ports. Kept connections carry one task after another.
+#[test]
+fn connections_are_kept_from_task_to_task() {
+    let plan = rig::Plan {
+        runners: Vec::new(),
+        ..rig::Plan::default()
+    };
+    let mut rig = rig::Rig::start(&plan);
+    let links = rig.links.clone();
+    let relay = cuts::runner_behind_relay(&mut rig, "runner-0", "caxias", &links);
+    rig.wait_until_serving(1);
+    let before = relay.accepted();
+
+    for at in 0..100 {
+        let job = rig::job(&[rig::sleep(1, &format!("{at}"))]);
+        let answer = rig.submit(0, &job).expect("an answer");
+        assert_eq!(answer.code, codes::Code::Complete);
+    }
+
+    let made = relay.accepted() - before;
+    assert!(made <= 20, "{made} connections for 100 tasks");
+}
