Keep a set number of waiting tasks a runner where operators ask for more than one

Cause: having nothing wait at runners made Pedra Seca's settings no different from the Archivo's over a zone change; the test that each does better for its own user found it. A value over 1 is now kept at all times.

--- a/src/entry/load.rs
+++ b/src/entry/load.rs
@@ -21,6 +21,9 @@
 /// the brief's "50 ms to a second", on a log scale.
 pub const DEFAULT_RUN_MS: u64 = 220;
 
+/// Greatest `policy.park_per_runner`, its default, that gives way to order.
+const SPARE_PARK: u32 = 1;
+
 /// Why a submission is not taken in, and when to come back.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Refusal {
@@ -193,10 +196,12 @@
     /// the slots: what waits there is not shared between teams, so a task of another
     /// team, or a shorter one, would wait behind it. An entry with less has its tasks
     /// wait at runners, since it hears of slots that come free only through the
-    /// answers to its own dispatches.
+    /// answers to its own dispatches. Operators who set more than [`SPARE_PARK`] want
+    /// no slot idle before all else, and have it.
     pub(crate) fn placement_policy(&self) -> settings::Policy {
         let mut policy = self.settings.policy;
-        if self.in_flight.len() as f64 > self.part {
+        let is_asked_for = policy.park_per_runner > SPARE_PARK;
+        if !is_asked_for && self.in_flight.len() as f64 > self.part {
             policy.park_per_runner = 0;
         }
         policy
