Split the entry's control thread and the driver's world by duty

Ruled out: splitting the pure cores further now (each file of them has one duty). Conclusion: one constant that stood twice (the wait for a peer's settings) is one.

--- a/measure/src/sim/mod.rs
+++ b/measure/src/sim/mod.rs
@@ -3,7 +3,10 @@
 //! Both sides are the real decision modules; latencies, service times and faults
 //! are the only things made up.
 
+mod events;
+mod faults;
 pub mod naive;
+mod servers;
 pub mod site;
 pub mod ways;
 pub mod world;
--- a/measure/src/sim/world.rs
+++ b/measure/src/sim/world.rs
@@ -1,6 +1,5 @@
 //! Runs a workload through entries and runners in a made-up clock.
 
-use std::cmp;
 use std::collections;
 use std::sync;
 
@@ -19,121 +18,41 @@
 use bulrushtiller::wire;
 
 use crate::sim;
+use crate::sim::events;
 use crate::workload;
 
 /// Where the clock begins, so that ages can be taken from the first moment on.
-const START_US: u64 = 10_000_000_000;
+pub(super) const START_US: u64 = 10_000_000_000;
 /// How often each process looks at the time.
 const TICK_US: u64 = 20_000;
 /// How long after the last arrival a run may go on.
 const TAIL_US: u64 = 120_000_000;
-/// How long a settings change takes to be in force, at most: heartbeat and fetch.
-const SETTINGS_US: u64 = 600_000;
-/// Starts in a zone are late so long after it was taken out.
-const ZONE_BOUND_US: u64 = 3_000_000;
-/// Run time at a server that fails everything at once, milliseconds.
-const FAIL_MS: u32 = 1;
 
-#[derive(Debug)]
-enum Event {
-    Arrive(usize),
-    Cancel(usize),
-    Tick,
-    Heartbeats,
-    Fault(sim::Fault),
-    ApplySettings {
-        target: Target,
-        settings: sync::Arc<settings::Settings>,
-        revision: u64,
-    },
-    ToRunner {
-        runner: usize,
-        entry: usize,
-        message: ToRunner,
-    },
-    ToEntry {
-        entry: usize,
-        message: ToEntry,
-    },
-    TaskEnd {
-        runner: usize,
-        attempt: ids::Attempt,
-        run_ms: u32,
-        is_failed: bool,
-    },
-}
-
-#[derive(Clone, Copy, Debug)]
-enum Target {
-    Entry(usize),
-    Runner(usize),
-}
-
-#[derive(Debug)]
-enum ToRunner {
-    Dispatch(wire::Dispatch),
-    Fence(wire::Fence),
-}
-
-#[derive(Debug)]
-enum ToEntry {
-    Reply(wire::DispatchReply),
-    Fenced(wire::Fence, wire::FenceReply),
-    Heartbeat(wire::Heartbeat),
-}
-
-struct Timed {
-    at_us: u64,
-    number: u64,
-    event: Event,
-}
-
-impl PartialEq for Timed {
-    fn eq(&self, other: &Self) -> bool {
-        (self.at_us, self.number) == (other.at_us, other.number)
-    }
-}
-
-impl Eq for Timed {}
-
-impl PartialOrd for Timed {
-    fn partial_cmp(&self, other: &Self) -> Option<cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Timed {
-    /// The earliest is the greatest, for the heap.
-    fn cmp(&self, other: &Self) -> cmp::Ordering {
-        (other.at_us, other.number).cmp(&(self.at_us, self.number))
-    }
-}
-
-struct World<'a> {
-    site: &'a sim::Site,
-    jobs: &'a [workload::Job],
-    settings: settings::Settings,
-    revision: u64,
-    now_us: u64,
-    number: u64,
-    events: collections::BinaryHeap<Timed>,
-    entries: Vec<entry::Core>,
-    runners: Vec<runner::Core>,
-    speeds: Vec<f64>,
-    fails_all: Vec<bool>,
-    frozen: Vec<bool>,
-    stuck: Vec<bool>,
-    applied: Vec<u64>,
-    out_since: collections::HashMap<SmolStr, u64>,
-    submitted: collections::HashMap<(usize, jobs::Key), usize>,
-    placed: Vec<Option<(usize, jobs::Key)>>,
-    open: usize,
-    returns: Vec<u32>,
-    sent_us: Vec<u64>,
-    has_started: Vec<bool>,
-    starts: collections::HashSet<(SmolStr, u32)>,
-    rng: rand_chacha::ChaCha8Rng,
-    outcome: sim::Outcome,
+pub(super) struct World<'a> {
+    pub(super) site: &'a sim::Site,
+    pub(super) jobs: &'a [workload::Job],
+    pub(super) settings: settings::Settings,
+    pub(super) revision: u64,
+    pub(super) now_us: u64,
+    pub(super) number: u64,
+    pub(super) events: collections::BinaryHeap<events::Timed>,
+    pub(super) entries: Vec<entry::Core>,
+    pub(super) runners: Vec<runner::Core>,
+    pub(super) speeds: Vec<f64>,
+    pub(super) fails_all: Vec<bool>,
+    pub(super) frozen: Vec<bool>,
+    pub(super) stuck: Vec<bool>,
+    pub(super) applied: Vec<u64>,
+    pub(super) out_since: collections::HashMap<SmolStr, u64>,
+    pub(super) submitted: collections::HashMap<(usize, jobs::Key), usize>,
+    pub(super) placed: Vec<Option<(usize, jobs::Key)>>,
+    pub(super) open: usize,
+    pub(super) returns: Vec<u32>,
+    pub(super) sent_us: Vec<u64>,
+    pub(super) has_started: Vec<bool>,
+    pub(super) starts: collections::HashSet<(SmolStr, u32)>,
+    pub(super) rng: rand_chacha::ChaCha8Rng,
+    pub(super) outcome: sim::Outcome,
 }
 
 /// Runs a workload to its end.
@@ -225,36 +144,36 @@
     }
 
     fn schedule_all(&mut self, faults: &[sim::Fault]) {
-        self.at(START_US, Event::Heartbeats);
-        self.at(START_US + 1, Event::Tick);
+        self.at(START_US, events::Event::Heartbeats);
+        self.at(START_US + 1, events::Event::Tick);
         for (index, job) in self.jobs.iter().enumerate() {
             let arrives = START_US + job.at_us + self.site.to_caller_us;
-            self.at(arrives, Event::Arrive(index));
+            self.at(arrives, events::Event::Arrive(index));
             if let Some(cancel_us) = job.cancel_us {
                 self.at(
                     START_US + cancel_us + self.site.to_caller_us,
-                    Event::Cancel(index),
+                    events::Event::Cancel(index),
                 );
             }
         }
         for fault in faults {
             self.at(
                 START_US + fault.at_ms() * 1_000,
-                Event::Fault(fault.clone()),
+                events::Event::Fault(fault.clone()),
             );
         }
     }
 
-    fn at(&mut self, at_us: u64, event: Event) {
+    pub(super) fn at(&mut self, at_us: u64, event: events::Event) {
         self.number += 1;
-        self.events.push(Timed {
+        self.events.push(events::Timed {
             at_us,
             number: self.number,
             event,
         });
     }
 
-    const fn now_ms(&self) -> u64 {
+    pub(super) const fn now_ms(&self) -> u64 {
         self.now_us / 1_000
     }
 
@@ -262,7 +181,7 @@
         let last = self.jobs.last().map_or(0, |job| job.at_us);
         let end_us = START_US + last + TAIL_US;
         while self.open > 0 {
-            let Some(Timed { at_us, event, .. }) = self.events.pop() else {
+            let Some(events::Timed { at_us, event, .. }) = self.events.pop() else {
                 return;
             };
             if at_us > end_us {
@@ -273,27 +192,27 @@
         }
     }
 
-    fn happen(&mut self, event: Event) {
+    fn happen(&mut self, event: events::Event) {
         match event {
-            Event::Arrive(job) => self.arrive(job),
-            Event::Cancel(job) => self.cancel(job),
-            Event::Tick => self.tick(),
-            Event::Heartbeats => self.heartbeats(),
-            Event::Fault(fault) => self.fault(fault),
-            Event::ApplySettings {
+            events::Event::Arrive(job) => self.arrive(job),
+            events::Event::Cancel(job) => self.cancel(job),
+            events::Event::Tick => self.tick(),
+            events::Event::Heartbeats => self.heartbeats(),
+            events::Event::Fault(fault) => self.fault(fault),
+            events::Event::ApplySettings {
                 target,
                 settings,
                 revision,
             } => {
                 self.apply(target, settings, revision);
             }
-            Event::ToRunner {
+            events::Event::ToRunner {
                 runner,
                 entry,
                 message,
             } => self.at_runner(runner, entry, message),
-            Event::ToEntry { entry, message } => self.at_entry(entry, message),
-            Event::TaskEnd {
+            events::Event::ToEntry { entry, message } => self.at_entry(entry, message),
+            events::Event::TaskEnd {
                 runner,
                 attempt,
                 run_ms,
@@ -356,7 +275,7 @@
         if let Some(after_ms) = retry_after_ms.filter(|_| self.returns[index] > 0) {
             self.returns[index] -= 1;
             let at_us = self.now_us + 2 * self.site.to_caller_us + after_ms * 1_000;
-            self.at(at_us, Event::Arrive(index));
+            self.at(at_us, events::Event::Arrive(index));
             return;
         }
         self.receive(index, answer);
@@ -376,14 +295,14 @@
         });
     }
 
-    fn act(&mut self, entry: usize, actions: Vec<entry::Action>) {
+    pub(super) fn act(&mut self, entry: usize, actions: Vec<entry::Action>) {
         for action in actions {
             match action {
                 entry::Action::Dispatch { address, dispatch } => {
-                    self.send(entry, &address, ToRunner::Dispatch(*dispatch));
+                    self.send(entry, &address, events::ToRunner::Dispatch(*dispatch));
                 }
                 entry::Action::Fence { address, fence } => {
-                    self.send(entry, &address, ToRunner::Fence(fence));
+                    self.send(entry, &address, events::ToRunner::Fence(fence));
                 }
                 entry::Action::Answer { submission, answer } => {
                     if let Some(job) = self.submitted.remove(&(entry, submission)) {
@@ -395,14 +314,14 @@
         }
     }
 
-    fn send(&mut self, entry: usize, address: &str, message: ToRunner) {
+    fn send(&mut self, entry: usize, address: &str, message: events::ToRunner) {
         let Ok(runner) = address.parse::<usize>() else {
             return;
         };
         let at_us = self.now_us + self.site.latency_us(entry, runner);
         self.at(
             at_us,
-            Event::ToRunner {
+            events::Event::ToRunner {
                 runner,
                 entry,
                 message,
@@ -410,141 +329,17 @@
         );
     }
 
-    fn at_runner(&mut self, index: usize, entry: usize, message: ToRunner) {
-        if self.frozen[index] {
-            return;
-        }
-        let now_ms = self.now_ms();
-        match message {
-            ToRunner::Dispatch(dispatch) => {
-                let actions = self.runners[index].dispatch(now_ms, dispatch);
-                self.runner_acts(index, actions);
-            }
-            ToRunner::Fence(fence) => {
-                let (outcomes, actions) = self.runners[index].fence(now_ms, &fence);
-                self.runner_acts(index, actions);
-                let owner = self.entries[entry].me().incarnation;
-                let reply = wire::FenceReply {
-                    version: wire::VERSION,
-                    incarnation: self.runners[index].me().incarnation,
-                    outcomes,
-                    load: self.runners[index].load_for(owner),
-                };
-                self.reply(index, entry, ToEntry::Fenced(fence, reply));
-            }
-        }
-    }
-
-    fn reply(&mut self, runner: usize, entry: usize, message: ToEntry) {
-        let at_us = self.now_us + self.site.latency_us(entry, runner);
-        self.at(at_us, Event::ToEntry { entry, message });
-    }
-
-    fn runner_acts(&mut self, index: usize, actions: Vec<runner::Action>) {
-        for action in actions {
-            match action {
-                runner::Action::Start(dispatch) => self.start(index, &dispatch),
-                runner::Action::Stop(attempt) => {
-                    let event = Event::TaskEnd {
-                        runner: index,
-                        attempt,
-                        run_ms: 0,
-                        is_failed: true,
-                    };
-                    self.at(self.now_us + self.site.within_zone_us, event);
-                }
-                runner::Action::Answer(attempt, outcome) => self.answer(index, attempt, outcome),
-            }
-        }
-    }
-
-    fn start(&mut self, index: usize, dispatch: &wire::Dispatch) {
-        self.outcome.started += 1;
-        let is_first = self
-            .starts
-            .insert((dispatch.submission.clone(), dispatch.index));
-        self.outcome.double_starts += u64::from(!is_first);
-        let zone = &self.runners[index].me().zone;
-        let is_late = |since: &u64| self.now_us > since + ZONE_BOUND_US;
-        self.outcome.late_starts += u64::from(self.out_since.get(zone).is_some_and(is_late));
-        let words: Vec<&str> = dispatch.payload.split(' ').collect();
-        let job: Option<usize> = words.first().and_then(|word| word.parse().ok());
-        if let Some(has_started) = job.and_then(|job| self.has_started.get_mut(job)) {
-            *has_started = true;
-        }
-        let run_ms: u32 = words.get(1).and_then(|word| word.parse().ok()).unwrap_or(1);
-        if self.stuck[index] {
-            return;
-        }
-        let is_failed = self.fails_all[index];
-        let run_ms = if is_failed { FAIL_MS } else { run_ms };
-        let real_us = micros(f64::from(run_ms) * self.speeds[index]);
-        let event = Event::TaskEnd {
-            runner: index,
-            attempt: dispatch.attempt,
-            run_ms,
-            is_failed,
-        };
-        self.at(self.now_us + real_us, event);
-    }
-
-    fn answer(&mut self, index: usize, attempt: ids::Attempt, outcome: wire::Outcome) {
-        let owner = self
-            .entries
-            .iter()
-            .position(|one| one.me().incarnation == attempt.owner);
-        let Some(entry) = owner else { return };
-        let load = self.runners[index].load_for(attempt.owner);
-        let reply = wire::DispatchReply {
-            version: wire::VERSION,
-            attempt,
-            outcome,
-            load,
-        };
-        self.reply(index, entry, ToEntry::Reply(reply));
-    }
-
-    fn at_entry(&mut self, entry: usize, message: ToEntry) {
+    fn at_entry(&mut self, entry: usize, message: events::ToEntry) {
         let now_ms = self.now_ms();
         let core = &mut self.entries[entry];
         let actions = match message {
-            ToEntry::Reply(reply) => core.dispatch_answered(now_ms, reply),
-            ToEntry::Fenced(fence, reply) => core.fence_answered(now_ms, &fence, reply),
-            ToEntry::Heartbeat(heartbeat) => core.heartbeat(now_ms, &heartbeat).1,
+            events::ToEntry::Reply(reply) => core.dispatch_answered(now_ms, reply),
+            events::ToEntry::Fenced(fence, reply) => core.fence_answered(now_ms, &fence, reply),
+            events::ToEntry::Heartbeat(heartbeat) => core.heartbeat(now_ms, &heartbeat).1,
         };
         self.act(entry, actions);
     }
 
-    fn task_end(&mut self, index: usize, attempt: ids::Attempt, run_ms: u32, is_failed: bool) {
-        if self.frozen[index] {
-            return;
-        }
-        let now_ms = self.now_ms();
-        let code = match (is_failed, run_ms) {
-            (true, 0) => codes::Code::Cancelled,
-            (true, _) => codes::Code::TaskFailed,
-            (false, _) => codes::Code::Complete,
-        };
-        let peak = wire::Resources::default();
-        let end = runner::End::Ended {
-            code,
-            output: String::new(),
-            peak,
-        };
-        let actions = self.runners[index].ended(now_ms, attempt, end);
-        // Nothing comes of a task that was stopped before.
-        if !is_failed && !actions.is_empty() {
-            let at_us = self.now_us - START_US;
-            self.outcome.work.push(sim::Work {
-                job: 0,
-                runner: index,
-                at_us,
-                run_ms,
-            });
-        }
-        self.runner_acts(index, actions);
-    }
-
     fn tick(&mut self) {
         let now_ms = self.now_ms();
         for entry in 0..self.entries.len() {
@@ -558,7 +353,7 @@
             let actions = self.runners[index].tick(now_ms);
             self.runner_acts(index, actions);
         }
-        self.at(self.now_us + TICK_US, Event::Tick);
+        self.at(self.now_us + TICK_US, events::Event::Tick);
     }
 
     fn heartbeats(&mut self) {
@@ -579,12 +374,12 @@
                     evidence: wire::Evidence::default(),
                     load: Some(runner.load_for(owner)),
                 };
-                self.reply(index, entry, ToEntry::Heartbeat(heartbeat));
+                self.reply(index, entry, events::ToEntry::Heartbeat(heartbeat));
             }
         }
         self.entry_heartbeats(now_ms);
         let pause_us = u64::from(self.settings.timeouts.heartbeat_ms) * 1_000;
-        self.at(self.now_us + pause_us, Event::Heartbeats);
+        self.at(self.now_us + pause_us, events::Event::Heartbeats);
     }
 
     fn entry_heartbeats(&mut self, now_ms: u64) {
@@ -592,69 +387,8 @@
             let heartbeat = self.entries[sender].heartbeat_to_send(now_ms);
             for entry in (0..self.entries.len()).filter(|entry| *entry != sender) {
                 let at_us = self.now_us + self.site.latency_us(sender, entry);
-                let message = ToEntry::Heartbeat(heartbeat.clone());
-                self.at(at_us, Event::ToEntry { entry, message });
-            }
-        }
-    }
-
-    fn fault(&mut self, fault: sim::Fault) {
-        match fault {
-            sim::Fault::Slow { runner, factor, .. } => self.speeds[runner] = factor,
-            sim::Fault::FailsAll { runner, .. } => self.fails_all[runner] = true,
-            sim::Fault::Frozen { runner, .. } => self.frozen[runner] = true,
-            sim::Fault::Stuck { runner, .. } => self.stuck[runner] = true,
-            sim::Fault::Well { runner, .. } => {
-                self.speeds[runner] = 1.0;
-                self.fails_all[runner] = false;
-                self.stuck[runner] = false;
-            }
-            sim::Fault::ZoneOut { zone, .. } => {
-                self.out_since.insert(zone.clone(), self.now_us);
-                self.change_zone(zone, true);
-            }
-            sim::Fault::ZoneIn { zone, .. } => {
-                self.out_since.remove(&zone);
-                self.change_zone(zone, false);
-            }
-        }
-    }
-
-    /// Each process hears of the change at its own time.
-    fn change_zone(&mut self, zone: SmolStr, out: bool) {
-        self.settings.zones.insert(zone, settings::Zone { out });
-        self.revision += 1;
-        let settings = sync::Arc::new(self.settings.clone());
-        let entries = (0..self.entries.len()).map(Target::Entry);
-        let targets: Vec<_> = entries
-            .chain((0..self.runners.len()).map(Target::Runner))
-            .collect();
-        for target in targets {
-            let at_us = self.now_us + self.rng.random_range(0..SETTINGS_US);
-            let settings = sync::Arc::clone(&settings);
-            let revision = self.revision;
-            self.at(
-                at_us,
-                Event::ApplySettings {
-                    target,
-                    settings,
-                    revision,
-                },
-            );
-        }
-    }
-
-    fn apply(&mut self, target: Target, settings: sync::Arc<settings::Settings>, revision: u64) {
-        let now_ms = self.now_ms();
-        match target {
-            Target::Entry(entry) => {
-                let actions = self.entries[entry].set_settings(now_ms, settings, Some(revision));
-                self.act(entry, actions);
-            }
-            Target::Runner(index) => {
-                self.applied[index] = revision;
-                let actions = self.runners[index].set_settings(settings);
-                self.runner_acts(index, actions);
+                let message = events::ToEntry::Heartbeat(heartbeat.clone());
+                self.at(at_us, events::Event::ToEntry { entry, message });
             }
         }
     }
--- /dev/null
+++ b/src/entry/hearing.rs
@@ -0,0 +1,180 @@
+//! What an entry hears: from other processes, and from the log.
+
+use std::sync;
+use std::time;
+
+use actix::AsyncContext as _;
+
+use crate::clock;
+use crate::entry::control;
+use crate::entry::messages;
+use crate::heartbeats;
+use crate::streams;
+use crate::wire;
+
+impl control::Control {
+    pub(super) fn settings_changed(&mut self, cx: &actix::Context<Self>) {
+        let state = self.keeper.state();
+        let settings = sync::Arc::clone(state.settings());
+        let revision = state.revision();
+        let now_ms = self.now_ms();
+        let actions = self.core.set_settings(now_ms, settings, revision);
+        self.act(cx, actions);
+        self.publish();
+    }
+
+    /// Shows the settings to the traffic threads, once there are any.
+    ///
+    /// An entry that started while the log was down has defaults only, which know no
+    /// team and no zone that is out; until it has heard better, calls are refused.
+    pub(super) fn publish(&mut self) {
+        if !self.core.freshness().has_heard() {
+            return;
+        }
+        let settings = sync::Arc::clone(self.keeper.state().settings());
+        if let Ok(mut snapshot) = self.parts.snapshot.write() {
+            *snapshot = Some(settings);
+            self.is_published = true;
+        }
+    }
+
+    /// After the first evidence, and before anybody is told that there are settings:
+    /// a caller who was told must not be refused for want of them.
+    pub(super) fn publish_first(&mut self) {
+        if !self.is_published {
+            self.publish();
+        }
+    }
+
+    pub(super) fn write_checkpoint_if_due(&mut self) {
+        let (now_ms, seed) = (self.now_ms(), self.parts.me.incarnation.0);
+        if let Some(checkpoint) = self.keeper.checkpoint_due(now_ms, seed) {
+            streams::write_checkpoint(&self.parts.pool, self.parts.log.clone(), checkpoint);
+        }
+    }
+
+    /// Without a live contact the next announcement is not waited for: the log may
+    /// have been down at the one before.
+    pub(super) fn announce_if_alone(&mut self, cx: &actix::Context<Self>) {
+        let now_ms = self.now_ms();
+        let dead_after_ms = self.core.settings().timeouts.dead_after_ms;
+        let since_ms = now_ms.saturating_sub(dead_after_ms.into());
+        if self.search.is_due(now_ms, self.contacts.is_alone(since_ms)) {
+            self.announce(cx);
+        }
+    }
+
+    /// Says on the log that this entry is there and reads who else is.
+    pub(super) fn announce(&self, cx: &actix::Context<Self>) {
+        if self.core.is_leaving() {
+            return;
+        }
+        let done = cx.address().recipient();
+        let (log, me) = (self.parts.log.clone(), self.parts.me.clone());
+        streams::announce(&self.parts.pool, log, me, done);
+    }
+
+    pub(super) fn send_heartbeats(&mut self, cx: &actix::Context<Self>) {
+        let now_ms = self.now_ms();
+        let timeouts = self.core.settings().timeouts;
+        let limit = time::Duration::from_millis(u64::from(timeouts.dead_after_ms) / 2);
+        self.contacts
+            .drop_silent(now_ms, u64::from(timeouts.dead_after_ms) * 20);
+        let mut targets = self.contacts.targets();
+        targets.extend(self.core.foreign_runners(now_ms));
+        let heartbeat = self.core.heartbeat_to_send(now_ms);
+        for target in targets {
+            let done = cx.address().recipient();
+            let (pool, clock) = (&self.parts.pool, self.parts.clock);
+            heartbeats::send(pool, clock, target, heartbeat.clone(), limit, done);
+        }
+    }
+
+    pub(super) fn keep_sending_heartbeats(&mut self, cx: &mut actix::Context<Self>) {
+        self.send_heartbeats(cx);
+        let pause_ms = self.core.settings().timeouts.heartbeat_ms;
+        let pause = time::Duration::from_millis(pause_ms.into());
+        cx.run_later(pause, Self::keep_sending_heartbeats);
+    }
+}
+
+impl actix::Handler<messages::Heard> for control::Control {
+    type Result = actix::MessageResult<messages::Heard>;
+
+    fn handle(&mut self, message: messages::Heard, cx: &mut Self::Context) -> Self::Result {
+        let now_ms = self.now_ms();
+        if message.0.sender.role == wire::Role::Entry {
+            self.contacts.hear_of(now_ms, &message.0.sender);
+        }
+        let (reply, actions) = self.core.heartbeat(now_ms, &message.0);
+        self.act(cx, actions);
+        actix::MessageResult(reply)
+    }
+}
+
+impl actix::Handler<heartbeats::HeartbeatDone> for control::Control {
+    type Result = ();
+
+    fn handle(&mut self, message: heartbeats::HeartbeatDone, cx: &mut Self::Context) {
+        let now_ms = self.now_ms();
+        let Some(reply) = message.reply else {
+            self.contacts.failed(&message.address);
+            return;
+        };
+        self.contacts.answered(now_ms, &message.address, &reply);
+        let is_behind = self
+            .core
+            .heartbeat_answered(now_ms, message.asked_ms, &reply);
+        self.publish_first();
+        if is_behind || self.keeper.is_lacking() {
+            let position = self.keeper.state().position();
+            let done = cx.address().recipient();
+            let pool = &self.parts.pool;
+            heartbeats::fetch_settings(pool, message.address, position, done);
+        }
+    }
+}
+
+impl actix::Handler<heartbeats::SettingsDone> for control::Control {
+    type Result = ();
+
+    fn handle(&mut self, message: heartbeats::SettingsDone, cx: &mut Self::Context) {
+        let heartbeats::SettingsDone { address, reply } = message;
+        let (now_ms, unix_ms) = (self.now_ms(), clock::unix_ms());
+        let taken = self.keeper.take_reply(now_ms, unix_ms, &address, reply);
+        if taken.is_changed {
+            self.settings_changed(cx);
+        }
+    }
+}
+
+impl actix::Handler<streams::LogRead> for control::Control {
+    type Result = u64;
+
+    fn handle(&mut self, message: streams::LogRead, cx: &mut Self::Context) -> u64 {
+        let now_ms = self.now_ms();
+        if let Some(batch) = message.batch {
+            let taken = self.keeper.take_batch(now_ms, clock::unix_ms(), batch);
+            if taken.is_at_end {
+                self.core.freshness().hear_log(message.asked_ms);
+            }
+            if taken.is_changed {
+                self.settings_changed(cx);
+            }
+            self.publish_first();
+            self.write_checkpoint_if_due();
+        }
+        self.keeper.read_from()
+    }
+}
+
+impl actix::Handler<streams::MembersRead> for control::Control {
+    type Result = ();
+
+    fn handle(&mut self, message: streams::MembersRead, _cx: &mut Self::Context) {
+        let now_ms = self.now_ms();
+        for peer in &message.peers {
+            self.contacts.hear_of(now_ms, peer);
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/waiting.rs
@@ -0,0 +1,141 @@
+//! Callers that wait at an entry for their answers.
+
+use std::time;
+
+use actix::AsyncContext as _;
+use tokio::sync::oneshot;
+
+use crate::api;
+use crate::codes;
+use crate::entry::calls;
+use crate::entry::claim_calls;
+use crate::entry::control;
+use crate::entry::messages;
+use crate::jobs;
+use crate::wire;
+
+/// Calls that may wait for one submission's answer; one more is answered at once
+/// with what there is, as if its wait were over.
+const MAX_WAITERS: usize = 64;
+
+/// A cancelled submission ends within the time that a question to a runner takes.
+const CANCEL_WAIT_MS: u64 = 1_000;
+
+impl control::Control {
+    pub(super) fn answer(&mut self, key: jobs::Key, answer: &api::Answer) {
+        let id = answer
+            .submission
+            .as_ref()
+            .map(ToString::to_string)
+            .unwrap_or_default();
+        let code = answer.code.number();
+        log::info!(event = "submission.ended", submission = id.as_str(), code = code; "{}", answer.text);
+        for waiter in self.waiters.remove(&key).unwrap_or_default() {
+            if waiter.send(Box::new(answer.clone())).is_err() {
+                log::debug!(event = "answer.unheard", submission = id.as_str(); "caller gone");
+            }
+        }
+    }
+
+    pub(super) fn wait(
+        &mut self,
+        cx: &actix::Context<Self>,
+        key: jobs::Key,
+        wait_ms: u64,
+    ) -> actix::ResponseFuture<messages::Resolution> {
+        let now_ms = self.now_ms();
+        let Some(pending) = self.core.pending(now_ms, key) else {
+            let answer = jobs::answer::plain(None, codes::Code::UnknownSubmission, true);
+            return ready(answer);
+        };
+        if pending.is_final || wait_ms == 0 {
+            return ready(pending);
+        }
+        let waiters = self.waiters.entry(key).or_default();
+        waiters.retain(|waiter| !waiter.is_closed());
+        if waiters.len() >= MAX_WAITERS {
+            return ready(pending);
+        }
+        let (tx, rx) = oneshot::channel();
+        waiters.push(tx);
+        let control = cx.address();
+        let longest = u64::from(self.core.settings().limits.max_wait_ms);
+        let limit = time::Duration::from_millis(wait_ms.min(longest));
+        Box::pin(async move {
+            if let Ok(Ok(answer)) = tokio::time::timeout(limit, rx).await {
+                return messages::Resolution::Answer(answer);
+            }
+            let now = control.send(WantPending(key)).await.ok().flatten();
+            messages::Resolution::Answer(Box::new(now.unwrap_or(pending)))
+        })
+    }
+}
+
+fn ready(answer: api::Answer) -> actix::ResponseFuture<messages::Resolution> {
+    Box::pin(async move { messages::Resolution::Answer(Box::new(answer)) })
+}
+
+#[derive(actix::Message)]
+#[rtype(result = "Option<api::Answer>")]
+struct WantPending(jobs::Key);
+
+impl actix::Handler<messages::CallerCall> for control::Control {
+    type Result = actix::ResponseFuture<messages::Resolution>;
+
+    fn handle(&mut self, message: messages::CallerCall, cx: &mut Self::Context) -> Self::Result {
+        let again = claim_calls::needs_claim(&message.call).then(|| message.clone());
+        let messages::CallerCall { team, call } = message;
+        let now_ms = self.now_ms();
+        let (wait_ms, (reply, actions)) = match call {
+            wire::Call::Submit(submission) => (
+                submission.wait_ms,
+                self.core.submit(now_ms, &team, submission),
+            ),
+            wire::Call::Fetch {
+                submission,
+                wait_ms,
+            } => {
+                let reply = self.core.fetch(now_ms, &team, &submission);
+                (wait_ms, (reply, Vec::new()))
+            }
+            wire::Call::Cancel { submission } => {
+                (CANCEL_WAIT_MS, self.core.cancel(now_ms, &team, &submission))
+            }
+        };
+        self.act(cx, actions);
+        match reply {
+            calls::Reply::Answer(answer) => ready(*answer),
+            calls::Reply::Forward { owner, if_silent } => {
+                Box::pin(async move { messages::Resolution::Forward { owner, if_silent } })
+            }
+            calls::Reply::Claiming(name) => match again {
+                Some(again) => self.call_again(cx, name, again),
+                None => ready(jobs::answer::plain(None, codes::Code::BadTicket, true)),
+            },
+            calls::Reply::Open(key) => self.wait(cx, key, wait_ms),
+        }
+    }
+}
+
+impl actix::Handler<WantPending> for control::Control {
+    type Result = Option<api::Answer>;
+
+    fn handle(&mut self, message: WantPending, _cx: &mut Self::Context) -> Self::Result {
+        let waiters = self.waiters.get_mut(&message.0);
+        if let Some(waiters) = waiters {
+            waiters.retain(|waiter| !waiter.is_closed());
+        }
+        self.core.pending(self.now_ms(), message.0)
+    }
+}
+
+impl actix::Handler<messages::WantTickets> for control::Control {
+    type Result = Result<api::Tickets, codes::Code>;
+
+    fn handle(&mut self, message: messages::WantTickets, _cx: &mut Self::Context) -> Self::Result {
+        if self.core.is_leaving() {
+            return Err(codes::Code::Leaving);
+        }
+        Ok(self.core.tickets(&message.0))
+    }
+}
--- a/src/heartbeats.rs
+++ b/src/heartbeats.rs
@@ -64,12 +64,14 @@
     });
 }
 
+/// Longest wait for settings from a peer.
+const FETCH_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+
 /// Asks a peer for everything from a position of the settings stream on.
 pub fn fetch_settings(
     pool: &outgoing::Pool,
     address: SmolStr,
     position: u64,
-    limit: time::Duration,
     done: actix::Recipient<SettingsDone>,
 ) {
     pool.run(move |_client| async move {
@@ -77,7 +79,8 @@
             version: wire::VERSION,
             position,
         };
-        match outgoing::post_afresh(&address, wire::SETTINGS_PATH, &query, limit).await {
+        let path = wire::SETTINGS_PATH;
+        match outgoing::post_afresh(&address, path, &query, FETCH_TIMEOUT).await {
             Ok(reply) => done.do_send(SettingsDone { address, reply }),
             Err(e) => log::debug!(event = "settings.fetch_failed", to = address.as_str(); "{e}"),
         }
--- a/src/runner/hearing.rs
+++ b/src/runner/hearing.rs
@@ -1,7 +1,5 @@
 //! What a runner hears: from entries, and from the log where they bring no evidence.
 
-use std::time;
-
 use actix::AsyncContext as _;
 
 use crate::clock;
@@ -11,9 +9,6 @@
 use crate::streams;
 use crate::wire;
 
-/// Longest wait for settings from a peer.
-const FETCH_TIMEOUT: time::Duration = time::Duration::from_secs(1);
-
 /// Least time between two reads of the log, so that an outage does not have every
 /// runner ask fifty times a second.
 const LOG_PAUSE_MS: u64 = 250;
@@ -53,7 +48,7 @@
             let position = self.keeper.state().position();
             let done = cx.address().recipient();
             let pool = &self.parts.pool;
-            heartbeats::fetch_settings(pool, message.address, position, FETCH_TIMEOUT, done);
+            heartbeats::fetch_settings(pool, message.address, position, done);
         }
         // No evidence until the revision that it speaks of is in force here.
         if is_behind {
