Tell a lapsed lease from a cancelled task

Cause: a worker that stops a task because its lease lapsed reports 'stopped', and the runner passed that on as 202, cancelled, though nobody had cancelled: the caller was told a wrong reason. Seen by reading; the new test failed first (202 for 205). Ruled out: a status of the worker's own (its protocol is published as it is). Before: 1 of 2 new tests failed.

--- a/src/codes.rs
+++ b/src/codes.rs
@@ -104,6 +104,8 @@
     DeadlinePassed = 203, "the deadline passed after some of it had started";
     /// Some tasks ran, others could not be started.
     PartlyNotRun = 204, "some tasks ran and others could not be started";
+    /// The worker stopped a task because its lease was not renewed.
+    LeaseLapsed = 205, "a task was stopped when its lease lapsed";
 
     /// A runner was lost with tasks on it.
     RunnerLost = 300, "a runner was lost while it may have been running a task";
--- a/src/runner/core.rs
+++ b/src/runner/core.rs
@@ -286,9 +286,13 @@
         let End::Ended { code, output, peak } = end else {
             return self.settle_unstarted(attempt, codes::Code::BackendUnreachable);
         };
-        let code = match running.stop_code {
-            Some(stopped) if code != codes::Code::Complete => stopped,
-            _ => code,
+        // Stopped without being asked: the worker did it when the lease lapsed, as it
+        // does while this process stands still.
+        let code = match (running.stop_code, code) {
+            (_, codes::Code::Complete) => codes::Code::Complete,
+            (Some(stopped), _) => stopped,
+            (None, codes::Code::Cancelled) => codes::Code::LeaseLapsed,
+            (None, code) => code,
         };
         let run_ms = now.saturating_sub(running.since_ms);
         let outcome = wire::Outcome::Ended {
--- a/tests/unit/main.rs
+++ b/tests/unit/main.rs
@@ -18,6 +18,7 @@
 mod queue;
 mod ramp;
 mod retry;
+mod runner;
 mod settings;
 mod slots;
 mod starts;
