Read and append the log's streams in one place, and name a module for what it does

Cause: claims had their own copies of the stream's read and append; admission::retry, which tells refused callers when to come back, was imported under another name since the slice of retries has that one. Ruled out: one limit for all streams (claims keep their shorter grace and larger body). Conclusion: one reader, and a name that needs no alias.

--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -6,10 +6,10 @@
 //! refused at once and never queued, so "not run" is true.
 //!
 //! The wait is foreseen from the drain rate ([`drain`]) and the team's fair share of
-//! it; the time to come back from a virtual queue of the refused ([`retry`]).
+//! it; the time to come back from a virtual queue of the refused ([`returning`]).
 
 pub mod drain;
-pub mod retry;
+pub mod returning;
 
 use crate::api;
 use crate::codes;
--- a/src/claims/log.rs
+++ b/src/claims/log.rs
@@ -9,6 +9,7 @@
 use crate::client::log as log_service;
 use crate::clock;
 use crate::outgoing;
+use crate::streams;
 
 /// The stream was read.
 #[derive(Debug)]
@@ -26,7 +27,7 @@
 pub struct Appended;
 
 /// Most records in one read.
-const MAX_RECORDS: u32 = 200;
+const MAX_RECORDS: u64 = 200;
 /// Longest body of a read, in bytes.
 const MAX_READ_BYTES: usize = 64 << 20;
 /// Pause after a read without an answer.
@@ -46,12 +47,8 @@
     done: actix::Recipient<Appended>,
 ) {
     pool.run(move |_client| async move {
-        let stream = claims::STREAM;
-        let url = format!("http://{log}/v1/streams/{stream}/records");
-        let sent = outgoing::client().post(url).send_json(&record);
-        match tokio::time::timeout(APPEND_LIMIT, sent).await {
-            Ok(Ok(response)) if response.status().is_success() => {}
-            _ => log::warn!(event = "claims.append_unanswered"; "the claims are read back"),
+        if !streams::append(&log, claims::STREAM, &record, APPEND_LIMIT).await {
+            log::warn!(event = "claims.append_unanswered"; "the claims are read back");
         }
         done.do_send(Appended);
     });
@@ -71,7 +68,16 @@
         let mut wait_ms = 0;
         loop {
             let asked_ms = clock.now_ms();
-            let page = read(&client, &log, position, wait_ms).await;
+            let query = streams::Query {
+                stream: claims::STREAM,
+                from: position,
+                max: MAX_RECORDS,
+                max_bytes: MAX_READ_BYTES,
+                wait_ms,
+                grace: GRACE,
+            };
+            let page = streams::read(&client, &log, query).await;
+            let page = page.map(claims::Page::from);
             let is_answered = page.is_some();
             if let Ok(next) = done.send(ClaimsRead { page }).await {
                 position = next;
@@ -90,29 +96,6 @@
     });
 }
 
-async fn read(
-    client: &awc::Client,
-    log: &str,
-    position: u64,
-    wait_ms: u64,
-) -> Option<claims::Page> {
-    let stream = claims::STREAM;
-    let url = format!(
-        "http://{log}/v1/streams/{stream}/records?from={position}&max={MAX_RECORDS}&wait_ms={wait_ms}"
-    );
-    let limit = time::Duration::from_millis(wait_ms) + GRACE;
-    let exchange = async {
-        let mut response = client.get(url).send().await.ok()?;
-        if !response.status().is_success() {
-            return None;
-        }
-        let read = response.json::<log_service::Page>().limit(MAX_READ_BYTES);
-        read.await.ok()
-    };
-    let batch = tokio::time::timeout(limit, exchange).await.ok().flatten()?;
-    Some(batch.into())
-}
-
 impl From<log_service::Page> for claims::Page {
     fn from(batch: log_service::Page) -> Self {
         let records = batch.records.into_iter();
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -13,7 +13,7 @@
 use smol_str::SmolStr;
 
 use crate::admission::drain;
-use crate::admission::retry as returning;
+use crate::admission::returning;
 use crate::api;
 use crate::claims;
 use crate::freshness;
--- a/src/streams.rs
+++ b/src/streams.rs
@@ -62,7 +62,9 @@
                 stream: record::STREAM,
                 from: position,
                 max: MAX_RECORDS,
+                max_bytes: MAX_READ_BYTES,
                 wait_ms: WAIT_MS,
+                grace: GRACE,
             };
             let batch = read(&client, &log, query).await.map(reader::Batch::from);
             let is_answered = batch.is_some();
@@ -94,7 +96,9 @@
             stream: record::STREAM,
             from: position,
             max: MAX_RECORDS,
+            max_bytes: MAX_READ_BYTES,
             wait_ms: 0,
+            grace: GRACE,
         };
         let page = read(&outgoing::client(), &log, query).await;
         let batch = page.map(reader::Batch::from);
@@ -107,7 +111,7 @@
 /// Appends a checkpoint to the settings stream; what came of it is learned by reading.
 pub fn write_checkpoint(pool: &outgoing::Pool, log: SmolStr, checkpoint: record::Record) {
     pool.run(move |_client| async move {
-        let is_answered = append(&log, record::STREAM, &checkpoint).await;
+        let is_answered = append(&log, record::STREAM, &checkpoint, APPEND_TIMEOUT).await;
         log::info!(event = "settings.checkpoint", answered = is_answered; "checkpoint written");
     });
 }
@@ -127,7 +131,7 @@
             version: wire::VERSION,
             peer: me.clone(),
         };
-        append(&log, announcements::STREAM, &announcement).await;
+        append(&log, announcements::STREAM, &announcement, APPEND_TIMEOUT).await;
         read_members(&log, &me.name, &done).await;
     });
 }
@@ -148,7 +152,9 @@
         stream: announcements::STREAM,
         from,
         max,
+        max_bytes: MAX_READ_BYTES,
         wait_ms: 0,
+        grace: GRACE,
     };
     // The first read is for the stream's end only.
     let Some(page) = read(&client, log, query(0, 1)).await else {
@@ -167,24 +173,39 @@
 }
 
 /// What to read.
-#[derive(Clone, Copy)]
-struct Query {
-    stream: &'static str,
-    from: u64,
-    max: u64,
-    wait_ms: u64,
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Query {
+    /// The stream.
+    pub stream: &'static str,
+    /// The offset to begin at.
+    pub from: u64,
+    /// Most records.
+    pub max: u64,
+    /// Largest body, in bytes.
+    pub max_bytes: usize,
+    /// How long to wait at the log for something new, in milliseconds.
+    pub wait_ms: u64,
+    /// How much longer than that the answer may take.
+    pub grace: time::Duration,
 }
 
-async fn read(client: &awc::Client, log: &str, query: Query) -> Option<log_service::Page> {
+/// Reads a stream once; none: there was no answer in time.
+pub(crate) async fn read(
+    client: &awc::Client,
+    log: &str,
+    query: Query,
+) -> Option<log_service::Page> {
     let Query {
         stream,
         from,
         max,
+        max_bytes,
         wait_ms,
+        grace,
     } = query;
     let url =
         format!("http://{log}/v1/streams/{stream}/records?from={from}&max={max}&wait_ms={wait_ms}");
-    let limit = time::Duration::from_millis(wait_ms) + GRACE;
+    let limit = time::Duration::from_millis(wait_ms) + grace;
     let exchange = async {
         let mut response = client.get(url).send().await.ok()?;
         if !response.status().is_success() {
@@ -192,7 +213,7 @@
         }
         response
             .json::<log_service::Page>()
-            .limit(MAX_READ_BYTES)
+            .limit(max_bytes)
             .await
             .ok()
     };
@@ -200,10 +221,15 @@
 }
 
 /// Appends once; whether there was an answer that says so.
-async fn append<T: Serialize>(log: &str, stream: &str, record: &T) -> bool {
+pub(crate) async fn append<T: Serialize>(
+    log: &str,
+    stream: &str,
+    record: &T,
+    limit: time::Duration,
+) -> bool {
     let url = format!("http://{log}/v1/streams/{stream}/records");
     let client = outgoing::client();
     let sent = client.post(url).send_json(record);
-    let answered = tokio::time::timeout(APPEND_TIMEOUT, sent).await;
+    let answered = tokio::time::timeout(limit, sent).await;
     matches!(answered, Ok(Ok(response)) if response.status().is_success())
 }
--- a/tests/unit/admission.rs
+++ b/tests/unit/admission.rs
@@ -2,7 +2,7 @@
 
 use bulrushtiller::admission;
 use bulrushtiller::admission::drain;
-use bulrushtiller::admission::retry;
+use bulrushtiller::admission::returning;
 use bulrushtiller::codes::Code;
 use bulrushtiller::queue;
 use bulrushtiller::settings;
@@ -136,14 +136,14 @@
     let mut queue = queue::Queue::default();
     let hot = queue.team(&SmolStr::new("hot"));
     let other = queue.team(&SmolStr::new("other"));
-    let mut returning = retry::Returning::default();
+    let mut returning = returning::Returning::default();
 
     let mut after = |team| returning.retry_after_ms(0, team, 1_000, 1.0, 0.0, 0);
     let hots: Vec<_> = (0..20).map(|_| after(hot)).collect();
     let others = after(other);
 
     assert_eq!(&hots[..3], [1_000, 2_000, 3_000]);
-    assert_eq!(hots[19], retry::MAX_MS);
+    assert_eq!(hots[19], returning::MAX_MS);
     assert_eq!(others, 1_000);
 }
 
@@ -151,7 +151,7 @@
 fn the_refused_are_forgotten_as_their_work_drains() {
     let mut queue = queue::Queue::default();
     let team = queue.team(&SmolStr::new("hot"));
-    let mut returning = retry::Returning::default();
+    let mut returning = returning::Returning::default();
     for _ in 0..5 {
         returning.retry_after_ms(0, team, 1_000, 1.0, 0.0, 0);
     }
