--- a/src/cli/flags.rs
+++ b/src/cli/flags.rs
@@ -1,4 +1,4 @@
-//! Helpers over the command line.
+//! Reading the flags that commands share.
 
 use std::env;
 use std::ffi;
--- a/src/cmd/change/session.rs
+++ b/src/cmd/change/editor.rs
@@ -1,4 +1,4 @@
-//! One command's work on the settings: read, rehearse, publish, wait.
+//! One command's changes to the settings: read, rehearse, publish, wait.
 
 use std::time;
 
@@ -30,16 +30,16 @@
     pub base: Option<u64>,
 }
 
-/// One command's work on the settings.
+/// Makes one command's changes to the settings.
 #[derive(Debug)]
-pub struct Session<'a> {
+pub struct Editor<'a> {
     options: &'a change::Options,
     http: client::Http,
     follower: follow::Follower,
     outcome: report::Outcome,
 }
 
-impl<'a> Session<'a> {
+impl<'a> Editor<'a> {
     /// Reads the settings in force; the log must be there, or nothing can be changed.
     pub async fn open(options: &'a change::Options) -> cli::CliResult<Self> {
         if options.wait {
--- a/src/cmd/change/mod.rs
+++ b/src/cmd/change/mod.rs
@@ -10,13 +10,13 @@
 use crate::ids;
 use crate::settings::record;
 
+pub mod editor;
 pub mod report;
-pub mod session;
 
+pub use editor::Edit;
+pub use editor::Editor;
 pub use report::Ending;
 pub use report::Outcome;
-pub use session::Edit;
-pub use session::Session;
 
 /// The options that every change understands.
 pub const USAGE: &str = "
@@ -97,9 +97,9 @@
 
 /// Makes one change and waits if that was asked for.
 pub async fn apply_one(options: &Options, edit: &Edit) -> cli::CliResult<Outcome> {
-    let mut session = Session::open(options).await?;
-    session.apply(edit).await?;
-    session.finish().await
+    let mut editor = Editor::open(options).await?;
+    editor.apply(edit).await?;
+    editor.finish().await
 }
 
 /// Prints what was done and ends with the exit status.
--- a/src/cmd/config/sync.rs
+++ b/src/cmd/config/sync.rs
@@ -70,21 +70,21 @@
 }
 
 async fn sync(args: &Args, mut wanted: merge::Files) -> cli::CliResult<change::Outcome> {
-    let mut session = change::Session::open(&args.options).await?;
+    let mut editor = change::Editor::open(&args.options).await?;
     if args.keep_zones {
         wanted.retain(|name, _text| !zone::is_zone_file(name));
-        let in_force = session.state().files().iter();
+        let in_force = editor.state().files().iter();
         let kept = in_force.filter(|(name, _text)| zone::is_zone_file(name));
         wanted.extend(kept.map(|(name, text)| (name.clone(), text.clone())));
     }
-    let mut todo = diff::file_changes(session.state().files(), &wanted);
-    while let Some(edit) = next_edit(&session, &todo, &wanted) {
+    let mut todo = diff::file_changes(editor.state().files(), &wanted);
+    while let Some(edit) = next_edit(&editor, &todo, &wanted) {
         todo.remove(&edit.file);
-        if !session.apply(&edit).await? {
+        if !editor.apply(&edit).await? {
             break;
         }
     }
-    session.finish().await
+    editor.finish().await
 }
 
 /// The first change after which the folder still checks out, or else the first of all.
@@ -92,11 +92,11 @@
 /// Two changes may be good only in one order, as when a limit and what it bounds both
 /// grow; each of them has to be good by itself.
 fn next_edit(
-    session: &change::Session<'_>,
+    editor: &change::Editor<'_>,
     todo: &collections::BTreeMap<smol_str::SmolStr, diff::FileChange>,
     wanted: &merge::Files,
 ) -> Option<change::Edit> {
-    let base = Some(record::base_of(session.state().revision()));
+    let base = Some(record::base_of(editor.state().revision()));
     let edits = todo.keys().map(|name| change::Edit {
         id: publish::random_id(),
         file: name.clone(),
@@ -105,7 +105,7 @@
     });
     let mut edits = edits.collect::<Vec<_>>();
     let good =
-        |edit: &change::Edit| matches!(session.rehearse(edit), settings::Verdict::Accepted { .. });
+        |edit: &change::Edit| matches!(editor.rehearse(edit), settings::Verdict::Accepted { .. });
     let place = edits.iter().position(good).unwrap_or(0);
     (place < edits.len()).then(|| edits.swap_remove(place))
 }
--- a/src/cmd/zone.rs
+++ b/src/cmd/zone.rs
@@ -87,12 +87,12 @@
 fn switch(args: pico_args::Arguments, out: bool) -> cli::CliResult<()> {
     let args = Switch::parse(args, out)?;
     let (outcome, is_out) = cmd::block_on(async {
-        let mut session = change::Session::open(&args.options).await?;
+        let mut editor = change::Editor::open(&args.options).await?;
         let edit = args.edit();
-        check_other_zones(&session, &edit, &args.zone)?;
-        session.apply(&edit).await?;
-        let is_out = session.state().settings().is_zone_out(&args.zone);
-        Ok::<_, cli::CliError>((session.finish().await?, is_out))
+        check_other_zones(&editor, &edit, &args.zone)?;
+        editor.apply(&edit).await?;
+        let is_out = editor.state().settings().is_zone_out(&args.zone);
+        Ok::<_, cli::CliError>((editor.finish().await?, is_out))
     })?;
     change::print(&outcome, &args.options)?;
     if is_out == args.out {
@@ -108,11 +108,11 @@
 /// Names of zones that differ in case only share a file; to put it for one would
 /// silently bring the other back into service.
 fn check_other_zones(
-    session: &change::Session<'_>,
+    editor: &change::Editor<'_>,
     edit: &change::Edit,
     zone: &str,
 ) -> cli::CliResult<()> {
-    let old = session.state().files().get(&edit.file).cloned();
+    let old = editor.state().files().get(&edit.file).cloned();
     let files = old
         .map(|text| (edit.file.clone(), text))
         .into_iter()
