Build the tool's client of the entries in its one Config

Ruled out: load, which shares its connections with the metrics' reader; and the pairs that two actors have alike, which are the library's frame and not logic. Conclusion: behaviour, bounds and assertions as before.

--- a/src/cli/config.rs
+++ b/src/cli/config.rs
@@ -11,6 +11,8 @@
 
 use crate::cli;
 use crate::cli::flags;
+use crate::client;
+use crate::client::entries;
 use crate::client::follow;
 
 /// Environment variable with the entries, separated by commas.
@@ -130,6 +132,17 @@
         token.ok_or_else(|| missing("a token", "--token", TOKEN_VAR))
     }
 
+    /// A client of the entries, with the team's token; within a running system only.
+    pub fn open_entries(&self) -> cli::CliResult<entries::Entries> {
+        let token = self.token()?;
+        let addresses = self.entries()?;
+        Ok(entries::Entries::new(
+            client::Http::open(),
+            addresses,
+            token,
+        ))
+    }
+
     /// The address of the log service.
     pub fn log(&self) -> cli::CliResult<&SmolStr> {
         let log = self.log.as_ref();
--- a/src/cmd/cancel.rs
+++ b/src/cmd/cancel.rs
@@ -7,7 +7,6 @@
 use crate::api;
 use crate::cli;
 use crate::cli::flags;
-use crate::client;
 use crate::client::entries;
 use crate::cmd;
 use crate::cmd::answer;
@@ -63,11 +62,8 @@
         return Ok(());
     };
     let args = Args::parse(args)?;
-    let token = args.config.token()?;
-    let addresses = args.config.entries()?;
     let answers = cmd::block_on(async {
-        let http = client::Http::open();
-        let entries = entries::Entries::new(http, addresses, token);
+        let entries = args.config.open_entries()?;
         cancel_all(&entries, &args.ids).await
     })?;
     if args.json {
--- a/src/cmd/submit.rs
+++ b/src/cmd/submit.rs
@@ -173,11 +173,8 @@
         return Ok(());
     };
     let args = Args::parse(args)?;
-    let token = args.config.token()?;
-    let addresses = args.config.entries()?;
     let settled = cmd::block_on(async {
-        let http = client::Http::open();
-        let entries = entries::Entries::new(http, addresses, token);
+        let entries = args.config.open_entries()?;
         submit(&entries, &args).await
     })?;
     answer::print(&settled.answer, args.json)?;
