Look again for a runner before a submission is refused for want of one

An entry that was without runners for longer than dead_after_ms kept that as a fact of its last tick; between the first heartbeat of a runner and the next tick, up to 20 ms, it refused submissions although /status already showed the runner alive. A caller who waits for that and submits at once, as the test does, hits the gap now and then.

Ruled out: the ramp and a closed runner (they leave a candidate with no room, which is no 105); an entry paused for a second (wake() would have ticked first); the test's waiting condition, which is what a user would look at.

Change: where the last tick saw no runner, a refusal looks at the candidates again. It costs only where none was known. The same gap after a settings change that brings the only zone back is closed with it.

Conclusion: a cached "none" must not outlive what it was drawn from; the test stays as it was.

--- a/src/entry/load.rs
+++ b/src/entry/load.rs
@@ -92,7 +92,6 @@
     fn load_view(&self, now_ms: u64, team: &SmolStr) -> admission::View {
         let teams = self.queue.teams();
         let own = teams.find(team);
-        let since_ms = self.no_runner_since_ms;
         admission::View {
             queued: self.queue.len(),
             team_queued: own.map_or(0, |own| own.waiting),
@@ -100,10 +99,25 @@
             team_backlog_ms: own.map_or(0, |own| own.backlog_ms),
             share: teams.share(team),
             drain_rate: self.drain.rate(),
-            no_runner_ms: since_ms.map_or(0, |since| now_ms.saturating_sub(since).max(1)),
+            no_runner_ms: self.no_runner_ms(now_ms),
         }
     }
 
+    /// For how long there was no runner in service; 0: there is one.
+    ///
+    /// A tick notes when there was none. One may have come since, with a heartbeat or with
+    /// the change that brought its zone back, and callers who saw it come must not be told
+    /// that none is there: so a refusal looks again.
+    fn no_runner_ms(&self, now_ms: u64) -> u64 {
+        let Some(since_ms) = self.no_runner_since_ms else {
+            return 0;
+        };
+        if !self.candidates(now_ms).is_empty() {
+            return 0;
+        }
+        now_ms.saturating_sub(since_ms).max(1)
+    }
+
     /// Refusals that time does not mend carry no time to come back.
     fn retry_after_ms(
         &mut self,
--- /dev/null
+++ b/tests/unit/entry.rs
@@ -0,0 +1,108 @@
+//! What an entry decides from what it heard last.
+
+use std::sync;
+
+use bulrushtiller::api;
+use bulrushtiller::codes;
+use bulrushtiller::entry;
+use bulrushtiller::entry::calls;
+use bulrushtiller::ids;
+use bulrushtiller::settings;
+use bulrushtiller::wire;
+use rstest::rstest;
+use smol_str::SmolStr;
+
+const TEAM: SmolStr = SmolStr::new_static("escola");
+const ZONE: &str = "bento";
+const TICK_MS: u64 = 20;
+
+fn peer(role: wire::Role, name: &str) -> wire::Peer {
+    wire::Peer {
+        role,
+        name: SmolStr::new(name),
+        incarnation: ids::Incarnation(1),
+        zone: SmolStr::new(ZONE),
+        rack: SmolStr::new("a"),
+        address: SmolStr::new(name),
+    }
+}
+
+fn heartbeat() -> wire::Heartbeat {
+    wire::Heartbeat {
+        version: wire::VERSION,
+        sender: peer(wire::Role::Runner, "runner"),
+        leaving: false,
+        revision: None,
+        evidence: wire::Evidence::default(),
+        load: Some(wire::Load {
+            slots: 8,
+            sequence: 1,
+            ..wire::Load::default()
+        }),
+    }
+}
+
+fn settings(zones_out: &[&str]) -> sync::Arc<settings::Settings> {
+    let mut settings = settings::Settings::default();
+    settings.teams.insert(TEAM, settings::Team::default());
+    for zone in zones_out {
+        let out = settings::Zone { out: true };
+        settings.zones.insert(SmolStr::new(zone), out);
+    }
+    sync::Arc::new(settings)
+}
+
+/// An entry that has run for long enough without a runner to refuse for want of one.
+fn lonely_entry(settings: sync::Arc<settings::Settings>) -> (entry::core::Core, u64) {
+    let end_ms = u64::from(settings.timeouts.dead_after_ms) * 2;
+    let mut entry = entry::core::Core::new(peer(wire::Role::Entry, "entry"), settings, 0, 1);
+    let ticks = (0..=end_ms).step_by(TICK_MS.try_into().unwrap());
+    ticks.for_each(|now_ms| drop(entry.tick(now_ms)));
+    (entry, end_ms)
+}
+
+fn submit(entry: &mut entry::core::Core, now_ms: u64) -> Option<codes::Code> {
+    let submission = api::Submission {
+        submission: None,
+        deadline_ms: None,
+        wait_ms: 0,
+        idempotent: false,
+        tasks: vec![api::Task::default()],
+    };
+    match entry.submit(now_ms, &TEAM, submission).0 {
+        calls::Reply::Answer(answer) => Some(answer.code),
+        _ => None,
+    }
+}
+
+// Entries are replaced and the runners find the new ones only after a while. A caller who
+// sees on `/status` that runners are there submits at once, and is told that no backend
+// server is in service. The entry had kept what its last tick saw.
+#[test]
+fn runner_counts_from_its_first_heartbeat_on() {
+    let (mut entry, now_ms) = lonely_entry(settings(&[]));
+    let before = submit(&mut entry, now_ms);
+
+    entry.heartbeat(now_ms, &heartbeat());
+    let after = submit(&mut entry, now_ms);
+
+    assert_eq!(before, Some(codes::Code::NoCapacity));
+    assert_eq!(after, None);
+}
+
+// The only zone comes back after a long time out, and a caller submits before the entry's
+// clock has ticked once more.
+#[rstest]
+#[case::still_out(&[ZONE], Some(codes::Code::NoCapacity))]
+#[case::back(&[], None)]
+fn zone_counts_from_the_change_that_brings_it_back(
+    #[case] out: &[&str],
+    #[case] refused: Option<codes::Code>,
+) {
+    let (mut entry, now_ms) = lonely_entry(settings(&[ZONE]));
+    entry.heartbeat(now_ms, &heartbeat());
+
+    entry.set_settings(now_ms, settings(out), None);
+
+    assert_eq!(submit(&mut entry, now_ms), refused);
+}
