Try: a runner tells one waiting entry of each slot that comes free

Change: entries write on dispatches and heartbeat answers how much waits there; a runner with a free slot and nothing waiting sends one of them its heartbeat early. Messages that no dispatch follows count as wasted.

--- a/measure/src/sim/events.rs
+++ b/measure/src/sim/events.rs
@@ -48,6 +48,7 @@
 pub(super) enum ToRunner {
     Dispatch(wire::Dispatch),
     Fence(wire::Fence),
+    Waiting(u32),
 }
 
 #[derive(Debug)]
--- a/tests/unit/entry.rs
+++ b/tests/unit/entry.rs
@@ -39,6 +39,7 @@
             sequence: 1,
             ..wire::Load::default()
         }),
+        freed: false,
     }
 }
 
--- a/tests/unit/slots.rs
+++ b/tests/unit/slots.rs
@@ -37,6 +37,7 @@
         revision: None,
         evidence: wire::Evidence::default(),
         load: Some(load),
+        freed: false,
     }
 }
 
