--- a/measure/src/sim/events.rs
+++ b/measure/src/sim/events.rs
@@ -48,7 +48,6 @@
 pub(super) enum ToRunner {
     Dispatch(wire::Dispatch),
     Fence(wire::Fence),
-    Waiting(u32),
 }
 
 #[derive(Debug)]
--- a/measure/src/sim/mod.rs
+++ b/measure/src/sim/mod.rs
@@ -51,8 +51,6 @@
     pub work: Vec<Work>,
     /// Messages that moved nothing forward.
     pub wasted: u64,
-    /// Early heartbeats for a slot that came free.
-    pub told_freed: u64,
     /// Times an entry took a runner out for what its tasks came to.
     pub ejections: u64,
     /// Starts of a task that had started before; must stay 0 for jobs.
--- a/measure/src/sim/servers.rs
+++ b/measure/src/sim/servers.rs
@@ -38,10 +38,6 @@
                 };
                 self.reply(index, entry, events::ToEntry::Fenced(fence, reply));
             }
-            events::ToRunner::Waiting(waiting) => {
-                let owner = self.entries[entry].me().incarnation;
-                self.runners[index].hear_waiting(owner, waiting);
-            }
         }
     }
 
@@ -64,26 +60,10 @@
                     self.at(self.now_us + self.site.within_zone_us, event);
                 }
                 runner::Action::Answer(attempt, outcome) => self.answer(index, attempt, outcome),
-                runner::Action::TellFreed(entry) => self.tell_freed(index, entry),
             }
         }
     }
 
-    fn tell_freed(&mut self, index: usize, entry: ids::Incarnation) {
-        if !self.site.tells_freed {
-            return;
-        }
-        if let Some(entry) = self.entry_of(entry) {
-            self.outcome.told_freed += 1;
-            self.heartbeat(index, entry, true);
-        }
-    }
-
-    fn entry_of(&self, life: ids::Incarnation) -> Option<usize> {
-        let mut entries = self.entries.iter();
-        entries.position(|one| one.me().incarnation == life)
-    }
-
     pub(super) fn start(&mut self, index: usize, dispatch: &wire::Dispatch) {
         self.outcome.started += 1;
         let is_first = self
@@ -115,9 +95,11 @@
     }
 
     pub(super) fn answer(&mut self, index: usize, attempt: ids::Attempt, outcome: wire::Outcome) {
-        let Some(entry) = self.entry_of(attempt.owner) else {
-            return;
-        };
+        let owner = self
+            .entries
+            .iter()
+            .position(|one| one.me().incarnation == attempt.owner);
+        let Some(entry) = owner else { return };
         let load = self.runners[index].load_for(attempt.owner);
         let reply = wire::DispatchReply {
             version: wire::VERSION,
--- a/measure/src/sim/world.rs
+++ b/measure/src/sim/world.rs
@@ -335,14 +335,7 @@
         let actions = match message {
             events::ToEntry::Reply(reply) => core.dispatch_answered(now_ms, reply),
             events::ToEntry::Fenced(fence, reply) => core.fence_answered(now_ms, &fence, reply),
-            events::ToEntry::Heartbeat(heartbeat) => {
-                let (reply, actions) = core.heartbeat(now_ms, &heartbeat);
-                if heartbeat.sender.role == wire::Role::Runner {
-                    let waiting = events::ToRunner::Waiting(reply.waiting);
-                    self.send(entry, &heartbeat.sender.address, waiting);
-                }
-                actions
-            }
+            events::ToEntry::Heartbeat(heartbeat) => core.heartbeat(now_ms, &heartbeat).1,
         };
         self.act(entry, actions);
     }
@@ -371,7 +364,17 @@
             }
             self.runners[index].freshness().hear_log(now_ms);
             for entry in 0..self.entries.len() {
-                self.heartbeat(index, entry, false);
+                let owner = self.entries[entry].me().incarnation;
+                let runner = &mut self.runners[index];
+                let heartbeat = wire::Heartbeat {
+                    version: wire::VERSION,
+                    sender: runner.me().clone(),
+                    leaving: false,
+                    revision: Some(self.applied[index]),
+                    evidence: wire::Evidence::default(),
+                    load: Some(runner.load_for(owner)),
+                };
+                self.reply(index, entry, events::ToEntry::Heartbeat(heartbeat));
             }
         }
         self.entry_heartbeats(now_ms);
@@ -379,21 +382,6 @@
         self.at(self.now_us + pause_us, events::Event::Heartbeats);
     }
 
-    pub(super) fn heartbeat(&mut self, index: usize, entry: usize, freed: bool) {
-        let owner = self.entries[entry].me().incarnation;
-        let runner = &mut self.runners[index];
-        let heartbeat = wire::Heartbeat {
-            version: wire::VERSION,
-            sender: runner.me().clone(),
-            leaving: false,
-            revision: Some(self.applied[index]),
-            evidence: wire::Evidence::default(),
-            load: Some(runner.load_for(owner)),
-            freed,
-        };
-        self.reply(index, entry, events::ToEntry::Heartbeat(heartbeat));
-    }
-
     fn entry_heartbeats(&mut self, now_ms: u64) {
         for sender in 0..self.entries.len() {
             let heartbeat = self.entries[sender].heartbeat_to_send(now_ms);
--- a/measure/src/slopes/fixtures.rs
+++ b/measure/src/slopes/fixtures.rs
@@ -88,7 +88,6 @@
             foreign_age_ms: Some(700),
         },
         load: Some(load(sequence, busy)),
-        freed: false,
     }
 }
 
@@ -151,6 +150,5 @@
         limit_ms: 30_000,
         submission: SmolStr::new("t:entry-1:661aec498d38f134:1:2"),
         index: 0,
-        waiting: 0,
     }
 }
--- a/measure/src/slopes/wire.rs
+++ b/measure/src/slopes/wire.rs
@@ -59,6 +59,5 @@
         entries: (0..entries)
             .map(|at| fixtures::peer(wire::Role::Entry, at))
             .collect(),
-        waiting: 0,
     }
 }
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -280,9 +280,7 @@
                 if let membership::Heard::Replaced(old) = heard {
                     actions.extend(self.runner_over(now_ms, old));
                 }
-                let sent = self.pump(now_ms);
-                self.counts.wasted += u64::from(heartbeat.freed && sent.is_empty());
-                actions.extend(sent);
+                actions.extend(self.pump(now_ms));
             }
             wire::Role::Entry => {
                 let heartbeat = heartbeat.clone();
@@ -306,15 +304,9 @@
             revision: self.revision,
             evidence: self.freshness.evidence(now_ms),
             entries: self.live_entries(now_ms),
-            waiting: self.waiting(),
         }
     }
 
-    /// How many tasks wait here for a slot, as runners are told.
-    pub(crate) fn waiting(&self) -> u32 {
-        u32::try_from(self.queue.len_ready()).unwrap_or(u32::MAX)
-    }
-
     /// Entries heard of lately that are not stopping.
     pub fn live_entries(&self, now_ms: u64) -> Vec<wire::Peer> {
         let bound = u64::from(self.settings.timeouts.dead_after_ms);
@@ -361,7 +353,6 @@
             revision: self.revision,
             evidence: self.freshness.evidence(now_ms),
             load: None,
-            freed: false,
         }
     }
 
--- a/src/entry/pump.rs
+++ b/src/entry/pump.rs
@@ -49,21 +49,9 @@
         for item in passed_over.into_iter().rev() {
             self.queue.undo(item);
         }
-        self.tell_waiting(&mut actions);
         actions
     }
 
-    /// Writes on what is handed out how much is left, so that the runners can tell
-    /// this entry of slots that come free; see [`crate::runner::freed`].
-    fn tell_waiting(&self, actions: &mut [core::Action]) {
-        let waiting = self.waiting();
-        for action in actions {
-            if let core::Action::Dispatch { dispatch, .. } = action {
-                dispatch.waiting = waiting;
-            }
-        }
-    }
-
     fn place(&mut self, now_ms: u64, item: &queue::Item, view: &mut View) -> Placed {
         let Some(need) = self.need(item.task) else {
             return Placed::Ended(Vec::new());
@@ -278,7 +266,6 @@
             limit_ms: timeouts.run_limit_ms.into(),
             submission: smol_str::format_smolstr!("{}", open.header.id),
             index: item.task.index,
-            waiting: 0,
         };
         let address = runner.peer.address.clone();
         let expected = item.expected_ms + u64::from(timeouts.query_after_ms);
--- a/src/membership/contacts.rs
+++ b/src/membership/contacts.rs
@@ -59,12 +59,6 @@
         self.by_address.iter().map(target).collect()
     }
 
-    /// Where the life of an entry that answered lately is.
-    pub fn target_of(&self, life: ids::Incarnation) -> Option<Target> {
-        let mut targets = self.targets().into_iter();
-        targets.find(|target| target.incarnation == Some(life))
-    }
-
     /// Whether no address has answered since `since_ms`.
     pub fn is_alone(&self, since_ms: u64) -> bool {
         self.live(since_ms).next().is_none()
--- a/src/queue/mod.rs
+++ b/src/queue/mod.rs
@@ -78,11 +78,6 @@
         self.waiting.len()
     }
 
-    /// How many wait for nothing but a slot; none where all are of teams at their quota.
-    pub fn len_ready(&self) -> usize {
-        self.teams.next().map_or(0, |_| self.len())
-    }
-
     /// Whether none waits.
     pub fn is_empty(&self) -> bool {
         self.waiting.is_empty()
--- a/src/runner/control.rs
+++ b/src/runner/control.rs
@@ -72,7 +72,6 @@
     pub(super) not_started: u64,
     pub(super) fences: u64,
     pub(super) log_reads: u64,
-    pub(super) freed: u64,
 }
 
 impl Control {
@@ -108,7 +107,6 @@
                 core::Action::Start(dispatch) => self.start(cx, dispatch),
                 core::Action::Stop(attempt) => self.stop(attempt),
                 core::Action::Answer(attempt, outcome) => self.answer(attempt, &outcome),
-                core::Action::TellFreed(entry) => self.tell_freed(cx, entry),
             }
         }
     }
@@ -169,39 +167,24 @@
 
     pub(super) fn send_heartbeats(&mut self, cx: &actix::Context<Self>) {
         let now_ms = self.now_ms();
-        let dead_after_ms = u64::from(self.timeouts().dead_after_ms);
-        self.contacts.drop_silent(now_ms, dead_after_ms * 20);
+        let timeouts = self.timeouts();
+        let limit = time::Duration::from_millis(u64::from(timeouts.dead_after_ms) / 2);
+        self.contacts
+            .drop_silent(now_ms, u64::from(timeouts.dead_after_ms) * 20);
         for target in self.contacts.targets() {
             let heartbeat = self.heartbeat_for(now_ms, target.incarnation);
-            self.send_heartbeat(cx, target, heartbeat);
+            let done = cx.address().recipient();
+            heartbeats::send(
+                &self.parts.pool,
+                self.parts.clock,
+                target,
+                heartbeat,
+                limit,
+                done,
+            );
         }
     }
 
-    fn send_heartbeat(
-        &self,
-        cx: &actix::Context<Self>,
-        target: contacts::Target,
-        heartbeat: wire::Heartbeat,
-    ) {
-        let limit_ms = u64::from(self.timeouts().dead_after_ms) / 2;
-        let limit = time::Duration::from_millis(limit_ms);
-        let done = cx.address().recipient();
-        let (pool, clock) = (&self.parts.pool, self.parts.clock);
-        heartbeats::send(pool, clock, target, heartbeat, limit, done);
-    }
-
-    /// Tells an entry with work waiting of a free slot, by a heartbeat ahead of time.
-    fn tell_freed(&mut self, cx: &actix::Context<Self>, entry: ids::Incarnation) {
-        let Some(target) = self.contacts.target_of(entry) else {
-            return;
-        };
-        self.counts.freed += 1;
-        let now_ms = self.now_ms();
-        let mut heartbeat = self.heartbeat_for(now_ms, target.incarnation);
-        heartbeat.freed = true;
-        self.send_heartbeat(cx, target, heartbeat);
-    }
-
     fn heartbeat_for(&mut self, now_ms: u64, to: Option<ids::Incarnation>) -> wire::Heartbeat {
         let load = self.core.load_for(to.unwrap_or(ids::Incarnation(0)));
         wire::Heartbeat {
@@ -211,7 +194,6 @@
             revision: self.keeper.state().revision(),
             evidence: self.core.freshness().evidence(now_ms),
             load: Some(load),
-            freed: false,
         }
     }
 
--- a/src/runner/core.rs
+++ b/src/runner/core.rs
@@ -6,7 +6,6 @@
 use crate::codes;
 use crate::freshness;
 use crate::ids;
-use crate::runner::freed;
 use crate::runner::parked;
 use crate::settings;
 use crate::starts;
@@ -21,8 +20,6 @@
     Stop(ids::Attempt),
     /// Tell all who wait for the attempt.
     Answer(ids::Attempt, wire::Outcome),
-    /// Send this entry a heartbeat now: a slot is free and it has work waiting.
-    TellFreed(ids::Incarnation),
 }
 
 /// How a task ended at the backend server.
@@ -68,7 +65,6 @@
     freshness: freshness::Freshness,
     ledger: starts::Ledger,
     parked: parked::Lines,
-    waiters: freed::Waiters,
     running: collections::HashMap<ids::Attempt, Running>,
     used: wire::Resources,
     observed: wire::Resources,
@@ -85,7 +81,6 @@
             freshness: freshness::Freshness::default(),
             ledger: starts::Ledger::new(now_ms),
             parked: parked::Lines::default(),
-            waiters: freed::Waiters::default(),
             running: collections::HashMap::new(),
             used: wire::Resources::default(),
             observed: wire::Resources::default(),
@@ -175,7 +170,6 @@
     /// An entry hands over a task.
     pub fn dispatch(&mut self, now_ms: u64, dispatch: wire::Dispatch) -> Vec<Action> {
         let attempt = dispatch.attempt;
-        self.hear_waiting(attempt.owner, dispatch.waiting);
         if dispatch.incarnation != self.parts.me.incarnation {
             return vec![not_started(attempt, codes::Code::StaleDispatch)];
         }
@@ -285,24 +279,9 @@
         self.used = self.used.minus(&running.resources);
         let mut actions = vec![self.settle(now_ms, attempt, &running, end)];
         actions.extend(self.fill(now_ms));
-        actions.extend(self.tell_freed(now_ms, attempt.owner));
         actions
     }
 
-    /// An entry said how many tasks wait there for a slot.
-    pub fn hear_waiting(&mut self, entry: ids::Incarnation, waiting: u32) {
-        self.waiters.hear(entry, waiting);
-    }
-
-    fn tell_freed(&mut self, now_ms: u64, owner: ids::Incarnation) -> Option<Action> {
-        let is_idle = self.parked.is_empty() && self.running.len() < self.parts.slots as usize;
-        let is_open = self.is_fresh(now_ms) && self.closed().is_none();
-        if !is_idle || !is_open {
-            return None;
-        }
-        self.waiters.next(owner).map(Action::TellFreed)
-    }
-
     fn settle(&mut self, now: u64, attempt: ids::Attempt, running: &Running, end: End) -> Action {
         let End::Ended { code, output, peak } = end else {
             return self.settle_unstarted(attempt, codes::Code::BackendUnreachable);
--- a/src/runner/hearing.rs
+++ b/src/runner/hearing.rs
@@ -29,7 +29,6 @@
             revision: self.keeper.state().revision(),
             evidence: self.core.freshness().evidence(now_ms),
             entries: self.contacts.live(since_ms).cloned().collect(),
-            waiting: 0,
         })
     }
 }
@@ -44,8 +43,6 @@
         };
         self.contacts
             .answered(self.now_ms(), &message.address, &reply);
-        self.core
-            .hear_waiting(reply.sender.incarnation, reply.waiting);
         let is_behind = reply.revision > self.keeper.state().revision();
         if is_behind || self.keeper.is_lacking() {
             let position = self.keeper.state().position();
--- a/src/runner/mod.rs
+++ b/src/runner/mod.rs
@@ -3,7 +3,6 @@
 pub mod backend;
 pub mod control;
 pub mod core;
-pub mod freed;
 mod hearing;
 pub mod http;
 pub mod messages;
--- a/src/runner/report.rs
+++ b/src/runner/report.rs
@@ -75,11 +75,6 @@
                 "Reads of the log",
                 self.counts.log_reads,
             ),
-            counter(
-                "runner_freed",
-                "Heartbeats sent early for a slot that came free",
-                self.counts.freed,
-            ),
             gauge(
                 "runner_running",
                 "Tasks that run",
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -162,9 +162,6 @@
     pub evidence: Evidence,
     /// The load, from a runner.
     pub load: Option<Load>,
-    /// Whether it was sent early, for a slot that came free.
-    #[serde(default)]
-    pub freed: bool,
 }
 
 /// Answer to a [`Heartbeat`].
@@ -183,9 +180,6 @@
     pub evidence: Evidence,
     /// The entries it knows to be alive, itself left out.
     pub entries: Vec<Peer>,
-    /// How many tasks wait there for a slot.
-    #[serde(default)]
-    pub waiting: u32,
 }
 
 /// Body of [`DISPATCH_PATH`].
@@ -222,9 +216,6 @@
     pub submission: SmolStr,
     /// The task's place in its submission, for logs.
     pub index: u32,
-    /// How many tasks still wait at the entry for a slot.
-    #[serde(default)]
-    pub waiting: u32,
 }
 
 /// How an attempt stands or ended.
--- a/tests/failure/input.rs
+++ b/tests/failure/input.rs
@@ -115,7 +115,6 @@
         revision: None,
         evidence: wire::Evidence::default(),
         load: None,
-        freed: false,
     })
 }
 
@@ -138,7 +137,6 @@
         slack_ms: u64::MAX,
         submission: "x".into(),
         index: u32::MAX,
-        waiting: 0,
     })
 }
 
--- a/tests/failure/leaving.rs
+++ b/tests/failure/leaving.rs
@@ -147,7 +147,6 @@
         limit_ms: 1_000,
         submission: "s".into(),
         index: 0,
-        waiting: 0,
     };
     let reply: wire::DispatchReply = say(runner, wire::DISPATCH_PATH, &dispatch);
     let outcome = vec![caller.join().expect("the caller goes on")];
--- a/tests/unit/dispatching/world.rs
+++ b/tests/unit/dispatching/world.rs
@@ -221,8 +221,7 @@
         for action in actions {
             match action {
                 runner::core::Action::Start(dispatch) => self.start(at, &dispatch),
-                // One entry only: whoever has work waiting owns all that ends.
-                runner::core::Action::Stop(_) | runner::core::Action::TellFreed(_) => {}
+                runner::core::Action::Stop(_) => {}
                 runner::core::Action::Answer(attempt, outcome) => {
                     let load = self.runners[at].core.load_for(attempt.owner);
                     let reply = wire::DispatchReply {
@@ -380,7 +379,6 @@
                 revision: None,
                 evidence: wire::Evidence::default(),
                 load: Some(core.load_for(ids::Incarnation(1))),
-                freed: false,
             };
             let (_, actions) = self.entry.heartbeat(now_ms, &heartbeat);
             self.act_for_entry(actions);
--- a/tests/unit/entry.rs
+++ b/tests/unit/entry.rs
@@ -39,7 +39,6 @@
             sequence: 1,
             ..wire::Load::default()
         }),
-        freed: false,
     }
 }
 
--- a/tests/unit/membership.rs
+++ b/tests/unit/membership.rs
@@ -41,7 +41,6 @@
         revision: None,
         evidence: wire::Evidence::default(),
         entries,
-        waiting: 0,
     }
 }
 
@@ -158,7 +157,6 @@
             sequence,
             ..wire::Load::default()
         }),
-        freed: false,
     }
 }
 
--- a/tests/unit/runner.rs
+++ b/tests/unit/runner.rs
@@ -51,7 +51,6 @@
         limit_ms: 30_000,
         submission: "s".into(),
         index: 0,
-        waiting: 0,
     };
     let actions = runner.dispatch(NOW_MS, dispatch);
     assert!(matches!(actions[..], [core::Action::Start(_)]));
--- a/tests/unit/wire.rs
+++ b/tests/unit/wire.rs
@@ -35,7 +35,6 @@
             sequence: figures[3],
             ..wire::Load::default()
         }),
-        freed: false,
     }
 }
 
@@ -58,7 +57,6 @@
         slack_ms: figures[3],
         submission: "x".into(),
         index: 0,
-        waiting: 0,
     }
 }
 
