--- a/measure/src/sim/events.rs
+++ b/measure/src/sim/events.rs
@@ -55,7 +55,6 @@
     Reply(wire::DispatchReply),
     Fenced(wire::Fence, wire::FenceReply),
     Heartbeat(wire::Heartbeat),
-    HeartbeatReply(wire::HeartbeatReply),
 }
 
 pub(super) struct Timed {
--- a/measure/src/sim/mod.rs
+++ b/measure/src/sim/mod.rs
@@ -51,10 +51,6 @@
     pub work: Vec<Work>,
     /// Messages that moved nothing forward.
     pub wasted: u64,
-    /// Messages that told other entries what waits.
-    pub told: u64,
-    /// Slots ceded to other entries.
-    pub ceded: u64,
     /// Times an entry took a runner out for what its tasks came to.
     pub ejections: u64,
     /// Starts of a task that had started before; must stay 0 for jobs.
--- a/measure/src/sim/site.rs
+++ b/measure/src/sim/site.rs
@@ -19,8 +19,6 @@
     pub within_zone_us: u64,
     /// One-way latency to callers, microseconds.
     pub to_caller_us: u64,
-    /// Whether entries tell each other what waits, and cede slots.
-    pub cedes: bool,
 }
 
 /// One-way latency within a zone; the brief gives only that a round trip costs
@@ -47,7 +45,6 @@
             between_zones_us,
             within_zone_us: WITHIN_ZONE_US,
             to_caller_us: 3_000,
-            cedes: true,
         }
     }
 
--- a/measure/src/sim/world.rs
+++ b/measure/src/sim/world.rs
@@ -71,8 +71,6 @@
         .iter()
         .map(|entry| entry.counts().wasted)
         .sum();
-    world.outcome.told = world.entries.iter().map(|one| one.counts().told).sum();
-    world.outcome.ceded = world.entries.iter().map(|one| one.counts().ceded).sum();
     world.outcome.ejections = world
         .entries
         .iter()
@@ -88,10 +86,7 @@
         incarnation: ids::Incarnation(1_000 + index as u64),
         zone: site.zone(index).clone(),
         rack: smol_str::format_smolstr!("rack-{}", index / 3),
-        address: match role {
-            wire::Role::Entry => smol_str::format_smolstr!("{name}-{index}"),
-            wire::Role::Runner => smol_str::format_smolstr!("{index}"),
-        },
+        address: smol_str::format_smolstr!("{index}"),
     }
 }
 
@@ -314,11 +309,6 @@
                         self.receive(job, &answer);
                     }
                 }
-                entry::Action::Notify { address, heartbeat } => {
-                    if let Some(to) = self.entry_at(&address).filter(|_| self.site.cedes) {
-                        self.between(entry, to, events::ToEntry::Heartbeat(*heartbeat));
-                    }
-                }
                 entry::Action::AppendClaims(_) | entry::Action::ClaimSettled(_) => {}
             }
         }
@@ -345,39 +335,11 @@
         let actions = match message {
             events::ToEntry::Reply(reply) => core.dispatch_answered(now_ms, reply),
             events::ToEntry::Fenced(fence, reply) => core.fence_answered(now_ms, &fence, reply),
-            events::ToEntry::Heartbeat(heartbeat) => {
-                let (reply, actions) = core.heartbeat(now_ms, &heartbeat);
-                if let Some(to) = self.entry_at(&heartbeat.sender.address) {
-                    self.between(entry, to, events::ToEntry::HeartbeatReply(reply));
-                }
-                actions
-            }
-            events::ToEntry::HeartbeatReply(reply) => {
-                core.heartbeat_answered(now_ms, now_ms, &reply);
-                Vec::new()
-            }
+            events::ToEntry::Heartbeat(heartbeat) => core.heartbeat(now_ms, &heartbeat).1,
         };
         self.act(entry, actions);
     }
 
-    fn entry_at(&self, address: &str) -> Option<usize> {
-        let mut entries = self.entries.iter();
-        entries.position(|one| one.me().address == address)
-    }
-
-    fn between(&mut self, from: usize, to: usize, mut message: events::ToEntry) {
-        if !self.site.cedes {
-            match &mut message {
-                events::ToEntry::Heartbeat(heartbeat) => heartbeat.want = None,
-                events::ToEntry::HeartbeatReply(reply) => reply.want = None,
-                _ => {}
-            }
-        }
-        let at_us = self.now_us + self.site.latency_us(from, to);
-        let event = events::Event::ToEntry { entry: to, message };
-        self.at(at_us, event);
-    }
-
     fn tick(&mut self) {
         let now_ms = self.now_ms();
         for entry in 0..self.entries.len() {
@@ -411,8 +373,6 @@
                     revision: Some(self.applied[index]),
                     evidence: wire::Evidence::default(),
                     load: Some(runner.load_for(owner)),
-                    want: None,
-                    ceded: None,
                 };
                 self.reply(index, entry, events::ToEntry::Heartbeat(heartbeat));
             }
@@ -426,8 +386,9 @@
         for sender in 0..self.entries.len() {
             let heartbeat = self.entries[sender].heartbeat_to_send(now_ms);
             for entry in (0..self.entries.len()).filter(|entry| *entry != sender) {
+                let at_us = self.now_us + self.site.latency_us(sender, entry);
                 let message = events::ToEntry::Heartbeat(heartbeat.clone());
-                self.between(sender, entry, message);
+                self.at(at_us, events::Event::ToEntry { entry, message });
             }
         }
     }
--- a/measure/src/slopes/fixtures.rs
+++ b/measure/src/slopes/fixtures.rs
@@ -88,8 +88,6 @@
             foreign_age_ms: Some(700),
         },
         load: Some(load(sequence, busy)),
-        want: None,
-        ceded: None,
     }
 }
 
--- a/measure/src/slopes/wire.rs
+++ b/measure/src/slopes/wire.rs
@@ -59,7 +59,5 @@
         entries: (0..entries)
             .map(|at| fixtures::peer(wire::Role::Entry, at))
             .collect(),
-        want: None,
-        unused: None,
     }
 }
--- a/src/entry/attempts.rs
+++ b/src/entry/attempts.rs
@@ -47,17 +47,12 @@
             return actions;
         };
         let is_unsure = is_unsure(flight, &reply.outcome, reply.load.epoch);
-        let (runner, freed) = (flight.runner, flight.need);
-        let is_ended = matches!(reply.outcome, wire::Outcome::Ended { .. });
-        self.hear_load(runner, now_ms, reply.load);
+        self.hear_load(flight.runner, now_ms, reply.load);
         if is_unsure {
             actions.extend(self.forgotten(now_ms, number));
         } else {
             actions.extend(self.outcome(now_ms, number, reply.outcome));
         }
-        if is_ended {
-            actions.extend(self.cede(now_ms, runner, freed));
-        }
         actions.extend(self.pump(now_ms));
         actions
     }
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -101,7 +101,6 @@
                 core::Action::Answer { submission, answer } => self.answer(submission, &answer),
                 core::Action::AppendClaims(record) => self.append_claims(cx, record),
                 core::Action::ClaimSettled(name) => drop(self.claim_waiters.remove(&name)),
-                core::Action::Notify { address, heartbeat } => self.notify(cx, address, *heartbeat),
             }
         }
     }
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -15,7 +15,6 @@
 use crate::admission::drain;
 use crate::admission::returning;
 use crate::api;
-use crate::ceding;
 use crate::claims;
 use crate::freshness;
 use crate::health;
@@ -57,13 +56,6 @@
     AppendClaims(claims::Record),
     /// Have the calls about this id looked at again.
     ClaimSettled(claims::Name),
-    /// Send another entry a heartbeat ahead of time and report its answer.
-    Notify {
-        /// The entry's address.
-        address: SmolStr,
-        /// The message.
-        heartbeat: Box<wire::Heartbeat>,
-    },
 }
 
 /// An attempt that was handed to a runner and is not settled.
@@ -126,10 +118,6 @@
     pub failed: u64,
     /// Retries of idempotent tasks that may have run.
     pub retries: u64,
-    /// Heartbeats ahead of time that told other entries what waits here.
-    pub told: u64,
-    /// Slots ceded to other entries.
-    pub ceded: u64,
 }
 
 /// The state of one life of one entry.
@@ -146,10 +134,6 @@
     pub(crate) claims: claims::Table,
     pub(crate) queue: queue::Queue,
     pub(crate) retries: retry::Retries,
-    /// What waits at other entries.
-    pub(crate) wants: ceding::Wants,
-    /// What other entries know of what waits here.
-    pub(crate) told: ceding::Wants,
     pub(crate) in_flight: collections::BTreeMap<u64, InFlight>,
     pub(crate) drain: drain::Drain,
     pub(crate) returning: returning::Returning,
@@ -193,8 +177,6 @@
             claims: claims::Table::new(claimer),
             queue,
             retries,
-            wants: ceding::Wants::default(),
-            told: ceding::Wants::default(),
             in_flight: collections::BTreeMap::new(),
             drain: drain::Drain::new(now_ms),
             returning: returning::Returning::default(),
@@ -292,7 +274,6 @@
         heartbeat: &wire::Heartbeat,
     ) -> (wire::HeartbeatReply, Vec<Action>) {
         let mut actions = self.wake(now_ms);
-        let mut reply = self.heartbeat_reply(now_ms);
         match heartbeat.sender.role {
             wire::Role::Runner => {
                 let heard = self.members.hear_runner(now_ms, heartbeat);
@@ -302,34 +283,17 @@
                 actions.extend(self.pump(now_ms));
             }
             wire::Role::Entry => {
+                let heartbeat = heartbeat.clone();
                 let wire::Heartbeat {
                     sender,
                     leaving,
                     revision,
-                    want,
-                    ceded,
                     ..
                 } = heartbeat;
-                self.members.hear_entry(now_ms, sender, *leaving, *revision);
-                let want = want.map(|want| ceding::Want::hear(now_ms, &want));
-                self.wants.set(sender.incarnation, want);
-                if let Some(ceded) = ceded {
-                    let sent = self.use_ceded(now_ms, ceded);
-                    if sent.is_empty() {
-                        self.counts.wasted += 1;
-                        reply.unused = Some(ceded.clone());
-                    }
-                    actions.extend(sent);
-                }
-                reply.want = self.answered_want(now_ms, sender.incarnation);
+                self.members.hear_entry(now_ms, &sender, leaving, revision);
             }
         }
-        (reply, actions)
-    }
-
-    fn use_ceded(&mut self, now_ms: u64, ceded: &wire::Ceded) -> Vec<Action> {
-        self.take_ceded(ceded);
-        self.pump(now_ms)
+        (self.heartbeat_reply(now_ms), actions)
     }
 
     fn heartbeat_reply(&self, now_ms: u64) -> wire::HeartbeatReply {
@@ -340,8 +304,6 @@
             revision: self.revision,
             evidence: self.freshness.evidence(now_ms),
             entries: self.live_entries(now_ms),
-            want: None,
-            unused: None,
         }
     }
 
@@ -365,11 +327,6 @@
         if reply.sender.role == wire::Role::Entry {
             self.members
                 .hear_entry(now_ms, &reply.sender, reply.leaving, reply.revision);
-            let want = reply.want.map(|want| ceding::Want::hear(now_ms, &want));
-            self.wants.set(reply.sender.incarnation, want);
-        }
-        if let Some(unused) = &reply.unused {
-            self.take_back(unused);
         }
         for peer in reply
             .entries
@@ -396,8 +353,6 @@
             revision: self.revision,
             evidence: self.freshness.evidence(now_ms),
             load: None,
-            want: self.want(now_ms).map(|want| want.tell(now_ms)),
-            ceded: None,
         }
     }
 
--- a/src/entry/hearing.rs
+++ b/src/entry/hearing.rs
@@ -4,7 +4,6 @@
 use std::time;
 
 use actix::AsyncContext as _;
-use smol_str::SmolStr;
 
 use crate::clock;
 use crate::entry::control;
@@ -91,21 +90,6 @@
         }
     }
 
-    /// Sends another entry a heartbeat ahead of time.
-    pub(super) fn notify(
-        &self,
-        cx: &actix::Context<Self>,
-        address: SmolStr,
-        heartbeat: wire::Heartbeat,
-    ) {
-        let limit_ms = u64::from(self.core.settings().timeouts.dead_after_ms) / 2;
-        let limit = time::Duration::from_millis(limit_ms);
-        let target = self.contacts.target_at(&address);
-        let done = cx.address().recipient();
-        let (pool, clock) = (&self.parts.pool, self.parts.clock);
-        heartbeats::send(pool, clock, target, heartbeat, limit, done);
-    }
-
     pub(super) fn keep_sending_heartbeats(&mut self, cx: &mut actix::Context<Self>) {
         self.send_heartbeats(cx);
         let pause_ms = self.core.settings().timeouts.heartbeat_ms;
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -3,7 +3,6 @@
 mod asked;
 pub mod attempts;
 pub mod calls;
-mod ceding;
 mod claim_calls;
 pub mod claiming;
 pub mod control;
--- a/src/entry/pump.rs
+++ b/src/entry/pump.rs
@@ -49,7 +49,6 @@
         for item in passed_over.into_iter().rev() {
             self.queue.undo(item);
         }
-        actions.extend(self.tell_want(now_ms));
         actions
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,7 +10,6 @@
 pub mod admission;
 pub mod api;
 pub mod audit;
-pub mod ceding;
 pub mod claims;
 pub mod cli;
 pub mod client;
--- a/src/membership/contacts.rs
+++ b/src/membership/contacts.rs
@@ -59,17 +59,6 @@
         self.by_address.iter().map(target).collect()
     }
 
-    /// An address as a target, known or not.
-    pub fn target_at(&self, address: &SmolStr) -> Target {
-        let contact = self.by_address.get(address);
-        let peer = contact.and_then(|contact| contact.peer.as_ref());
-        Target {
-            address: address.clone(),
-            incarnation: peer.map(|peer| peer.incarnation),
-            is_afresh: contact.is_some_and(|contact| contact.is_failing),
-        }
-    }
-
     /// Whether no address has answered since `since_ms`.
     pub fn is_alone(&self, since_ms: u64) -> bool {
         self.live(since_ms).next().is_none()
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -41,12 +41,6 @@
     pub in_flight: u32,
     /// What those are expected to take.
     pub in_flight_used: wire::Resources,
-    /// Free slots ceded to other entries since its load was heard.
-    pub lent: u32,
-    /// Free slots that other entries ceded since its load was heard.
-    pub granted: u32,
-    /// What came free of its worker with those.
-    pub granted_used: wire::Resources,
 }
 
 /// One life of an entry, as another entry knows it.
@@ -123,9 +117,6 @@
             revision: heartbeat.revision,
             in_flight: 0,
             in_flight_used: wire::Resources::default(),
-            lent: 0,
-            granted: 0,
-            granted_used: wire::Resources::default(),
         });
         self.by_name.insert(heartbeat.sender.name.clone(), key);
     }
@@ -196,18 +187,6 @@
             .filter(|entry| entry.peer.incarnation == incarnation)
     }
 
-    /// The entry of which this is the life last heard.
-    pub fn entry_of(&self, life: ids::Incarnation) -> Option<&Entry> {
-        let mut entries = self.entries.values();
-        entries.find(|entry| entry.peer.incarnation == life)
-    }
-
-    /// The runner of that name, where that life is the one last heard.
-    pub fn runner_of(&mut self, name: &str, life: ids::Incarnation) -> Option<&mut Runner> {
-        let runner = self.runners.get_mut(*self.by_name.get(name)?)?;
-        (runner.peer.incarnation == life).then_some(runner)
-    }
-
     /// Whether a later life of that name was heard, so that the earlier one is over.
     pub fn is_entry_replaced(&self, name: &str, incarnation: ids::Incarnation) -> bool {
         self.entries
@@ -245,14 +224,11 @@
     ///
     /// Loads ride on answers that may cross; an earlier one would bring back
     /// slots that are taken.
-    pub fn hear_load(&mut self, load: wire::Load) {
+    pub const fn hear_load(&mut self, load: wire::Load) {
         if load.sequence <= self.load.sequence {
             return;
         }
         self.load = load;
-        self.lent = 0;
-        self.granted = 0;
-        self.granted_used = wire::Resources::default();
     }
 
     /// Slots thought to be free; below zero: tasks wait there.
@@ -262,14 +238,12 @@
     pub fn free_slots(&self) -> i64 {
         let load = &self.load;
         let others = i64::from(load.busy) + i64::from(load.parked) - i64::from(load.mine);
-        let others = others + i64::from(self.lent) - i64::from(self.granted);
         i64::from(load.slots) - others.max(0) - i64::from(self.in_flight)
     }
 
     /// What is thought to be free of its worker.
     pub fn free(&self) -> wire::Resources {
         let others = self.load.used.minus(&self.load.mine_used);
-        let others = others.minus(&self.granted_used);
         self.load.size.minus(&others.plus(&self.in_flight_used))
     }
 
--- a/src/queue/mod.rs
+++ b/src/queue/mod.rs
@@ -135,20 +135,6 @@
         Some(item)
     }
 
-    /// The task whose turn it is; `None` when nothing waits but tasks of teams at their
-    /// quota.
-    pub fn peek(&self) -> Option<Item> {
-        let team = self.teams.next()?;
-        let (rank_ms, submission, index) = *self.lines.get(team)?.first()?;
-        let waiting = self.waiting.get(&(submission, index))?;
-        Some(Item {
-            task: jobs::TaskKey { submission, index },
-            team,
-            expected_ms: waiting.expected_ms,
-            rank_ms,
-        })
-    }
-
     /// Puts back a task just popped, as if it had not been.
     pub fn undo(&mut self, item: Item) {
         self.unused(&item);
--- a/src/queue/share.rs
+++ b/src/queue/share.rs
@@ -120,11 +120,6 @@
         own as f64 / (own + others) as f64
     }
 
-    /// The part of the slots that a known team would get now.
-    pub fn share_of(&self, key: TeamKey) -> f64 {
-        self.get(key).map_or(1.0, |team| self.share(&team.name))
-    }
-
     /// The team whose turn it is.
     pub fn next(&self) -> Option<TeamKey> {
         self.ready.first().map(|(_, key)| *key)
--- a/src/runner/control.rs
+++ b/src/runner/control.rs
@@ -194,8 +194,6 @@
             revision: self.keeper.state().revision(),
             evidence: self.core.freshness().evidence(now_ms),
             load: Some(load),
-            want: None,
-            ceded: None,
         }
     }
 
--- a/src/runner/hearing.rs
+++ b/src/runner/hearing.rs
@@ -29,8 +29,6 @@
             revision: self.keeper.state().revision(),
             evidence: self.core.freshness().evidence(now_ms),
             entries: self.contacts.live(since_ms).cloned().collect(),
-            want: None,
-            unused: None,
         })
     }
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -162,36 +162,6 @@
     pub evidence: Evidence,
     /// The load, from a runner.
     pub load: Option<Load>,
-    /// What waits at the sender, if it is an entry.
-    #[serde(default)]
-    pub want: Option<Want>,
-    /// A slot that the sender leaves to the receiver, both entries.
-    #[serde(default)]
-    pub ceded: Option<Ceded>,
-}
-
-/// Tasks that wait at an entry.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-#[derive(Deserialize, Serialize)]
-pub struct Want {
-    /// Whether the first one's team has more than its share of the entry's slots.
-    pub over: bool,
-    /// In how many milliseconds the first one should start; below 0: it is late.
-    pub slack_ms: i64,
-    /// How many wait.
-    pub tasks: u32,
-}
-
-/// A free slot at a runner.
-#[derive(Clone, Debug, Eq, PartialEq)]
-#[derive(Deserialize, Serialize)]
-pub struct Ceded {
-    /// The runner's name.
-    pub runner: SmolStr,
-    /// Its life.
-    pub incarnation: ids::Incarnation,
-    /// What came free of its worker with the slot.
-    pub resources: Resources,
 }
 
 /// Answer to a [`Heartbeat`].
@@ -210,12 +180,6 @@
     pub evidence: Evidence,
     /// The entries it knows to be alive, itself left out.
     pub entries: Vec<Peer>,
-    /// What waits there.
-    #[serde(default)]
-    pub want: Option<Want>,
-    /// The slot that was ceded with the heartbeat, if it is not used.
-    #[serde(default)]
-    pub unused: Option<Ceded>,
 }
 
 /// Body of [`DISPATCH_PATH`].
--- a/tests/failure/input.rs
+++ b/tests/failure/input.rs
@@ -115,8 +115,6 @@
         revision: None,
         evidence: wire::Evidence::default(),
         load: None,
-        want: None,
-        ceded: None,
     })
 }
 
--- a/tests/unit/dispatching/world.rs
+++ b/tests/unit/dispatching/world.rs
@@ -379,8 +379,6 @@
                 revision: None,
                 evidence: wire::Evidence::default(),
                 load: Some(core.load_for(ids::Incarnation(1))),
-                want: None,
-                ceded: None,
             };
             let (_, actions) = self.entry.heartbeat(now_ms, &heartbeat);
             self.act_for_entry(actions);
--- a/tests/unit/entry.rs
+++ b/tests/unit/entry.rs
@@ -39,8 +39,6 @@
             sequence: 1,
             ..wire::Load::default()
         }),
-        want: None,
-        ceded: None,
     }
 }
 
--- a/tests/unit/membership.rs
+++ b/tests/unit/membership.rs
@@ -41,8 +41,6 @@
         revision: None,
         evidence: wire::Evidence::default(),
         entries,
-        want: None,
-        unused: None,
     }
 }
 
@@ -159,8 +157,6 @@
             sequence,
             ..wire::Load::default()
         }),
-        want: None,
-        ceded: None,
     }
 }
 
--- a/tests/unit/slots.rs
+++ b/tests/unit/slots.rs
@@ -37,8 +37,6 @@
         revision: None,
         evidence: wire::Evidence::default(),
         load: Some(load),
-        want: None,
-        ceded: None,
     }
 }
 
--- a/tests/unit/wire.rs
+++ b/tests/unit/wire.rs
@@ -35,8 +35,6 @@
             sequence: figures[3],
             ..wire::Load::default()
         }),
-        want: None,
-        ceded: None,
     }
 }
 
