Pass submissions on to one entry while slots are scarce

Cause: several entries that share runners see the slots late and order only their own queues.

Change: an entry that would leave fewer than policy.pass_on_below (one half) of the slots free passes a submission without an id on to the longest-lived entry, under a ticket that this one minted and gave it with a heartbeat. So all that holds of tickets holds of it, and nothing has to be agreed. Refused connections and leading entries that stop or see no runner leave the submission here; silence is met by a repeat on a fresh connection, and then by 302 with the ticket.

Two of the existing process tests failed on the way, for good reasons: the sum of slots told by a faulty runner overflowed, and a leaving entry passed work on in place of refusing it. Both are mended in the code. Rig::ticket now takes a ticket that the entry named minted itself: else the tests of owners would have been given another's.

--- a/measure/src/sim/events.rs
+++ b/measure/src/sim/events.rs
@@ -12,6 +12,11 @@
 #[derive(Debug)]
 pub(super) enum Event {
     Arrive(usize),
+    PassedOn {
+        job: usize,
+        entry: usize,
+        ticket: ids::SubmissionId,
+    },
     Cancel(usize),
     Tick,
     Heartbeats,
@@ -55,6 +60,7 @@
     Reply(wire::DispatchReply),
     Fenced(wire::Fence, wire::FenceReply),
     Heartbeat(wire::Heartbeat),
+    HeartbeatReply(wire::HeartbeatReply),
 }
 
 pub(super) struct Timed {
--- a/measure/src/sim/world.rs
+++ b/measure/src/sim/world.rs
@@ -23,6 +23,8 @@
 
 /// Where the clock begins, so that ages can be taken from the first moment on.
 pub(super) const START_US: u64 = 10_000_000_000;
+/// How long the processes have been in touch before the first arrival.
+const WARM_US: u64 = 2_000_000;
 /// How often each process looks at the time.
 const TICK_US: u64 = 20_000;
 /// How long after the last arrival a run may go on.
@@ -47,6 +49,8 @@
     pub(super) submitted: collections::HashMap<(usize, jobs::Key), usize>,
     pub(super) placed: Vec<Option<(usize, jobs::Key)>>,
     pub(super) open: usize,
+    /// One way of each job between its caller and the entry that owns it.
+    pub(super) ways_us: Vec<u64>,
     pub(super) returns: Vec<u32>,
     pub(super) sent_us: Vec<u64>,
     pub(super) has_started: Vec<bool>,
@@ -86,7 +90,10 @@
         incarnation: ids::Incarnation(1_000 + index as u64),
         zone: site.zone(index).clone(),
         rack: smol_str::format_smolstr!("rack-{}", index / 3),
-        address: smol_str::format_smolstr!("{index}"),
+        address: match role {
+            wire::Role::Entry => smol_str::format_smolstr!("{name}-{index}"),
+            wire::Role::Runner => smol_str::format_smolstr!("{index}"),
+        },
     }
 }
 
@@ -98,7 +105,7 @@
         seed: u64,
     ) -> Self {
         let shared = sync::Arc::new(settings.clone());
-        let start_ms = START_US / 1_000;
+        let start_ms = (START_US - WARM_US) / 1_000;
         let entry = |index: usize| {
             let me = peer(wire::Role::Entry, "entry", index, site);
             entry::Core::new(me, sync::Arc::clone(&shared), start_ms, seed + index as u64)
@@ -120,7 +127,7 @@
             jobs,
             settings: settings.clone(),
             revision: 0,
-            now_us: START_US,
+            now_us: START_US - WARM_US,
             number: 0,
             events: collections::BinaryHeap::new(),
             entries: (0..site.entries).map(entry).collect(),
@@ -134,6 +141,7 @@
             submitted: collections::HashMap::new(),
             placed: vec![None; jobs.len()],
             open: jobs.len(),
+            ways_us: vec![site.to_caller_us; jobs.len()],
             returns: jobs.iter().map(|job| job.returns).collect(),
             sent_us: jobs.iter().map(|job| job.at_us).collect(),
             has_started: vec![false; jobs.len()],
@@ -144,8 +152,8 @@
     }
 
     fn schedule_all(&mut self, faults: &[sim::Fault]) {
-        self.at(START_US, events::Event::Heartbeats);
-        self.at(START_US + 1, events::Event::Tick);
+        self.at(START_US - WARM_US, events::Event::Heartbeats);
+        self.at(START_US - WARM_US + 1, events::Event::Tick);
         for (index, job) in self.jobs.iter().enumerate() {
             let arrives = START_US + job.at_us + self.site.to_caller_us;
             self.at(arrives, events::Event::Arrive(index));
@@ -195,6 +203,9 @@
     fn happen(&mut self, event: events::Event) {
         match event {
             events::Event::Arrive(job) => self.arrive(job),
+            events::Event::PassedOn { job, entry, ticket } => {
+                self.submit(job, entry, Some(ticket));
+            }
             events::Event::Cancel(job) => self.cancel(job),
             events::Event::Tick => self.tick(),
             events::Event::Heartbeats => self.heartbeats(),
@@ -225,8 +236,13 @@
 
     /// The balancer sends each call to an entry at random.
     fn arrive(&mut self, index: usize) {
-        let job = &self.jobs[index];
         let entry = self.rng.random_range(0..self.entries.len());
+        self.ways_us[index] = self.site.to_caller_us;
+        self.submit(index, entry, None);
+    }
+
+    fn submit(&mut self, index: usize, entry: usize, ticket: Option<ids::SubmissionId>) {
+        let job = &self.jobs[index];
         let task = |(run_ms, declared_ms): (&u32, &u32)| api::Task {
             kind: job.kind.clone(),
             payload: format!("{index} {run_ms}"),
@@ -234,7 +250,7 @@
             ..api::Task::default()
         };
         let submission = api::Submission {
-            submission: None,
+            submission: ticket,
             deadline_ms: job.deadline_ms,
             wait_ms: 0,
             idempotent: job.is_idempotent,
@@ -246,14 +262,38 @@
             calls::Reply::Answer(answer) => self.refused(index, &answer),
             calls::Reply::Open(key) => {
                 self.submitted.insert((entry, key), index);
-                self.sent_us[index] = self.now_us - START_US - self.site.to_caller_us;
+                self.sent_us[index] = self.now_us - START_US - self.ways_us[index];
                 self.placed[index] = Some((entry, key));
             }
-            calls::Reply::Forward { .. } | calls::Reply::Claiming(_) => {}
+            calls::Reply::Forward { owner, ticket, .. } => {
+                self.pass_on(index, entry, &owner.address, ticket);
+            }
+            calls::Reply::Claiming(_) => {}
         }
         self.act(entry, actions);
     }
 
+    fn pass_on(
+        &mut self,
+        job: usize,
+        entry: usize,
+        address: &str,
+        ticket: Option<ids::SubmissionId>,
+    ) {
+        let (Some(to), Some(ticket)) = (self.entry_at(address), ticket) else {
+            return;
+        };
+        let way_us = self.site.latency_us(entry, to);
+        self.ways_us[job] += way_us;
+        let at_us = self.now_us + way_us;
+        let event = events::Event::PassedOn {
+            job,
+            entry: to,
+            ticket,
+        };
+        self.at(at_us, event);
+    }
+
     fn cancel(&mut self, index: usize) {
         let Some((entry, key)) = self.placed[index] else {
             return;
@@ -274,7 +314,7 @@
         let retry_after_ms = answer.retry_after_ms;
         if let Some(after_ms) = retry_after_ms.filter(|_| self.returns[index] > 0) {
             self.returns[index] -= 1;
-            let at_us = self.now_us + 2 * self.site.to_caller_us + after_ms * 1_000;
+            let at_us = self.now_us + 2 * self.ways_us[index] + after_ms * 1_000;
             self.at(at_us, events::Event::Arrive(index));
             return;
         }
@@ -287,7 +327,7 @@
         self.outcome.untrue += u64::from(is_not_run && self.has_started[job]);
         self.outcome.received.push(sim::Received {
             job,
-            at_us: self.now_us - START_US + self.site.to_caller_us,
+            at_us: self.now_us - START_US + self.ways_us[job],
             sent_us: self.sent_us[job],
             code: answer.code,
             fates: answer.tasks.iter().map(|task| task.fate).collect(),
@@ -335,11 +375,32 @@
         let actions = match message {
             events::ToEntry::Reply(reply) => core.dispatch_answered(now_ms, reply),
             events::ToEntry::Fenced(fence, reply) => core.fence_answered(now_ms, &fence, reply),
-            events::ToEntry::Heartbeat(heartbeat) => core.heartbeat(now_ms, &heartbeat).1,
+            events::ToEntry::Heartbeat(heartbeat) => {
+                let (reply, actions) = core.heartbeat(now_ms, &heartbeat);
+                if let Some(to) = self.entry_at(&heartbeat.sender.address) {
+                    self.between(entry, to, events::ToEntry::HeartbeatReply(reply));
+                }
+                actions
+            }
+            events::ToEntry::HeartbeatReply(reply) => {
+                core.heartbeat_answered(now_ms, now_ms, &reply);
+                Vec::new()
+            }
         };
         self.act(entry, actions);
     }
 
+    fn entry_at(&self, address: &str) -> Option<usize> {
+        let mut entries = self.entries.iter();
+        entries.position(|one| one.me().address == address)
+    }
+
+    fn between(&mut self, from: usize, to: usize, message: events::ToEntry) {
+        let at_us = self.now_us + self.site.latency_us(from, to);
+        let event = events::Event::ToEntry { entry: to, message };
+        self.at(at_us, event);
+    }
+
     fn tick(&mut self) {
         let now_ms = self.now_ms();
         for entry in 0..self.entries.len() {
@@ -373,6 +434,8 @@
                     revision: Some(self.applied[index]),
                     evidence: wire::Evidence::default(),
                     load: Some(runner.load_for(owner)),
+                    slots: 0,
+                    tickets: 0,
                 };
                 self.reply(index, entry, events::ToEntry::Heartbeat(heartbeat));
             }
@@ -384,11 +447,10 @@
 
     fn entry_heartbeats(&mut self, now_ms: u64) {
         for sender in 0..self.entries.len() {
-            let heartbeat = self.entries[sender].heartbeat_to_send(now_ms);
             for entry in (0..self.entries.len()).filter(|entry| *entry != sender) {
-                let at_us = self.now_us + self.site.latency_us(sender, entry);
-                let message = events::ToEntry::Heartbeat(heartbeat.clone());
-                self.at(at_us, events::Event::ToEntry { entry, message });
+                let to = Some(self.entries[entry].me().incarnation);
+                let heartbeat = self.entries[sender].heartbeat_to_send(now_ms, to);
+                self.between(sender, entry, events::ToEntry::Heartbeat(heartbeat));
             }
         }
     }
--- a/measure/src/slopes/fixtures.rs
+++ b/measure/src/slopes/fixtures.rs
@@ -88,6 +88,8 @@
             foreign_age_ms: Some(700),
         },
         load: Some(load(sequence, busy)),
+        slots: 0,
+        tickets: 0,
     }
 }
 
--- a/measure/src/slopes/wire.rs
+++ b/measure/src/slopes/wire.rs
@@ -59,5 +59,7 @@
         entries: (0..entries)
             .map(|at| fixtures::peer(wire::Role::Entry, at))
             .collect(),
+        slots: 88,
+        tickets: None,
     }
 }
--- a/src/api.rs
+++ b/src/api.rs
@@ -178,6 +178,9 @@
     pub fresh: bool,
     /// Availability zones that are out of service.
     pub zones_out: Vec<SmolStr>,
+    /// The entry that decides while slots are scarce, as an entry sees it.
+    #[serde(default)]
+    pub leader: Option<SmolStr>,
     /// Tasks waiting here.
     pub queued: u64,
     /// Tasks running here (runner) or handed out (entry).
--- a/src/entry/calls.rs
+++ b/src/entry/calls.rs
@@ -17,6 +17,7 @@
 use crate::ids;
 use crate::jobs;
 use crate::jobs::answer;
+use crate::leading;
 use crate::wire;
 
 /// Most tickets given at once.
@@ -35,6 +36,8 @@
         owner: wire::Peer,
         /// What to say if it does not answer, and whether that is the last word.
         if_silent: (codes::Code, bool),
+        /// The ticket to submit it under there, where it had no id.
+        ticket: Option<ids::SubmissionId>,
     },
     /// Its claim is under way; look again at [`core::Action::ClaimSettled`].
     Claiming(claims::Name),
@@ -44,6 +47,22 @@
     fn plain(id: Option<ids::SubmissionId>, code: codes::Code, is_final: bool) -> Self {
         Self::Answer(Box::new(answer::plain(id, code, is_final)))
     }
+
+    const fn forward(owner: wire::Peer, if_silent: (codes::Code, bool)) -> Self {
+        Self::Forward {
+            owner,
+            if_silent,
+            ticket: None,
+        }
+    }
+
+    fn passed_on((owner, ticket): (wire::Peer, ids::SubmissionId)) -> Self {
+        Self::Forward {
+            owner,
+            if_silent: (codes::Code::OwnerSilent, false),
+            ticket: Some(ticket),
+        }
+    }
 }
 
 /// Where a submission id belongs.
@@ -59,17 +78,19 @@
 }
 
 impl core::Core {
-    /// Mints tickets that only this life may ever start.
-    pub fn tickets(&mut self, order: &api::TicketOrder) -> api::Tickets {
+    /// Tickets, each of which only the life that minted it may ever start.
+    pub fn tickets(&mut self, now_ms: u64, order: &api::TicketOrder) -> api::Tickets {
         let count = order.count.clamp(1, MAX_TICKETS);
-        let tickets = (0..count).map(|_| self.ticket()).collect();
+        let tickets = (0..count).map(|_| self.ticket_ahead(now_ms)).collect();
+        let retain_ms = u64::from(self.settings.timeouts.retain_ms);
         api::Tickets {
             tickets,
-            valid_ms: self.settings.timeouts.retain_ms.into(),
+            valid_ms: retain_ms.saturating_sub(leading::STOCK_LIFETIME_MS),
         }
     }
 
-    pub(crate) fn ticket(&mut self) -> ids::SubmissionId {
+    /// Mints a ticket that only this life may ever start.
+    pub fn ticket(&mut self) -> ids::SubmissionId {
         let number = self.next_ticket;
         self.next_ticket += 1;
         ids::SubmissionId::Ticket(ids::Ticket {
@@ -101,10 +122,13 @@
     ) -> (Reply, Vec<core::Action>) {
         let id = match submission.submission.clone() {
             Some(id) => id,
-            None => self.ticket(),
+            None => match self.pass_on(now_ms, submission.tasks.len()) {
+                Some(to) => return (Reply::passed_on(to), Vec::new()),
+                None => self.ticket(),
+            },
         };
         let reply = match self.owner(now_ms, team, &id) {
-            Owner::Other { owner, if_silent } => Reply::Forward { owner, if_silent },
+            Owner::Other { owner, if_silent } => Reply::forward(owner, if_silent),
             Owner::Unknown(codes::Code::ClaimUnavailable, _) => {
                 Reply::Answer(Box::new(self.claim_unavailable(team, id)))
             }
@@ -236,7 +260,7 @@
     /// A caller asks for an answer.
     pub fn fetch(&self, now_ms: u64, team: &SmolStr, id: &ids::SubmissionId) -> Reply {
         match self.owner(now_ms, team, id) {
-            Owner::Other { owner, if_silent } => Reply::Forward { owner, if_silent },
+            Owner::Other { owner, if_silent } => Reply::forward(owner, if_silent),
             Owner::Unknown(code, is_final) => Reply::plain(Some(id.clone()), code, is_final),
             Owner::Claiming(name) => Reply::Claiming(name),
             Owner::Unclaimed(_) => {
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -20,6 +20,7 @@
 use crate::health;
 use crate::ids;
 use crate::jobs;
+use crate::leading;
 use crate::learning;
 use crate::membership;
 use crate::queue;
@@ -118,6 +119,8 @@
     pub failed: u64,
     /// Retries of idempotent tasks that may have run.
     pub retries: u64,
+    /// Submissions passed on to the leading entry.
+    pub passed_on: u64,
 }
 
 /// The state of one life of one entry.
@@ -141,6 +144,9 @@
     pub(crate) part: f64,
     pub(crate) no_runner_since_ms: Option<u64>,
     pub(crate) learned: learning::Table,
+    /// Slots in service, as of the last tick.
+    pub(crate) slots: u32,
+    pub(crate) stock: leading::Stock,
     pub(crate) next_attempt: u64,
     pub(crate) next_ticket: u64,
     pub(crate) is_leaving: bool,
@@ -183,6 +189,8 @@
             part: 0.0,
             no_runner_since_ms: Some(now_ms),
             learned: learning::Table::default(),
+            slots: 0,
+            stock: leading::Stock::default(),
             next_attempt: 1,
             next_ticket: 1,
             is_leaving: false,
@@ -274,6 +282,7 @@
         heartbeat: &wire::Heartbeat,
     ) -> (wire::HeartbeatReply, Vec<Action>) {
         let mut actions = self.wake(now_ms);
+        let mut tickets = None;
         match heartbeat.sender.role {
             wire::Role::Runner => {
                 let heard = self.members.hear_runner(now_ms, heartbeat);
@@ -283,17 +292,20 @@
                 actions.extend(self.pump(now_ms));
             }
             wire::Role::Entry => {
-                let heartbeat = heartbeat.clone();
-                let wire::Heartbeat {
-                    sender,
-                    leaving,
-                    revision,
-                    ..
-                } = heartbeat;
-                self.members.hear_entry(now_ms, &sender, leaving, revision);
+                let news = membership::EntryNews {
+                    is_leaving: heartbeat.leaving,
+                    revision: heartbeat.revision,
+                    slots: heartbeat.slots,
+                };
+                self.members.hear_entry(now_ms, &heartbeat.sender, news);
+                tickets = self.grant_tickets(heartbeat.tickets);
             }
         }
-        (self.heartbeat_reply(now_ms), actions)
+        let reply = wire::HeartbeatReply {
+            tickets,
+            ..self.heartbeat_reply(now_ms)
+        };
+        (reply, actions)
     }
 
     fn heartbeat_reply(&self, now_ms: u64) -> wire::HeartbeatReply {
@@ -304,6 +316,8 @@
             revision: self.revision,
             evidence: self.freshness.evidence(now_ms),
             entries: self.live_entries(now_ms),
+            slots: self.slots,
+            tickets: None,
         }
     }
 
@@ -325,8 +339,7 @@
         reply: &wire::HeartbeatReply,
     ) -> bool {
         if reply.sender.role == wire::Role::Entry {
-            self.members
-                .hear_entry(now_ms, &reply.sender, reply.leaving, reply.revision);
+            self.hear_reply(now_ms, reply);
         }
         for peer in reply
             .entries
@@ -344,8 +357,25 @@
         false
     }
 
-    /// The heartbeat to send to other processes.
-    pub fn heartbeat_to_send(&self, now_ms: u64) -> wire::Heartbeat {
+    fn hear_reply(&mut self, now_ms: u64, reply: &wire::HeartbeatReply) {
+        let news = membership::EntryNews {
+            is_leaving: reply.leaving,
+            revision: reply.revision,
+            slots: reply.slots,
+        };
+        self.members.hear_entry(now_ms, &reply.sender, news);
+        if let Some(tickets) = reply.tickets {
+            self.stock.add(now_ms, &reply.sender, tickets);
+        }
+    }
+
+    /// The heartbeat to send to another process, where known to that life of it.
+    pub fn heartbeat_to_send(
+        &mut self,
+        now_ms: u64,
+        to: Option<ids::Incarnation>,
+    ) -> wire::Heartbeat {
+        let tickets = to.map_or(0, |to| self.tickets_wanted(now_ms, to));
         wire::Heartbeat {
             version: wire::VERSION,
             sender: self.me.clone(),
@@ -353,6 +383,8 @@
             revision: self.revision,
             evidence: self.freshness.evidence(now_ms),
             load: None,
+            slots: self.slots,
+            tickets,
         }
     }
 
--- /dev/null
+++ b/src/entry/forwarding.rs
@@ -0,0 +1,175 @@
+//! Calls that another entry answers: those about its submissions, and submissions
+//! that are passed on to it because it leads.
+
+use std::time;
+
+use smol_str::SmolStr;
+
+use crate::api;
+use crate::codes;
+use crate::entry::http;
+use crate::entry::messages;
+use crate::ids;
+use crate::jobs::answer;
+use crate::outgoing;
+use crate::wire;
+
+/// How much longer than its wait a forwarded call may take.
+const GRACE_MS: u64 = 1_000;
+
+/// When to ask again for an answer whose owner is silent, in milliseconds.
+const SILENT_RETRY_MS: u64 = 1_000;
+
+/// Longest wait on a kept connection until a submission is taken in: many round trips.
+const TAKEN_IN_KEPT: time::Duration = time::Duration::from_millis(300);
+
+/// The same on a fresh connection, after which the caller is told that nothing is known.
+const TAKEN_IN_AFRESH: time::Duration = time::Duration::from_secs(1);
+
+/// What came of passing a submission on.
+enum Passed {
+    /// The other entry says this of it.
+    Answer(Box<api::Answer>),
+    /// It did not take it in and never will.
+    Declined,
+    /// Nothing is known.
+    Unknown,
+}
+
+/// Passes a call on to the owner; none: it did not answer.
+pub(super) async fn forward(
+    peer: &wire::Peer,
+    team: SmolStr,
+    call: wire::Call,
+    wait_ms: u64,
+) -> Option<api::Answer> {
+    let message = message(peer, team, call);
+    let limit = time::Duration::from_millis(wait_ms.saturating_add(GRACE_MS));
+    let path = wire::FORWARD_PATH;
+    let reply = outgoing::post_afresh(&peer.address, path, &message, limit).await;
+    let reply: wire::ForwardReply = reply.ok()?;
+    Some(reply.answer)
+}
+
+const fn message(peer: &wire::Peer, team: SmolStr, call: wire::Call) -> wire::Forward {
+    wire::Forward {
+        version: wire::VERSION,
+        incarnation: peer.incarnation,
+        team,
+        call,
+    }
+}
+
+/// The owner may be frozen or cut off and go on later, so nobody else starts the
+/// submission and the last word is not spoken.
+pub(super) fn silent(
+    id: Option<ids::SubmissionId>,
+    (code, is_final): (codes::Code, bool),
+) -> api::Answer {
+    api::Answer {
+        retry_after_ms: (!is_final).then_some(SILENT_RETRY_MS),
+        ..answer::plain(id, code, is_final)
+    }
+}
+
+/// Passes a submission without an id on to the leading entry, under a ticket of it.
+///
+/// It is asked twice: to take the submission in, which it answers at once, and then for
+/// the answer. So a leading entry that is frozen costs the caller a second and not its
+/// whole wait. Where it did not take the submission in, it is kept here.
+pub(super) async fn pass_on(
+    shared: &http::Shared,
+    to: &wire::Peer,
+    team: SmolStr,
+    submission: api::Submission,
+    ticket: ids::SubmissionId,
+) -> api::Answer {
+    let unknown = (codes::Code::OwnerSilent, false);
+    let wait_ms = submission.wait_ms;
+    match take_in(to, &team, &submission, &ticket).await {
+        Passed::Declined => keep(shared, team, submission).await,
+        Passed::Unknown => silent(Some(ticket), unknown),
+        Passed::Answer(answer) if answer.is_final || wait_ms == 0 => *answer,
+        Passed::Answer(_pending) => {
+            let call = wire::Call::Fetch {
+                submission: ticket.clone(),
+                wait_ms,
+            };
+            let answer = forward(to, team, call, wait_ms).await;
+            answer.unwrap_or_else(|| silent(Some(ticket), unknown))
+        }
+    }
+}
+
+/// Has the submission taken in, without waiting for its answer.
+///
+/// A kept connection may have gone silent for good while new ones work. It shows as no
+/// answer within many round trips; a repeat on a fresh connection does no harm, since
+/// both carry the same ticket.
+async fn take_in(
+    to: &wire::Peer,
+    team: &SmolStr,
+    submission: &api::Submission,
+    ticket: &ids::SubmissionId,
+) -> Passed {
+    let submission = api::Submission {
+        submission: Some(ticket.clone()),
+        wait_ms: 0,
+        ..submission.clone()
+    };
+    let call = wire::Call::Submit(submission);
+    let message = message(to, team.clone(), call);
+    let (address, path) = (&to.address, wire::FORWARD_PATH);
+    let kept = outgoing::kept();
+    match outgoing::post(&kept, address, path, &message, TAKEN_IN_KEPT).await {
+        Ok(reply) => return first_word(reply),
+        Err(outgoing::CallError::NotSent(_)) => return Passed::Declined,
+        Err(e) => {
+            log::warn!(event = "pass_on.silent", to = to.name.as_str(); "{e}");
+        }
+    }
+    let reply = outgoing::post_afresh(address, path, &message, TAKEN_IN_AFRESH).await;
+    reply.map_or(Passed::Unknown, second_word)
+}
+
+/// Nothing was sent before this answer: whatever but a refusal for load or a submission
+/// taken in means that the other entry could do nothing with it.
+fn first_word(reply: wire::ForwardReply) -> Passed {
+    let is_of_no_use = matches!(
+        reply.answer.code,
+        codes::Code::BadToken
+            | codes::Code::BadTicket
+            | codes::Code::AnswerExpired
+            | codes::Code::OwnerGone
+    );
+    if is_of_no_use {
+        return Passed::Declined;
+    }
+    second_word(reply)
+}
+
+/// What was sent before may have been taken in, by a life that is over for one; only a
+/// refusal by the life that minted the ticket says that it never starts.
+fn second_word(reply: wire::ForwardReply) -> Passed {
+    let answer = reply.answer;
+    let is_declined = matches!(
+        answer.code,
+        codes::Code::Leaving | codes::Code::NotFresh | codes::Code::NoCapacity
+    );
+    if is_declined && answer.is_final {
+        return Passed::Declined;
+    }
+    Passed::Answer(Box::new(answer))
+}
+
+/// Takes a submission in here after all.
+async fn keep(shared: &http::Shared, team: SmolStr, submission: api::Submission) -> api::Answer {
+    let Ok(ticket) = shared.control.send(messages::WantOwnTicket).await else {
+        return answer::plain(None, codes::Code::Leaving, true);
+    };
+    let submission = api::Submission {
+        submission: Some(ticket),
+        ..submission
+    };
+    Box::pin(shared.call(team, wire::Call::Submit(submission))).await
+}
--- a/src/entry/hearing.rs
+++ b/src/entry/hearing.rs
@@ -82,11 +82,11 @@
             .drop_silent(now_ms, u64::from(timeouts.dead_after_ms) * 20);
         let mut targets = self.contacts.targets();
         targets.extend(self.core.foreign_runners(now_ms));
-        let heartbeat = self.core.heartbeat_to_send(now_ms);
         for target in targets {
+            let heartbeat = self.core.heartbeat_to_send(now_ms, target.incarnation);
             let done = cx.address().recipient();
             let (pool, clock) = (&self.parts.pool, self.parts.clock);
-            heartbeats::send(pool, clock, target, heartbeat.clone(), limit, done);
+            heartbeats::send(pool, clock, target, heartbeat, limit, done);
         }
     }
 
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -1,7 +1,6 @@
 //! What an entry serves: callers and operators on one port, processes on another.
 
 use std::sync;
-use std::time;
 
 use actix_web::http;
 use actix_web::web;
@@ -15,13 +14,13 @@
 use crate::api;
 use crate::codes;
 use crate::entry::control;
+use crate::entry::forwarding;
 use crate::entry::messages;
 use crate::heartbeats;
 use crate::ids;
 use crate::incoming;
 use crate::jobs::answer;
 use crate::operators;
-use crate::outgoing;
 use crate::settings;
 use crate::wire;
 
@@ -36,18 +35,12 @@
     pub incarnation: ids::Incarnation,
 }
 
-/// How much longer than its wait a forwarded call may take.
-const FORWARD_GRACE_MS: u64 = 1_000;
-
 /// Most submissions that one call cancels.
 pub const MAX_CANCELS: usize = 1_000;
 
 /// How many of them are under way at once: each may need a connection to its owner.
 const CANCELS_AT_ONCE: usize = 64;
 
-/// When to ask again for an answer whose owner is silent, in milliseconds.
-const SILENT_RETRY_MS: u64 = 1_000;
-
 /// Pages for callers and operators.
 pub fn public_pages(cfg: &mut web::ServiceConfig) {
     incoming::numbered(cfg);
@@ -103,7 +96,7 @@
         serde_json::from_slice(&body).map_err(|_bad| codes::Code::BadBody)
     }
 
-    async fn call(&self, team: SmolStr, call: wire::Call) -> api::Answer {
+    pub(super) async fn call(&self, team: SmolStr, call: wire::Call) -> api::Answer {
         let wait_ms = call_wait_ms(&call);
         let id = call_id(&call);
         let message = messages::CallerCall {
@@ -112,10 +105,19 @@
         };
         match self.control.send(message).await {
             Ok(messages::Resolution::Answer(answer)) => *answer,
-            Ok(messages::Resolution::Forward { owner, if_silent }) => {
-                let answer = forward(owner, team, call, wait_ms).await;
-                answer.unwrap_or_else(|| silent(id, if_silent))
-            }
+            Ok(messages::Resolution::Forward {
+                owner,
+                if_silent,
+                ticket,
+            }) => match (ticket, call) {
+                (Some(ticket), wire::Call::Submit(submission)) => {
+                    forwarding::pass_on(self, &owner, team, submission, ticket).await
+                }
+                (_, call) => {
+                    let answer = forwarding::forward(&owner, team, call, wait_ms).await;
+                    answer.unwrap_or_else(|| forwarding::silent(id, if_silent))
+                }
+            },
             // The control thread ended with the call before it; it may have taken it in.
             Err(_ended) => answer::plain(id, codes::Code::OwnerGone, true),
         }
@@ -152,35 +154,6 @@
     }
 }
 
-/// Passes a call on to the owner; none: it did not answer.
-async fn forward(
-    peer: wire::Peer,
-    team: SmolStr,
-    call: wire::Call,
-    wait_ms: u64,
-) -> Option<api::Answer> {
-    let message = wire::Forward {
-        version: wire::VERSION,
-        incarnation: peer.incarnation,
-        team,
-        call,
-    };
-    let limit = time::Duration::from_millis(wait_ms.saturating_add(FORWARD_GRACE_MS));
-    let path = wire::FORWARD_PATH;
-    let reply = outgoing::post_afresh(&peer.address, path, &message, limit).await;
-    let reply: wire::ForwardReply = reply.ok()?;
-    Some(reply.answer)
-}
-
-/// The owner may be frozen or cut off and go on later, so nobody else starts the
-/// submission and the last word is not spoken.
-fn silent(id: Option<ids::SubmissionId>, (code, is_final): (codes::Code, bool)) -> api::Answer {
-    api::Answer {
-        retry_after_ms: (!is_final).then_some(SILENT_RETRY_MS),
-        ..answer::plain(id, code, is_final)
-    }
-}
-
 async fn tickets(
     shared: web::Data<Shared>,
     req: actix_web::HttpRequest,
@@ -384,6 +357,6 @@
     match shared.control.send(message).await {
         Ok(messages::Resolution::Answer(answer)) => *answer,
         Ok(messages::Resolution::Forward { .. }) => answer::plain(id, codes::Code::OwnerGone, true),
-        Err(_ended) => silent(id, (codes::Code::OwnerSilent, false)),
+        Err(_ended) => forwarding::silent(id, (codes::Code::OwnerSilent, false)),
     }
 }
--- a/src/entry/load.rs
+++ b/src/entry/load.rs
@@ -10,7 +10,6 @@
 use crate::ids;
 use crate::jobs;
 use crate::learning;
-use crate::membership;
 use crate::placement;
 use crate::queue;
 use crate::queue::order;
@@ -257,9 +256,9 @@
     pub(crate) fn tick_load(&mut self, now_ms: u64) {
         let candidates = self.candidates(now_ms);
         let runners = candidates.iter().map(|one| self.members.runner(one.key));
-        let slots = |runner: &membership::Runner| f64::from(runner.load.slots);
-        let all: f64 = runners.flatten().map(slots).sum();
-        self.part = all / (self.live_entries(now_ms).len() + 1) as f64;
+        let slots = runners.flatten().map(|runner| runner.load.slots);
+        self.slots = slots.fold(0, u32::saturating_add);
+        self.part = f64::from(self.slots) / (self.live_entries(now_ms).len() + 1) as f64;
         let slots = self.usable_slots(&candidates, self.part);
         self.drain.tick(now_ms, slots, !self.queue.is_empty());
         let is_none = candidates.is_empty();
--- a/src/entry/messages.rs
+++ b/src/entry/messages.rs
@@ -30,9 +30,17 @@
         owner: wire::Peer,
         /// What to say if it does not answer, and whether that is the last word.
         if_silent: (codes::Code, bool),
+        /// The ticket to submit it under there, where it had no id.
+        ticket: Option<ids::SubmissionId>,
     },
 }
 
+/// A ticket of this very entry is wanted.
+#[derive(Debug)]
+#[derive(actix::Message)]
+#[rtype(result = "ids::SubmissionId")]
+pub struct WantOwnTicket;
+
 /// A caller wants tickets.
 #[derive(Debug)]
 #[derive(actix::Message)]
--- /dev/null
+++ b/src/entry/passing.rs
@@ -0,0 +1,96 @@
+//! How an entry passes new submissions on to the leading one.
+
+use crate::entry::core;
+use crate::ids;
+use crate::leading;
+use crate::membership;
+use crate::wire;
+
+impl core::Core {
+    /// The entry that decides while slots are scarce, by what was heard; it may be this
+    /// one. None: this one sees no slots at all.
+    pub fn leader(&self, now_ms: u64) -> Option<&wire::Peer> {
+        let own = (!self.is_leaving).then_some(leading::Candidate {
+            peer: &self.me,
+            is_zone_out: self.settings.is_zone_out(&self.me.zone),
+            slots: self.slots,
+        });
+        let silent_after_ms = self.silent_after_ms();
+        let is_heard = move |entry: &&membership::Entry| {
+            !entry.is_leaving && entry.heard_ms.saturating_add(silent_after_ms) > now_ms
+        };
+        let others = self.members.entries().filter(is_heard);
+        let others = others.map(|entry| leading::Candidate {
+            peer: &entry.peer,
+            is_zone_out: self.settings.is_zone_out(&entry.peer.zone),
+            slots: entry.slots,
+        });
+        leading::leader(own.into_iter().chain(others), self.slots)
+    }
+
+    /// The leading entry, where it is another.
+    fn other_leader(&self, now_ms: u64) -> Option<wire::Peer> {
+        let leader = self.leader(now_ms)?;
+        (leader.incarnation != self.me.incarnation).then(|| leader.clone())
+    }
+
+    /// Whom to pass a new submission on to, and under which ticket.
+    ///
+    /// While many slots are free it stays here, which saves the way.
+    pub(crate) fn pass_on(
+        &mut self,
+        now_ms: u64,
+        tasks: usize,
+    ) -> Option<(wire::Peer, ids::SubmissionId)> {
+        let least_free = self.settings.policy.pass_on_below;
+        if least_free <= 0.0 || self.is_leaving {
+            return None;
+        }
+        let leader = self.other_leader(now_ms)?;
+        let free = self.free_slots(now_ms);
+        if !leading::is_scarce(free, tasks, self.slots, least_free) {
+            return None;
+        }
+        let ticket = self.stock.take(now_ms, &leader)?;
+        self.counts.passed_on += 1;
+        Some((leader, ticket))
+    }
+
+    /// A ticket for a caller that submits later, to whichever entry: of the leading
+    /// one, where there is one in stock, since most slots may be taken by then.
+    pub(crate) fn ticket_ahead(&mut self, now_ms: u64) -> ids::SubmissionId {
+        let is_on = self.settings.policy.pass_on_below > 0.0;
+        let leader = self.other_leader(now_ms).filter(|_| is_on);
+        let ticket = leader.and_then(|leader| self.stock.take(now_ms, &leader));
+        ticket.unwrap_or_else(|| self.ticket())
+    }
+
+    /// Slots thought to be free, less what waits here.
+    fn free_slots(&self, now_ms: u64) -> i64 {
+        let usable = self.usable(now_ms);
+        let free: i64 = usable.map(|(_, runner)| runner.free_slots().max(0)).sum();
+        free.saturating_sub(i64::try_from(self.queue.len()).unwrap_or(i64::MAX))
+    }
+
+    /// How many tickets to ask that entry for.
+    pub(crate) fn tickets_wanted(&mut self, now_ms: u64, peer: ids::Incarnation) -> u32 {
+        let leader = self.other_leader(now_ms);
+        let leader = leader.filter(|leader| leader.incarnation == peer);
+        leader.map_or(0, |leader| self.stock.wanted(now_ms, &leader))
+    }
+
+    /// Sets tickets apart for another entry.
+    pub(crate) fn grant_tickets(&mut self, wanted: u32) -> Option<wire::TicketRange> {
+        let count = wanted.min(leading::MAX_GRANT);
+        if count == 0 || self.is_leaving {
+            return None;
+        }
+        let first = self.next_ticket;
+        self.next_ticket += u64::from(count);
+        Some(wire::TicketRange {
+            epoch: self.jobs.epochs().current(),
+            first,
+            count,
+        })
+    }
+}
--- a/src/entry/pump.rs
+++ b/src/entry/pump.rs
@@ -135,13 +135,11 @@
     ///
     /// A runner that misses two heartbeats gets nothing new long before it counts as
     /// dead: what is sent to a frozen one is lost, and nobody may start it again.
-    fn usable(
+    pub(crate) fn usable(
         &self,
         now_ms: u64,
     ) -> impl Iterator<Item = (membership::RunnerKey, &membership::Runner)> {
-        let timeouts = &self.settings.timeouts;
-        let two_missed = u64::from(timeouts.heartbeat_ms) * 5 / 2;
-        let silent_after = two_missed.min(timeouts.dead_after_ms.into());
+        let silent_after = self.silent_after_ms();
         // Looked up once and not for each runner: of thousands of runners most are in
         // the same few zones, and mostly none is out.
         let zones_out = self.settings.zones_out();
@@ -153,6 +151,13 @@
         })
     }
 
+    /// Silence of two heartbeats, long before a process counts as dead.
+    pub(crate) fn silent_after_ms(&self) -> u64 {
+        let timeouts = &self.settings.timeouts;
+        let two_missed = u64::from(timeouts.heartbeat_ms) * 5 / 2;
+        two_missed.min(timeouts.dead_after_ms.into())
+    }
+
     fn candidate(
         &self,
         now_ms: u64,
--- a/src/entry/report.rs
+++ b/src/entry/report.rs
@@ -25,6 +25,7 @@
             log_age_ms: self.freshness.evidence(now_ms).log_age_ms,
             fresh: self.freshness.is_fresh(now_ms, fresh_ms),
             zones_out: self.settings.zones_out(),
+            leader: self.leader(now_ms).map(|leader| leader.name.clone()),
             queued: self.queue.len() as u64,
             running: self.in_flight.len() as u64,
             peers: self.peers(now_ms),
@@ -59,6 +60,11 @@
             counter("submissions_refused", "Submissions refused", counts.refused),
             counter("answers_complete", "Complete answers", counts.complete),
             counter("answers_failed", "Failed answers", counts.failed),
+            counter(
+                "passed_on",
+                "Submissions passed on to the leading entry",
+                counts.passed_on,
+            ),
             counter("retries", "Idempotent tasks started again", counts.retries),
             gauge(
                 "queued_tasks",
--- a/src/entry/waiting.rs
+++ b/src/entry/waiting.rs
@@ -105,8 +105,17 @@
         self.act(cx, actions);
         match reply {
             calls::Reply::Answer(answer) => ready(*answer),
-            calls::Reply::Forward { owner, if_silent } => {
-                Box::pin(async move { messages::Resolution::Forward { owner, if_silent } })
+            calls::Reply::Forward {
+                owner,
+                if_silent,
+                ticket,
+            } => {
+                let forward = messages::Resolution::Forward {
+                    owner,
+                    if_silent,
+                    ticket,
+                };
+                Box::pin(async move { forward })
             }
             calls::Reply::Claiming(name) => match again {
                 Some(again) => self.call_again(cx, name, again),
@@ -136,6 +145,14 @@
         if self.core.is_leaving() {
             return Err(codes::Code::Leaving);
         }
-        Ok(self.core.tickets(&message.0))
+        Ok(self.core.tickets(self.now_ms(), &message.0))
+    }
+}
+
+impl actix::Handler<messages::WantOwnTicket> for control::Control {
+    type Result = actix::MessageResult<messages::WantOwnTicket>;
+
+    fn handle(&mut self, _: messages::WantOwnTicket, _cx: &mut Self::Context) -> Self::Result {
+        actix::MessageResult(self.core.ticket())
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod incoming;
 pub mod jobs;
 pub mod keeper;
+pub mod leading;
 pub mod learning;
 pub mod membership;
 pub mod metrics;
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -54,6 +54,19 @@
     pub is_leaving: bool,
     /// Revision of the settings in force there, as last heard.
     pub revision: Option<u64>,
+    /// Slots in service that it sees.
+    pub slots: u32,
+}
+
+/// What an entry said of itself.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct EntryNews {
+    /// Whether it is stopping.
+    pub is_leaving: bool,
+    /// Revision of the settings in force there.
+    pub revision: Option<u64>,
+    /// Slots in service that it sees.
+    pub slots: u32,
 }
 
 /// What a heartbeat changed.
@@ -138,7 +151,7 @@
     }
 
     /// An entry said that it is there, or another named it.
-    pub fn hear_entry(&mut self, now_ms: u64, peer: &wire::Peer, leaving: bool, rev: Option<u64>) {
+    pub fn hear_entry(&mut self, now_ms: u64, peer: &wire::Peer, news: EntryNews) {
         let known = self.entries.get(&peer.name);
         if known.is_some_and(|known| known.peer.incarnation > peer.incarnation) {
             return;
@@ -146,8 +159,9 @@
         let entry = Entry {
             peer: peer.clone(),
             heard_ms: now_ms,
-            is_leaving: leaving,
-            revision: rev,
+            is_leaving: news.is_leaving,
+            revision: news.revision,
+            slots: news.slots,
         };
         self.entries.insert(peer.name.clone(), entry);
     }
@@ -156,7 +170,7 @@
     pub fn hear_of_entry(&mut self, now_ms: u64, peer: &wire::Peer) {
         let known = self.entries.get(&peer.name);
         if known.is_none_or(|known| known.peer.incarnation < peer.incarnation) {
-            self.hear_entry(now_ms, peer, false, None);
+            self.hear_entry(now_ms, peer, EntryNews::default());
         }
     }
 
--- a/src/outgoing.rs
+++ b/src/outgoing.rs
@@ -125,6 +125,11 @@
     static CLIENT: awc::Client = client();
 }
 
+/// This thread's client that keeps connections.
+pub fn kept() -> awc::Client {
+    CLIENT.with(awc::Client::clone)
+}
+
 /// The traffic threads, each with its own client.
 #[derive(Debug)]
 pub struct Pool {
@@ -152,7 +157,7 @@
     {
         let at = self.next.fetch_add(1, atomic::Ordering::Relaxed) % self.arbiters.len();
         let is_running = self.arbiters[at].spawn_fn(move || {
-            let client = CLIENT.with(awc::Client::clone);
+            let client = kept();
             actix_rt::spawn(task(client));
         });
         if !is_running {
--- a/src/runner/control.rs
+++ b/src/runner/control.rs
@@ -194,6 +194,8 @@
             revision: self.keeper.state().revision(),
             evidence: self.core.freshness().evidence(now_ms),
             load: Some(load),
+            slots: 0,
+            tickets: 0,
         }
     }
 
--- a/src/runner/hearing.rs
+++ b/src/runner/hearing.rs
@@ -29,6 +29,8 @@
             revision: self.keeper.state().revision(),
             evidence: self.core.freshness().evidence(now_ms),
             entries: self.contacts.live(since_ms).cloned().collect(),
+            slots: 0,
+            tickets: None,
         })
     }
 }
--- a/src/runner/report.rs
+++ b/src/runner/report.rs
@@ -38,6 +38,7 @@
             log_age_ms: evidence.log_age_ms,
             fresh: self.core.is_fresh(now_ms),
             zones_out: self.keeper.state().settings().zones_out(),
+            leader: None,
             queued: self.core.parked() as u64,
             running: self.core.running() as u64,
             peers: Vec::new(),
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -324,6 +324,11 @@
     fields.whole("eject_ms", &mut policy.eject_ms, &ranges::EJECT_MS);
     fields.whole("ramp_ms", &mut policy.ramp_ms, &ranges::RAMP_MS);
     fields.whole("age_ms", &mut policy.age_ms, &ranges::AGE_MS);
+    fields.ratio(
+        "pass_on_below",
+        &mut policy.pass_on_below,
+        &ranges::PASS_ON_BELOW,
+    );
     fields.refuse_unknown();
     policy
 }
--- a/src/settings/checked.rs
+++ b/src/settings/checked.rs
@@ -160,6 +160,9 @@
     pub ramp_ms: u32,
     /// Wait after which a long task goes before shorter ones.
     pub age_ms: u32,
+    /// Part of the slots below whose being free a submission is passed on to the
+    /// leading entry; 0: never.
+    pub pass_on_below: f64,
 }
 
 impl Default for Policy {
@@ -175,6 +178,7 @@
             eject_ms: 5_000,
             ramp_ms: 3_000,
             age_ms: 2_000,
+            pass_on_below: 0.5,
         }
     }
 }
--- a/src/settings/ranges.rs
+++ b/src/settings/ranges.rs
@@ -91,3 +91,5 @@
 pub const RAMP_MS: Whole = 0..=10 * MINUTE_MS;
 /// `policy.age_ms`.
 pub const AGE_MS: Whole = 0..=10 * MINUTE_MS;
+/// `policy.pass_on_below`.
+pub const PASS_ON_BELOW: Ratio = 0.0..=1.0;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -162,6 +162,24 @@
     pub evidence: Evidence,
     /// The load, from a runner.
     pub load: Option<Load>,
+    /// Slots in service that the sender sees, from an entry.
+    #[serde(default)]
+    pub slots: u32,
+    /// How many tickets the sender asks for, from an entry to the one that leads.
+    #[serde(default)]
+    pub tickets: u32,
+}
+
+/// Tickets set apart by the entry that minted them, under numbers in a row.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct TicketRange {
+    /// The minting entry's epoch.
+    pub epoch: u64,
+    /// The first number.
+    pub first: u64,
+    /// How many.
+    pub count: u32,
 }
 
 /// Answer to a [`Heartbeat`].
@@ -180,6 +198,12 @@
     pub evidence: Evidence,
     /// The entries it knows to be alive, itself left out.
     pub entries: Vec<Peer>,
+    /// Slots in service that it sees.
+    #[serde(default)]
+    pub slots: u32,
+    /// The tickets asked for.
+    #[serde(default)]
+    pub tickets: Option<TicketRange>,
 }
 
 /// Body of [`DISPATCH_PATH`].
--- a/tests/failure/input.rs
+++ b/tests/failure/input.rs
@@ -115,6 +115,8 @@
         revision: None,
         evidence: wire::Evidence::default(),
         load: None,
+        slots: 0,
+        tickets: 0,
     })
 }
 
--- a/tests/failure/main.rs
+++ b/tests/failure/main.rs
@@ -9,6 +9,7 @@
 mod input;
 mod leaving;
 mod logs;
+mod passing;
 mod path;
 mod raw;
 mod rig;
--- a/tests/failure/rig.rs
+++ b/tests/failure/rig.rs
@@ -10,6 +10,7 @@
 
 use bulrushtiller::api;
 use bulrushtiller::ids;
+use bulrushtiller::leading;
 use bulrushtiller_standins::processes;
 use bulrushtiller_standins::site;
 use bulrushtiller_standins::worker;
@@ -213,12 +214,21 @@
         get(self.entries[entry].address(), &path, TOKEN)
     }
 
-    /// Takes a ticket from an entry.
+    /// Takes a ticket from an entry that it minted itself.
+    ///
+    /// Among the first it gives may be some of the entry that leads, of which it keeps no
+    /// more than a stock.
     pub fn ticket(&self, entry: usize) -> ids::SubmissionId {
-        let order = api::TicketOrder { count: 1 };
-        let address = self.entries[entry].address();
-        let given: Option<api::Tickets> = post(address, "/v1/tickets", TOKEN, &order);
-        given.expect("tickets").tickets.remove(0)
+        let count = leading::STOCK + 1;
+        let order = api::TicketOrder { count };
+        let entry = &self.entries[entry];
+        let given: Option<api::Tickets> = post(entry.address(), "/v1/tickets", TOKEN, &order);
+        let is_own = |id: &ids::SubmissionId| match id {
+            ids::SubmissionId::Ticket(ticket) => ticket.entry == entry.name(),
+            ids::SubmissionId::Own(_) => false,
+        };
+        let mut given = given.expect("tickets").tickets.into_iter();
+        given.find(is_own).expect("a ticket of its own")
     }
 
     /// Every start at every worker: the worker's index and its journal's line.
--- a/tests/unit/dispatching/world.rs
+++ b/tests/unit/dispatching/world.rs
@@ -379,6 +379,8 @@
                 revision: None,
                 evidence: wire::Evidence::default(),
                 load: Some(core.load_for(ids::Incarnation(1))),
+                slots: 0,
+                tickets: 0,
             };
             let (_, actions) = self.entry.heartbeat(now_ms, &heartbeat);
             self.act_for_entry(actions);
@@ -391,7 +393,7 @@
         }
         let ticket = self
             .entry
-            .tickets(&api::TicketOrder { count: 1 })
+            .tickets(self.now_ms, &api::TicketOrder { count: 1 })
             .tickets
             .remove(0);
         let tasks = self.rng.random_range(1..5);
--- a/tests/unit/entry.rs
+++ b/tests/unit/entry.rs
@@ -39,6 +39,8 @@
             sequence: 1,
             ..wire::Load::default()
         }),
+        slots: 0,
+        tickets: 0,
     }
 }
 
--- a/tests/unit/main.rs
+++ b/tests/unit/main.rs
@@ -13,6 +13,7 @@
 mod ids;
 mod jobs;
 mod keeper;
+mod leading;
 mod learning;
 mod membership;
 mod placement;
--- a/tests/unit/membership.rs
+++ b/tests/unit/membership.rs
@@ -41,6 +41,8 @@
         revision: None,
         evidence: wire::Evidence::default(),
         entries,
+        slots: 0,
+        tickets: None,
     }
 }
 
@@ -157,6 +159,8 @@
             sequence,
             ..wire::Load::default()
         }),
+        slots: 0,
+        tickets: 0,
     }
 }
 
--- a/tests/unit/slots.rs
+++ b/tests/unit/slots.rs
@@ -37,6 +37,8 @@
         revision: None,
         evidence: wire::Evidence::default(),
         load: Some(load),
+        slots: 0,
+        tickets: 0,
     }
 }
 
--- a/tests/unit/wire.rs
+++ b/tests/unit/wire.rs
@@ -35,6 +35,8 @@
             sequence: figures[3],
             ..wire::Load::default()
         }),
+        slots: 0,
+        tickets: 0,
     }
 }
 
