Keep a submission when the leading entry has no room to remember it

Cause: with everything passed on to one entry its limits.max_submissions (50,000 remembered for 120 to 240 s) is the bound of the whole site, some 208 a second, below the 278 single tasks a second that the users' slots can do (arithmetic). Before, three entries had room each.

Ruled out: a larger default (0.7 KB each; memory is the first budget to break).

Change: a refusal 101 is taken like those of an entry that stops: the submission stays with the entry that passed it on. Tickets are given ahead with one look at who leads, not one each.

Before: without the new line the new process test fails, the twentieth job is refused with 101. Conclusion: passing on takes no room away.

--- a/src/entry/calls.rs
+++ b/src/entry/calls.rs
@@ -81,7 +81,9 @@
     /// Tickets, each of which only the life that minted it may ever start.
     pub fn tickets(&mut self, now_ms: u64, order: &api::TicketOrder) -> api::Tickets {
         let count = order.count.clamp(1, MAX_TICKETS);
-        let tickets = (0..count).map(|_| self.ticket_ahead(now_ms)).collect();
+        let leader = self.leader_to_pass_to(now_ms);
+        let ticket = |_| self.ticket_ahead(now_ms, leader.as_ref());
+        let tickets = (0..count).map(ticket).collect();
         let retain_ms = u64::from(self.settings.timeouts.retain_ms);
         api::Tickets {
             tickets,
--- a/src/entry/forwarding.rs
+++ b/src/entry/forwarding.rs
@@ -150,11 +150,17 @@
 
 /// What was sent before may have been taken in, by a life that is over for one; only a
 /// refusal by the life that minted the ticket says that it never starts.
+///
+/// An entry that has no room to remember more declines too: it remembers what ended for
+/// minutes, and its slots may be free.
 fn second_word(reply: wire::ForwardReply) -> Passed {
     let answer = reply.answer;
     let is_declined = matches!(
         answer.code,
-        codes::Code::Leaving | codes::Code::NotFresh | codes::Code::NoCapacity
+        codes::Code::Leaving
+            | codes::Code::NotFresh
+            | codes::Code::NoCapacity
+            | codes::Code::EntryQueueFull
     );
     if is_declined && answer.is_final {
         return Passed::Declined;
--- a/src/entry/passing.rs
+++ b/src/entry/passing.rs
@@ -28,7 +28,12 @@
         leading::leader(own.into_iter().chain(others), self.slots)
     }
 
-    /// The leading entry, where it is another.
+    /// The leading entry, where it is another and submissions are passed on at all.
+    pub(crate) fn leader_to_pass_to(&self, now_ms: u64) -> Option<wire::Peer> {
+        let is_on = self.settings.policy.pass_on_below > 0.0 && !self.is_leaving;
+        self.other_leader(now_ms).filter(|_| is_on)
+    }
+
     fn other_leader(&self, now_ms: u64) -> Option<wire::Peer> {
         let leader = self.leader(now_ms)?;
         (leader.incarnation != self.me.incarnation).then(|| leader.clone())
@@ -42,11 +47,8 @@
         now_ms: u64,
         tasks: usize,
     ) -> Option<(wire::Peer, ids::SubmissionId)> {
+        let leader = self.leader_to_pass_to(now_ms)?;
         let least_free = self.settings.policy.pass_on_below;
-        if least_free <= 0.0 || self.is_leaving {
-            return None;
-        }
-        let leader = self.other_leader(now_ms)?;
         let free = self.free_slots(now_ms);
         if !leading::is_scarce(free, tasks, self.slots, least_free) {
             return None;
@@ -58,10 +60,12 @@
 
     /// A ticket for a caller that submits later, to whichever entry: of the leading
     /// one, where there is one in stock, since most slots may be taken by then.
-    pub(crate) fn ticket_ahead(&mut self, now_ms: u64) -> ids::SubmissionId {
-        let is_on = self.settings.policy.pass_on_below > 0.0;
-        let leader = self.other_leader(now_ms).filter(|_| is_on);
-        let ticket = leader.and_then(|leader| self.stock.take(now_ms, &leader));
+    pub(crate) fn ticket_ahead(
+        &mut self,
+        now_ms: u64,
+        leader: Option<&wire::Peer>,
+    ) -> ids::SubmissionId {
+        let ticket = leader.and_then(|leader| self.stock.take(now_ms, leader));
         ticket.unwrap_or_else(|| self.ticket())
     }
 
--- a/tests/failure/passing.rs
+++ b/tests/failure/passing.rs
@@ -152,6 +152,31 @@
     check::check(&rig, &passed.iter().collect::<Vec<_>>());
 }
 
+// The leading entry remembers what ended for minutes and has no room for more, while slots
+// are free everywhere. Callers of the other entry are not refused for that: it keeps what
+// comes until it has no room itself.
+#[test]
+fn leading_entry_without_room_others_keep_what_comes() {
+    let rig = rig::Rig::start(&rig::Plan {
+        settings: format!("{ALWAYS}[limits]\nmax_submissions = 20\n"),
+        ..rig::Plan::default()
+    });
+    wait_until_passing(&rig, 1);
+    let jobs: Vec<_> = (0..20).map(|at| told(&format!("job-{at}"), 1)).collect();
+
+    let answers: Vec<_> = jobs.iter().map(|one| one.submit(&rig, 1)).collect();
+
+    let answers: Vec<_> = answers
+        .into_iter()
+        .map(|one| one.expect("an answer"))
+        .collect();
+    assert!(answers.iter().all(|one| one.code == codes::Code::Complete));
+    let owners: Vec<_> = answers.iter().filter_map(owner).collect();
+    assert_eq!(owners.first().map(SmolStr::as_str), Some("entry-0"));
+    assert_eq!(owners.last().map(SmolStr::as_str), Some("entry-1"));
+    check::check(&rig, &jobs.iter().collect::<Vec<_>>());
+}
+
 // The leading entry is told to stop while submissions are passed on to it. What it took in
 // comes back whole through the entry that passed it on, and what comes later is kept there:
 // no caller of the other entry is refused.
