Expect the longest of many unknown tasks to take longer than one

Cause: with nothing declared all tasks of a kind are expected to take the mean, so every job looks alike and goes first come, first served. The longest of twenty tasks takes nearly three times the mean; a job of one task is answered sooner, has the smaller ideal and should go before it.

Change: learning says how far single run times lie from the expectation, and the job's longest task is put at the expectation and 3 (n-1)/(n+2) such errors, n being the tasks that are expected to take the longest. Tasks declared one by one have next to no error and so the same rank as before.

--- a/src/entry/load.rs
+++ b/src/entry/load.rs
@@ -147,16 +147,23 @@
             return;
         };
         let name = open.header.team.clone();
-        let estimate = |task| self.estimate(&name, task).run_ms;
-        let expected: Vec<u64> = open.tasks.iter().map(estimate).collect();
+        let expected = |task| {
+            let estimate = self.estimate(&name, task);
+            order::Expected {
+                run_ms: estimate.run_ms,
+                error_ms: estimate.error_ms,
+            }
+        };
+        let expected: Vec<_> = open.tasks.iter().map(expected).collect();
         let shape = order::Shape {
-            longest_ms: expected.iter().copied().max().unwrap_or(0),
-            work_ms: expected.iter().sum(),
+            longest_ms: order::longest_ms(&expected),
+            work_ms: expected.iter().map(|one| one.run_ms).sum(),
             slots: slots_whole(self.drain.slots()),
         };
         let age_ms = u64::from(self.settings.policy.age_ms);
         let team = self.queue.team(&name);
-        for (index, expected_ms) in (0..).zip(expected) {
+        let runs = expected.iter().map(|one| one.run_ms);
+        for (index, expected_ms) in (0..).zip(runs) {
             self.queue.push(queue::Item {
                 task: jobs::TaskKey {
                     submission: key,
--- a/src/learning/mod.rs
+++ b/src/learning/mod.rs
@@ -45,6 +45,9 @@
 pub struct Estimate {
     /// Run time in milliseconds.
     pub run_ms: u64,
+    /// How far single run times lie from it, mean of the distances in milliseconds; 0
+    /// where nothing was learned.
+    pub error_ms: u64,
     /// Whether the run time was learned, and not only declared.
     pub is_learned: bool,
 }
@@ -137,11 +140,14 @@
             };
             return Estimate {
                 run_ms,
+                error_ms: 0,
                 is_learned: false,
             };
         };
+        let (run_ms, error_ms) = known.predict(declared_ms);
         Estimate {
-            run_ms: whole(known.predict(declared_ms)).into(),
+            run_ms: whole(run_ms).into(),
+            error_ms: whole(error_ms).into(),
             is_learned: true,
         }
     }
@@ -189,11 +195,12 @@
         kind
     }
 
-    fn predict(&self, declared_ms: u64) -> f64 {
+    /// The run time, and the error of such predictions.
+    fn predict(&self, declared_ms: u64) -> (f64, f64) {
         if declared_ms == 0 || self.mean_error <= self.scaled_error {
-            return self.mean_ms;
+            return (self.mean_ms, self.mean_error);
         }
-        declared_ms as f64 * self.ratio
+        (declared_ms as f64 * self.ratio, self.scaled_error)
     }
 
     fn learn(&mut self, sample: &Sample) {
--- a/src/queue/order.rs
+++ b/src/queue/order.rs
@@ -10,6 +10,39 @@
 /// 99th percentile.
 const STRETCH_PERCENT: u64 = 150;
 
+/// A job's longest task when many are expected to take the same: so many errors of the
+/// expectation more than that, as their number grows.
+///
+/// The mean of the longest of `n` is the expectation and this many errors times
+/// `(n - 1) / (n + 2)`, within a tenth for run times spread evenly on a log scale (50 ms to
+/// a second, as in the brief) and within a fifth for exponential ones, up to 20 tasks.
+const LONGEST_ERRORS: u64 = 3;
+
+/// What a task is expected to take, in milliseconds.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Expected {
+    /// Its run time.
+    pub run_ms: u64,
+    /// How far single run times lie from it in the mean.
+    pub error_ms: u64,
+}
+
+/// The expected run time of a job's longest task.
+///
+/// Where a kind's run times are known only in the mean, each task is expected to take
+/// the same, but the longest of twenty takes far longer than a single one. Without this
+/// the jobs of few tasks, which are answered sooner, would not go before large ones:
+/// p99 over ideal with nothing declared is 1.48 in place of 1.34 at 0.7 load.
+pub fn longest_ms(expected: &[Expected]) -> u64 {
+    let Some(longest) = expected.iter().max_by_key(|one| one.run_ms) else {
+        return 0;
+    };
+    let alike = expected.iter().filter(|one| one.run_ms == longest.run_ms);
+    let alike = alike.count() as u64;
+    let more = LONGEST_ERRORS * longest.error_ms * (alike - 1) / (alike + 2);
+    longest.run_ms.saturating_add(more)
+}
+
 /// What a job is expected to take.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Shape {
