Compare whole answers of many teams with a naive map

Now three teams use the same own ids and tickets for different jobs, claims are read late, and outcomes come crossed, late, twice, or name an earlier life of the entry. Every answer, to a waiting call, a repeat or a fetch, is compared with a plain map from (team, id) to what was asked first.

Ruled out: the waiting of calls in the control thread is not in this test; it is keyed by the same submission key and is tested by processes.

--- a/tests/unit/main.rs
+++ b/tests/unit/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the pure modules.
 
 mod admission;
+mod answers;
 mod api;
 mod audit;
 mod claims;
