Compare planned stops of entry and runner with naive lists

Now the two cores are told to stop at any moment of a random schedule: - a runner, with repeated dispatches, against three plain lists (waiting, running, answered): each action is compared, so nothing starts after the signal, what waits is handed back as not run, what runs ends by itself; - an entry with a full queue: all that it took in comes back complete, also what had not been handed out; later callers get 104, repeats their answer; - an entry that is told twice, or past its deadline: each open job gets its last answer, with "may have run" for just what was handed out.

Not in these tests: sockets, the linger and the end of the process, which the process tests have.

--- a/tests/unit/main.rs
+++ b/tests/unit/main.rs
@@ -25,5 +25,6 @@
 mod settings;
 mod slots;
 mod starts;
+mod stops;
 mod window;
 mod wire;
