Send nothing to the past life of a replaced runner

So for up to 1.25 s after a quick restart the entry handed tasks to a life that was over and counted its slots twice. No safety was lost: such dispatches are refused as stale (112) or not connected, and handed out again. They cost messages and time, and the doubled slots entered admission and the choice of the leading entry.

Now the past life is forgotten as soon as its attempts are settled; its name stays the successor's, so that its late heartbeats stay stale. Ruled out: marking it as leaving, which would leave two lines of one name on `/status`. A life that is known to be past by an answer to a question only, before the successor's heartbeat, is still kept until that comes.

--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -288,6 +288,7 @@
                 let heard = self.members.hear_runner(now_ms, heartbeat);
                 if let membership::Heard::Replaced(old) = heard {
                     actions.extend(self.runner_over(now_ms, old));
+                    self.members.remove_past_life(old);
                 }
                 actions.extend(self.pump(now_ms));
             }
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -184,6 +184,22 @@
         self.runners.get_mut(key)
     }
 
+    /// Forgets a life whose successor was heard; its name stays the successor's.
+    ///
+    /// A runner that is replaced within two heartbeats was heard lately in both lives.
+    /// If the past one were kept until it is silent, it would be sent work, all of which
+    /// is refused or lost, and its slots would count twice.
+    pub fn remove_past_life(&mut self, key: RunnerKey) {
+        let is_current = |runner: &Runner| self.by_name.get(&runner.peer.name) == Some(&key);
+        if self
+            .runners
+            .get(key)
+            .is_some_and(|runner| !is_current(runner))
+        {
+            self.runners.remove(key);
+        }
+    }
+
     /// All runners.
     pub fn runners(&self) -> impl Iterator<Item = (RunnerKey, &Runner)> {
         self.runners.iter()
--- a/tests/unit/main.rs
+++ b/tests/unit/main.rs
@@ -16,6 +16,7 @@
 mod keeper;
 mod leading;
 mod learning;
+mod leaving;
 mod membership;
 mod placement;
 mod queue;
