--- a/tests/unit/entry.rs
+++ b/tests/unit/entry.rs
@@ -6,7 +6,9 @@
 use bulrushtiller::codes;
 use bulrushtiller::entry;
 use bulrushtiller::entry::calls;
+use bulrushtiller::entry::passing;
 use bulrushtiller::ids;
+use bulrushtiller::jobs;
 use bulrushtiller::settings;
 use bulrushtiller::wire;
 use rstest::rstest;
@@ -108,3 +110,65 @@
 
     assert_eq!(submit(&mut entry, now_ms), refused);
 }
+
+// A caller whose submission lies in a silent connection, or in the buffer of an entry that
+// stands still, asks for its answer; after the thaw the question is read first. It must not
+// be told for good that nothing is known: the submission is read next, and starts.
+#[test]
+fn question_that_overtakes_its_submission_has_not_the_last_word() {
+    let mut entry = entry::core::Core::new(peer(wire::Role::Entry, "entry"), settings(&[]), 0, 1);
+    entry.heartbeat(0, &heartbeat());
+    let ticket = entry.ticket();
+    let submission = api::Submission {
+        submission: Some(ticket.clone()),
+        deadline_ms: None,
+        wait_ms: 0,
+        idempotent: false,
+        tasks: vec![api::Task::default()],
+    };
+
+    let overtaking = entry.fetch(0, &TEAM, &ticket);
+    let (late, _) = entry.submit(0, &TEAM, submission);
+
+    let calls::Reply::Answer(answer) = overtaking else {
+        panic!("{overtaking:?}");
+    };
+    assert_eq!(answer.code, codes::Code::UnknownSubmission);
+    assert!(!answer.is_final);
+    assert!(matches!(late, calls::Reply::Open(_)));
+}
+
+fn answer(code: codes::Code, is_final: bool) -> api::Answer {
+    jobs::answer::plain(None, code, is_final)
+}
+
+// A submission was passed on and lies in a silent connection; its second copy is refused.
+// Whoever keeps it then starts it, and if the first copy arrives where the refusal was not
+// remembered, it starts once more.
+#[rstest]
+#[case::stops(codes::Code::Leaving, true, true, true)]
+#[case::sees_no_runner(codes::Code::NoCapacity, true, true, true)]
+#[case::has_no_room(codes::Code::EntryQueueFull, true, true, true)]
+#[case::could_not_remember(codes::Code::EntryQueueFull, false, false, false)]
+#[case::has_no_settings(codes::Code::NotFresh, true, true, false)]
+#[case::is_another_life(codes::Code::OwnerGone, true, true, false)]
+#[case::does_not_know_the_ticket(codes::Code::BadTicket, true, true, false)]
+#[case::refuses_for_load(codes::Code::TeamQueueFull, true, false, false)]
+#[case::took_it_in(codes::Code::Pending, false, false, false)]
+fn passed_submission_is_kept_where_it_never_starts_elsewhere(
+    #[case] code: codes::Code,
+    #[case] is_final: bool,
+    #[case] after_first: bool,
+    #[case] after_second: bool,
+) {
+    let is_kept = |passed| passed == passing::Passed::Declined;
+
+    assert_eq!(
+        is_kept(passing::first_word(answer(code, is_final))),
+        after_first
+    );
+    assert_eq!(
+        is_kept(passing::second_word(answer(code, is_final))),
+        after_second
+    );
+}
--- a/tests/unit/main.rs
+++ b/tests/unit/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the pure modules.
 
 mod admission;
+mod answers;
 mod api;
 mod audit;
 mod claims;
@@ -15,6 +16,7 @@
 mod keeper;
 mod leading;
 mod learning;
+mod leaving;
 mod membership;
 mod order;
 mod placement;
@@ -25,5 +27,6 @@
 mod settings;
 mod slots;
 mod starts;
+mod stops;
 mod window;
 mod wire;
