Look only at what is due on a tick, and not at all open submissions

jobs::due keeps ordered sets (deadline, moment of giving up, deadline by kind of task), entry::flights the attempts by when to ask about them. Verdicts go through the table, which moves the submission from one set to the other. Ruled out: one timer a submission, since the hopeless moment moves with each run time learned; looking through every half second, which answers late.

The runners now come after the tasks, and the measurement stops if not all were taken in.

--- a/measure/src/slopes/entry.rs
+++ b/measure/src/slopes/entry.rs
@@ -82,12 +82,18 @@
 }
 
 /// Time for one look at the time, by how many tasks wait or run.
+///
+/// # Panics
+///
+/// Where not all tasks were taken in: the time would be that of fewer.
 pub fn ticks(tasks: u64) -> slopes::Point {
-    let mut entry = fixtures::entry(100);
-    let team = SmolStr::new_static(fixtures::TEAM);
-    for _ in 0..tasks / 100 {
-        entry.submit(fixtures::NOW_MS, &team, fixtures::submission(100));
+    // The runners come after the tasks: admission would refuse a backlog that an entry
+    // with runners foresees to be answered late, and a shorter queue be measured.
+    let mut entry = hold(tasks);
+    for at in 0..100 {
+        entry.heartbeat(fixtures::NOW_MS, &fixtures::heartbeat(at, 1, 0));
     }
+    assert_eq!((entry.queued() + entry.handed_out()) as u64, tasks);
     let each = slopes::time_each(100, |at| {
         entry.tick(fixtures::NOW_MS + at);
     });
--- a/src/entry/attempts.rs
+++ b/src/entry/attempts.rs
@@ -42,7 +42,7 @@
         let mut actions = self.wake(now_ms);
         let number = reply.attempt.number;
         let is_ours = reply.attempt.owner == self.me.incarnation;
-        let Some(flight) = self.in_flight.get(&number).filter(|_| is_ours) else {
+        let Some(flight) = self.in_flight.get(number).filter(|_| is_ours) else {
             self.counts.wasted += 1;
             return actions;
         };
@@ -72,9 +72,9 @@
         fault: Fault,
     ) -> Vec<core::Action> {
         let mut actions = self.wake(now_ms);
-        let Some(flight) = self.in_flight.get_mut(&attempt.number) else {
+        if self.in_flight.get(attempt.number).is_none() {
             return actions;
-        };
+        }
         match fault {
             Fault::NotSent => {
                 let code = codes::Code::BackendUnreachable;
@@ -82,8 +82,7 @@
                 actions.extend(self.pump(now_ms));
             }
             Fault::Lost => {
-                flight.is_lost = true;
-                flight.ask_ms = now_ms;
+                self.mark_lost(now_ms, attempt.number);
                 actions.extend(self.ask(now_ms, attempt.number));
             }
         }
@@ -124,7 +123,7 @@
         let mut actions = self.wake(now_ms);
         let is_same_life = reply.incarnation == fence.incarnation;
         for (attempt, outcome) in fence.attempts.iter().zip(reply.outcomes) {
-            let Some(flight) = self.in_flight.get_mut(&attempt.number) else {
+            let Some(flight) = self.in_flight.get(attempt.number) else {
                 continue;
             };
             let runner = flight.runner;
@@ -138,10 +137,7 @@
                 }
                 // The dispatch got lost on its way, and its connection may be silent for
                 // good; from now on the attempt is barred when asked about.
-                None if is_same_life => {
-                    flight.is_lost = true;
-                    flight.ask_ms = now_ms;
-                }
+                None if is_same_life => self.mark_lost(now_ms, attempt.number),
                 _ => actions.extend(self.runner_over(now_ms, runner)),
             }
         }
@@ -154,9 +150,9 @@
             wire::Outcome::Parked => Vec::new(),
             wire::Outcome::Running { run_ms } => {
                 self.judge_running(now_ms, number, run_ms);
-                if let Some(flight) = self.in_flight.get_mut(&number) {
-                    flight.ask_ms = now_ms + u64::from(self.settings.timeouts.query_after_ms);
-                }
+                let ask_ms = now_ms + u64::from(self.settings.timeouts.query_after_ms);
+                self.in_flight
+                    .change(number, |flight| flight.ask_ms = ask_ms);
                 Vec::new()
             }
             wire::Outcome::NotStarted { code } => {
@@ -320,7 +316,7 @@
 
     /// Takes an attempt off the books.
     fn take(&mut self, number: u64) -> Option<core::InFlight> {
-        let flight = self.in_flight.remove(&number)?;
+        let flight = self.in_flight.remove(number)?;
         if let Some(runner) = self.members.runner_mut(flight.runner) {
             runner.settled(&flight.need);
         }
@@ -334,11 +330,7 @@
         now_ms: u64,
         key: membership::RunnerKey,
     ) -> Vec<core::Action> {
-        let on_it = self
-            .in_flight
-            .iter()
-            .filter(|(_, flight)| flight.runner == key);
-        let numbers: Vec<u64> = on_it.map(|(number, _)| *number).collect();
+        let numbers = self.in_flight.at(key);
         self.health.forget(key);
         let mut actions = Vec::new();
         for number in numbers {
@@ -352,21 +344,32 @@
 
     /// Has an attempt stopped, or barred if it has not started.
     pub(crate) fn stop(&mut self, now_ms: u64, attempt: ids::Attempt) -> Option<core::Action> {
-        let flight = self.in_flight.get_mut(&attempt.number)?;
+        let flight = self.in_flight.get(attempt.number)?;
         if flight.is_stopping {
             return None;
         }
-        flight.is_stopping = true;
+        self.in_flight
+            .change(attempt.number, |flight| flight.is_stopping = true);
         self.ask(now_ms, attempt.number)
     }
 
+    /// The answer to the dispatch can't come any more.
+    fn mark_lost(&mut self, now_ms: u64, number: u64) {
+        self.in_flight.change(number, |flight| {
+            flight.is_lost = true;
+            flight.ask_ms = now_ms;
+        });
+    }
+
     /// Asks the runner about an attempt, on a fresh connection.
     ///
     /// The answer to a dispatch that went silent tells nothing; the question has
     /// the attempt barred if it never started, so "not run" is true from then on.
     pub(crate) fn ask(&mut self, now_ms: u64, number: u64) -> Option<core::Action> {
-        let flight = self.in_flight.get_mut(&number)?;
-        flight.ask_ms = now_ms + ASK_AGAIN_MS;
+        let ask_ms = now_ms + ASK_AGAIN_MS;
+        self.in_flight
+            .change(number, |flight| flight.ask_ms = ask_ms);
+        let flight = self.in_flight.get(number)?;
         let peer = &self.members.runner(flight.runner)?.peer;
         let fence = wire::Fence {
             version: wire::VERSION,
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -6,7 +6,6 @@
 //! for what becomes of dispatches, [`crate::entry::pump`] for handing out work and
 //! [`crate::entry::tick`] for time.
 
-use std::collections;
 use std::sync;
 
 use rand::SeedableRng;
@@ -16,6 +15,7 @@
 use crate::admission::returning;
 use crate::api;
 use crate::claims;
+use crate::entry::flights;
 use crate::freshness;
 use crate::health;
 use crate::ids;
@@ -137,7 +137,7 @@
     pub(crate) claims: claims::Table,
     pub(crate) queue: queue::Queue,
     pub(crate) retries: retry::Retries,
-    pub(crate) in_flight: collections::BTreeMap<u64, InFlight>,
+    pub(crate) in_flight: flights::Flights,
     pub(crate) drain: drain::Drain,
     pub(crate) returning: returning::Returning,
     /// An equal part of all slots in service, beside the other entries.
@@ -183,7 +183,7 @@
             claims: claims::Table::new(claimer),
             queue,
             retries,
-            in_flight: collections::BTreeMap::new(),
+            in_flight: flights::Flights::default(),
             drain: drain::Drain::new(now_ms),
             returning: returning::Returning::default(),
             part: 0.0,
--- a/src/entry/load.rs
+++ b/src/entry/load.rs
@@ -228,7 +228,7 @@
         run_ms: u64,
         peak: wire::Resources,
     ) {
-        let Some(flight) = self.in_flight.get(&number) else {
+        let Some(flight) = self.in_flight.get(number) else {
             return;
         };
         let (team, expected_ms) = (flight.team, flight.expected_ms);
@@ -268,10 +268,14 @@
     /// A submission that waits, nothing of it started, and can't meet its deadline any
     /// more is told so now and not when the deadline is over.
     pub(crate) fn end_hopeless(&mut self, now_ms: u64) -> Vec<core::Action> {
-        let keys = self.jobs.open_keys();
-        let hopeless = keys
-            .into_iter()
-            .filter(|key| self.is_hopeless(now_ms, *key));
+        let learned_ms = |team: &SmolStr, kind: &SmolStr, declared_ms| {
+            let estimate = self
+                .learned
+                .run_time(team, kind, declared_ms, DEFAULT_RUN_MS);
+            estimate.is_learned.then_some(estimate.run_ms)
+        };
+        let nearing = self.jobs.due().nearing(now_ms, learned_ms).into_iter();
+        let hopeless = nearing.filter(|key| self.is_hopeless(now_ms, *key));
         let hopeless: Vec<_> = hopeless.collect();
         let code = codes::Code::DeadlineNotRun;
         hopeless
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -8,6 +8,7 @@
 pub mod control;
 pub mod core;
 mod dispatching;
+pub mod flights;
 mod forwarding;
 mod hearing;
 pub mod http;
--- a/src/entry/pump.rs
+++ b/src/entry/pump.rs
@@ -109,7 +109,7 @@
             let jobs::Progress::Dispatched(attempt) = progress else {
                 continue;
             };
-            let flight = self.in_flight.get(&attempt.number);
+            let flight = self.in_flight.get(attempt.number);
             let runner = flight.and_then(|flight| self.members.runner(flight.runner));
             if let Some(runner) = runner {
                 spread.add(runner.rack);
@@ -224,7 +224,7 @@
 
     /// Tells the health slice of an attempt that was found running.
     pub(crate) fn judge_running(&mut self, now_ms: u64, number: u64, run_ms: u64) {
-        let Some(flight) = self.in_flight.get(&number) else {
+        let Some(flight) = self.in_flight.get(number) else {
             return;
         };
         let runner = flight.runner;
@@ -304,12 +304,14 @@
         task: jobs::TaskKey,
         decided: jobs::Decided,
     ) -> Vec<core::Action> {
-        let Some(open) = self.jobs.open_mut(task.submission) else {
+        let Some(open) = self.jobs.open_at(task.submission) else {
             return Vec::new();
         };
         let was_given_up = open.verdict().is_some();
-        open.decide(now_ms, task.index, decided);
-        if !was_given_up && open.verdict().is_some() && !open.is_decided() {
+        self.jobs.decide(now_ms, task, decided);
+        let open = self.jobs.open_at(task.submission);
+        let is_new = |open: &jobs::Open| open.verdict().is_some() && !open.is_decided();
+        if !was_given_up && open.is_some_and(is_new) {
             return self.give_up(now_ms, task.submission, codes::Code::NotNeeded);
         }
         self.settle(now_ms, task.submission)
@@ -324,10 +326,10 @@
         code: codes::Code,
     ) -> Vec<core::Action> {
         self.queue.remove_submission(key);
-        let Some(open) = self.jobs.open_mut(key) else {
+        self.jobs.give_up(now_ms, key, code);
+        let Some(open) = self.jobs.open_at(key) else {
             return Vec::new();
         };
-        open.give_up(now_ms, code);
         let mut dispatched = Vec::new();
         let mut queued = Vec::new();
         for (index, progress) in open.all() {
@@ -338,7 +340,12 @@
             }
         }
         for index in queued {
-            open.decide(now_ms, index, jobs::Decided::not_run(code));
+            let task = jobs::TaskKey {
+                submission: key,
+                index,
+            };
+            let decided = jobs::Decided::not_run(code);
+            self.jobs.decide(now_ms, task, decided);
         }
         let mut actions = Vec::new();
         for attempt in dispatched {
--- a/src/entry/tick.rs
+++ b/src/entry/tick.rs
@@ -65,43 +65,26 @@
 
     fn end_overdue(&mut self, now_ms: u64) -> Vec<core::Action> {
         let mut actions = Vec::new();
-        for key in self.overdue(now_ms) {
+        for key in self.jobs.due().overdue(now_ms) {
             actions.extend(self.give_up(now_ms, key, codes::Code::DeadlineNotRun));
         }
         actions
     }
 
-    fn overdue(&self, now_ms: u64) -> Vec<jobs::Key> {
-        let is_overdue = |key: &jobs::Key| {
-            let open = self.jobs.open_at(*key);
-            open.is_some_and(|open| open.header.deadline_ms <= now_ms && open.verdict().is_none())
-        };
-        self.jobs
-            .open_keys()
-            .into_iter()
-            .filter(is_overdue)
-            .collect()
-    }
-
     /// A submission that was given up gets its answer at once: the fate of what
     /// was running is waited for only so long as a question to its runner takes.
     fn end_unsettled(&mut self, now_ms: u64) -> Vec<core::Action> {
-        let is_due = |open: &jobs::Open| {
-            open.verdict()
-                .is_some_and(|verdict| verdict.at_ms + SETTLE_MS <= now_ms)
+        let Some(last_ms) = now_ms.checked_sub(SETTLE_MS) else {
+            return Vec::new();
         };
-        let keys = self.jobs.open_keys();
-        let due = keys
-            .into_iter()
-            .filter(|key| self.jobs.open_at(*key).is_some_and(is_due));
-        let due: Vec<_> = due.collect();
+        let due = self.jobs.due().given_up_by(last_ms);
         due.into_iter()
             .flat_map(|key| self.end_unknown(now_ms, key))
             .collect()
     }
 
     fn end_unknown(&mut self, now_ms: u64, key: jobs::Key) -> Vec<core::Action> {
-        let Some(open) = self.jobs.open_mut(key) else {
+        let Some(open) = self.jobs.open_at(key) else {
             return Vec::new();
         };
         let undecided = open
@@ -110,7 +93,11 @@
         let undecided: Vec<u32> = undecided.map(|(index, _)| index).collect();
         for index in undecided {
             let decided = jobs::Decided::may_have_run(codes::Code::StillRunning, None);
-            open.decide(now_ms, index, decided);
+            let task = jobs::TaskKey {
+                submission: key,
+                index,
+            };
+            self.jobs.decide(now_ms, task, decided);
         }
         self.settle(now_ms, key)
     }
@@ -143,11 +130,7 @@
     }
 
     fn ask_silent(&mut self, now_ms: u64) -> Vec<core::Action> {
-        let due = self
-            .in_flight
-            .iter()
-            .filter(|(_, flight)| flight.ask_ms <= now_ms);
-        let due: Vec<u64> = due.map(|(number, _)| *number).collect();
+        let due = self.in_flight.to_ask(now_ms);
         due.into_iter()
             .filter_map(|number| self.ask(now_ms, number))
             .collect()
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -4,6 +4,7 @@
 //! for good. Only the second has an answer, so an answer is never partial.
 
 pub mod answer;
+pub mod due;
 pub mod table;
 
 use std::collections;
--- a/src/jobs/table.rs
+++ b/src/jobs/table.rs
@@ -5,8 +5,10 @@
 use smol_str::SmolStr;
 
 use crate::api;
+use crate::codes;
 use crate::ids;
 use crate::jobs;
+use crate::jobs::due;
 use crate::window;
 
 slotmap::new_key_type! {
@@ -53,6 +55,7 @@
     epochs: window::Epochs,
     lines: slotmap::SlotMap<Key, Line>,
     names: collections::HashMap<Name, Key>,
+    due: due::Due,
     open: usize,
     refusals: usize,
 }
@@ -64,6 +67,7 @@
             epochs: window::Epochs::new(now_ms),
             lines: slotmap::SlotMap::with_key(),
             names: collections::HashMap::new(),
+            due: due::Due::default(),
             open: 0,
             refusals: 0,
         }
@@ -107,7 +111,39 @@
         }
     }
 
-    /// Changes an open submission.
+    /// Which submissions are to be looked at again.
+    pub const fn due(&self) -> &due::Due {
+        &self.due
+    }
+
+    /// See [`jobs::Open::give_up`].
+    pub fn give_up(&mut self, now_ms: u64, key: Key, code: codes::Code) {
+        if let Some(open) = self.open_mut(key) {
+            open.give_up(now_ms, code);
+        }
+        self.watch(key);
+    }
+
+    /// See [`jobs::Open::decide`].
+    pub fn decide(&mut self, now_ms: u64, task: jobs::TaskKey, decided: jobs::Decided) {
+        if let Some(open) = self.open_mut(task.submission) {
+            open.decide(now_ms, task.index, decided);
+        }
+        self.watch(task.submission);
+    }
+
+    /// Notes when a submission that was given up is to be looked at again.
+    fn watch(&mut self, key: Key) {
+        let Some(Submission::Open(open)) = self.lines.get(key).map(|line| &line.submission) else {
+            return;
+        };
+        if let Some(verdict) = open.verdict() {
+            self.due.give_up(key, open, verdict.at_ms);
+        }
+    }
+
+    /// Changes an open submission; what may give it up goes through [`Table::give_up`]
+    /// and [`Table::decide`].
     pub fn open_mut(&mut self, key: Key) -> Option<&mut jobs::Open> {
         match &mut self.lines.get_mut(key)?.submission {
             Submission::Open(open) => Some(open),
@@ -129,11 +165,13 @@
     pub fn insert(&mut self, open: jobs::Open) -> Key {
         let name = (open.header.team.clone(), open.header.id.clone());
         let tag = self.epochs.current();
-        let submission = Submission::Open(open);
-        let key = self.lines.insert(Line {
-            submission,
-            tag,
-            is_refusal: false,
+        let key = self.lines.insert_with_key(|key| {
+            self.due.insert(key, &open);
+            Line {
+                submission: Submission::Open(open),
+                tag,
+                is_refusal: false,
+            }
         });
         self.names.insert(name, key);
         self.open += 1;
@@ -165,8 +203,12 @@
 
     /// Ends a submission if all its tasks are decided, and gives its answer then.
     pub fn settle(&mut self, key: Key, now_ms: u64) -> Option<api::Answer> {
-        let ended = self.open_at(key)?.end(now_ms)?;
         let line = self.lines.get_mut(key)?;
+        let Submission::Open(open) = &line.submission else {
+            return None;
+        };
+        let ended = open.end(now_ms)?;
+        self.due.remove(key, open);
         let answer = ended.answer.clone();
         line.submission = Submission::Ended(ended);
         line.tag = self.epochs.current();
--- /dev/null
+++ b/tests/unit/due.rs
@@ -0,0 +1,211 @@
+//! When submissions are due, against a look through all of them.
+
+use std::collections;
+
+use bulrushtiller::api;
+use bulrushtiller::codes;
+use bulrushtiller::ids;
+use bulrushtiller::jobs;
+use proptest::collection;
+use proptest::prelude::Strategy;
+use proptest::prop_assert_eq;
+use proptest::prop_oneof;
+use proptest::test_runner;
+use smol_str::SmolStr;
+
+use crate::fixed;
+
+const SETTLE_MS: u64 = 200;
+const KINDS: [&str; 3] = ["fit", "trace", "copy"];
+
+/// A task's kind, by its place in [`KINDS`], and its declared run time.
+type Task = (usize, u32);
+
+#[derive(Clone, Debug, PartialEq)]
+enum Step {
+    Insert { deadline_ms: u64, tasks: Vec<Task> },
+    GiveUp(usize),
+    Decide(usize, u32, api::Fate),
+    Settle(usize),
+    Learn([Option<u64>; 3], u64),
+    Wait(u64),
+}
+
+fn any_step() -> impl Strategy<Value = Step> {
+    let fate = proptest::sample::select(vec![api::Fate::Ran, api::Fate::Ran, api::Fate::Failed]);
+    let tasks = collection::vec((0_usize..3, 0_u32..400), 1..4);
+    let learned = proptest::array::uniform3(proptest::option::of(0_u64..900));
+    prop_oneof![
+        4 => (1_u64..1_500, tasks).prop_map(|(deadline_ms, tasks)| Step::Insert {
+            deadline_ms,
+            tasks
+        }),
+        1 => (0_usize..40).prop_map(Step::GiveUp),
+        6 => (0_usize..40, 0_u32..4, fate).prop_map(|(at, index, fate)| {
+            Step::Decide(at, index, fate)
+        }),
+        2 => (0_usize..40).prop_map(Step::Settle),
+        1 => (learned, 0_u64..4).prop_map(|(means, ratio)| Step::Learn(means, ratio)),
+        3 => (0_u64..300).prop_map(Step::Wait),
+    ]
+}
+
+/// Estimates as the learning slice gives them: the mean, or the declared time scaled.
+#[derive(Clone, Copy, Debug, Default)]
+struct Learned {
+    means: [Option<u64>; 3],
+    ratio: u64,
+}
+
+impl Learned {
+    fn run_ms(&self, kind: &str, declared_ms: u64) -> Option<u64> {
+        let at = KINDS.iter().position(|known| *known == kind)?;
+        let mean = self.means[at]?;
+        let is_scaled = declared_ms > 0 && self.ratio > 0;
+        Some(if is_scaled {
+            declared_ms * self.ratio
+        } else {
+            mean
+        })
+    }
+}
+
+struct Sut {
+    table: jobs::Table,
+    keys: Vec<jobs::Key>,
+    learned: Learned,
+    now_ms: u64,
+}
+
+impl Sut {
+    fn new() -> Self {
+        Self {
+            table: jobs::Table::new(0),
+            keys: Vec::new(),
+            learned: Learned::default(),
+            now_ms: 0,
+        }
+    }
+
+    fn step(&mut self, step: &Step) {
+        let at = |at: &usize| self.keys.get(*at).copied().unwrap_or_default();
+        match step {
+            Step::Insert { deadline_ms, tasks } => self.insert(self.now_ms + deadline_ms, tasks),
+            Step::GiveUp(which) => {
+                let code = codes::Code::CancelledNotRun;
+                self.table.give_up(self.now_ms, at(which), code);
+            }
+            Step::Decide(which, index, fate) => {
+                let task = jobs::TaskKey {
+                    submission: at(which),
+                    index: *index,
+                };
+                self.table.decide(self.now_ms, task, decided(*fate));
+            }
+            Step::Settle(which) => drop(self.table.settle(at(which), self.now_ms)),
+            Step::Learn(means, ratio) => {
+                self.learned = Learned {
+                    means: *means,
+                    ratio: *ratio,
+                };
+            }
+            Step::Wait(ms) => self.now_ms += ms,
+        }
+    }
+
+    fn insert(&mut self, deadline_ms: u64, tasks: &[Task]) {
+        let header = jobs::Header {
+            id: ids::SubmissionId::Own(smol_str::format_smolstr!("{}", self.keys.len())),
+            team: "escola".into(),
+            fingerprint: 1,
+            arrived_ms: self.now_ms,
+            deadline_ms,
+            is_idempotent: false,
+        };
+        let task = |(kind, run_ms): &Task| api::Task {
+            kind: SmolStr::new_static(KINDS[*kind]),
+            run_ms: *run_ms,
+            ..api::Task::default()
+        };
+        let tasks = tasks.iter().map(task).collect();
+        let key = self.table.insert(jobs::Open::new(header, tasks));
+        self.keys.push(key);
+    }
+
+    /// Keys of the open submissions for which that is true, by a look at each.
+    fn scan(&self, is_due: impl Fn(&jobs::Open) -> bool) -> collections::BTreeSet<jobs::Key> {
+        let keys = self.table.open_keys().into_iter();
+        let is_due = |key: &jobs::Key| self.table.open_at(*key).is_some_and(&is_due);
+        keys.filter(is_due).collect()
+    }
+
+    /// Less time left than half of what its longest task with a learned time takes.
+    fn is_near(&self, open: &jobs::Open) -> bool {
+        let learned = |task: &api::Task| self.learned.run_ms(&task.kind, task.run_ms.into());
+        let longest = open.tasks.iter().filter_map(learned).max();
+        let left_ms = open.header.deadline_ms.saturating_sub(self.now_ms);
+        open.verdict().is_none() && longest.is_some_and(|longest| left_ms < longest / 2)
+    }
+
+    fn naive_overdue(&self) -> collections::BTreeSet<jobs::Key> {
+        self.scan(|open| open.verdict().is_none() && open.header.deadline_ms <= self.now_ms)
+    }
+
+    fn naive_unsettled(&self) -> collections::BTreeSet<jobs::Key> {
+        let is_due = |verdict: jobs::Verdict| verdict.at_ms + SETTLE_MS <= self.now_ms;
+        self.scan(|open| open.verdict().is_some_and(is_due))
+    }
+
+    fn unsettled(&self) -> collections::BTreeSet<jobs::Key> {
+        let last_ms = self.now_ms.checked_sub(SETTLE_MS);
+        let due = last_ms.map(|last_ms| self.table.due().given_up_by(last_ms));
+        due.unwrap_or_default().into_iter().collect()
+    }
+
+    /// What [`jobs::due::Due::nearing`] gives, of which the entry then looks at each.
+    fn nearing(&self) -> collections::BTreeSet<jobs::Key> {
+        let learned_ms =
+            |_: &SmolStr, kind: &SmolStr, declared_ms| self.learned.run_ms(kind, declared_ms);
+        let found = self
+            .table
+            .due()
+            .nearing(self.now_ms, learned_ms)
+            .into_iter();
+        let is_near = |key: &jobs::Key| {
+            let open = self.table.open_at(*key);
+            open.is_some_and(|open| self.is_near(open))
+        };
+        found.filter(is_near).collect()
+    }
+}
+
+fn decided(fate: api::Fate) -> jobs::Decided {
+    jobs::Decided {
+        fate,
+        ..jobs::Decided::not_run(codes::Code::TaskFailed)
+    }
+}
+
+// Submissions come, are given up, end and go on waiting while what their tasks take is
+// learned anew. What a user would see if one were passed over: no answer at its deadline.
+#[test]
+fn what_is_due_equals_a_look_through_all() {
+    let steps = collection::vec(any_step(), 1..120);
+    let mut runner = test_runner::TestRunner::new(fixed::cases(400));
+
+    let verdict = runner.run(&steps, |steps| {
+        let mut sut = Sut::new();
+        for step in &steps {
+            sut.step(step);
+            let overdue: collections::BTreeSet<_> =
+                sut.table.due().overdue(sut.now_ms).into_iter().collect();
+            let near = sut.scan(|open| sut.is_near(open));
+            prop_assert_eq!(&overdue, &sut.naive_overdue());
+            prop_assert_eq!(sut.unsettled(), sut.naive_unsettled());
+            prop_assert_eq!(sut.nearing(), near);
+        }
+        Ok(())
+    });
+
+    assert_eq!(verdict, Ok(()));
+}
--- a/tests/unit/main.rs
+++ b/tests/unit/main.rs
@@ -6,6 +6,7 @@
 mod claims;
 mod codes;
 mod dispatching;
+mod due;
 mod entry;
 mod fixed;
 mod freshness;
