Keep summaries of answers after a stated time, and not the whole

Cause: every answer was kept whole for 120 to 240 s, so that a repeat starts nothing and is told the same.

timeouts.answer_ms: for so long after an answer was told or asked for it is whole. Then the fingerprint, the code and the tasks' fates, run by run, are left; a complete answer becomes 206, "every task ran; the outputs are no longer kept", in the class that says "without a complete answer", so that no client takes it for whole. The default is retain_ms's, so today's promise holds. The entry's own pauses don't count. No rule ties the key to retain_ms: folders accepted before would be refused. The lines are boxed, and hold id and team no longer a second time.

Ruled out: forgetting early (a repeat would be 303, weaker than what is known), the log (several hundred appends a second), compressing (the outputs stay, which are the most).

Tests: unit `remembering`, a property test against a list of when each was told last among them; trials with three faults (a ms too long, asking passed over, pauses counted) were each found.

Left: the index by team and ticket, most of a summary's bytes.

--- a/measure/src/bin/slopes.rs
+++ b/measure/src/bin/slopes.rs
@@ -38,11 +38,22 @@
     points.extend([1, 4, 8].map(slopes::runner::loads));
     points.extend([10, 50, 250].map(slopes::settings::changes));
     for count in [1_000, 10_000, 100_000] {
-        points.push(memory(
-            "entry: one remembered submission",
-            count,
-            slopes::entry::remember,
-        ));
+        let what = "entry: one submission of one task remembered, whole";
+        points.push(memory(what, count, |count| {
+            slopes::entry::remember(count, 1)
+        }));
+        let what = "entry: one submission of one task remembered, summary";
+        let remember = |count| slopes::entry::remember_long(count, 1);
+        points.push(memory(what, count, remember));
+    }
+    for count in [100, 1_000, 10_000] {
+        let what = "entry: one submission of 20 tasks remembered, whole";
+        points.push(memory(what, count, |count| {
+            slopes::entry::remember(count, 20)
+        }));
+        let what = "entry: one submission of 20 tasks remembered, summary";
+        let remember = |count| slopes::entry::remember_long(count, 20);
+        points.push(memory(what, count, remember));
     }
     for count in [1_000, 10_000, 100_000] {
         points.push(memory(
--- a/measure/src/slopes/entry.rs
+++ b/measure/src/slopes/entry.rs
@@ -105,17 +105,29 @@
     }
 }
 
-/// An entry that remembers so many ended submissions of one task.
-pub fn remember(submissions: u64) -> core::Core {
+/// An entry that remembers so many ended submissions of so many tasks.
+pub fn remember(submissions: u64, tasks: usize) -> core::Core {
     let mut entry = fixtures::entry(10);
     let team = SmolStr::new_static(fixtures::TEAM);
     for at in 0..submissions {
-        let (_, actions) = entry.submit(fixtures::NOW_MS, &team, fixtures::submission(1));
+        let (_, actions) = entry.submit(fixtures::NOW_MS, &team, fixtures::submission(tasks));
         answer_all(&mut entry, fixtures::NOW_MS, actions, at * 10);
     }
     entry
 }
 
+/// The same after the time for which answers are kept whole.
+pub fn remember_long(submissions: u64, tasks: usize) -> core::Core {
+    /// No gap between two ticks may look as if the process had stood still.
+    const STEP_MS: usize = 1_000;
+    let mut entry = remember(submissions, tasks);
+    let whole_ms = u64::from(entry.settings().timeouts.retain_ms);
+    for passed_ms in (0..=whole_ms).step_by(STEP_MS) {
+        entry.tick(fixtures::NOW_MS + passed_ms);
+    }
+    entry
+}
+
 /// An entry that has one submission with so many tasks waiting.
 pub fn hold(tasks: u64) -> core::Core {
     let mut entry = fixtures::entry(0);
--- a/src/codes.rs
+++ b/src/codes.rs
@@ -107,6 +107,9 @@
     /// The worker stopped a task because its lease was not renewed.
     LeaseLapsed = 205, "a task was stopped when its lease lapsed";
 
+    /// It was complete, and its outputs were given up to save memory.
+    OutputsExpired = 206, "every task ran; the outputs are no longer kept";
+
     /// A runner was lost with tasks on it.
     RunnerLost = 300, "a runner was lost while it may have been running a task";
     /// The owner of the submission is gone.
--- a/src/entry/calls.rs
+++ b/src/entry/calls.rs
@@ -163,7 +163,7 @@
     ) -> (Reply, Vec<core::Action>) {
         let fingerprint = fingerprint(&submission);
         if let Some(key) = self.jobs.find(team, &id) {
-            return (self.repeated(key, fingerprint), Vec::new());
+            return (self.repeated(now_ms, key, fingerprint, id), Vec::new());
         }
         let is_known_to_caller = submission.submission.is_some();
         let deadline = submission.deadline_ms;
@@ -192,17 +192,26 @@
     }
 
     /// A repeat is answered from what the first one came to, never started anew.
-    fn repeated(&self, key: jobs::Key, fingerprint: u64) -> Reply {
-        match self.jobs.get(key) {
-            Some(known) if known.header().fingerprint != fingerprint => {
-                let id = Some(known.header().id.clone());
-                Reply::plain(id, codes::Code::ContentConflict, true)
-            }
-            Some(jobs::table::Submission::Ended(ended)) => {
-                Reply::Answer(Box::new(ended.answer.clone()))
-            }
-            _ => Reply::Open(key),
+    fn repeated(
+        &mut self,
+        now_ms: u64,
+        key: jobs::Key,
+        fingerprint: u64,
+        id: ids::SubmissionId,
+    ) -> Reply {
+        let known = self.jobs.get(key);
+        if known.is_some_and(|known| known.fingerprint() != fingerprint) {
+            return Reply::plain(Some(id), codes::Code::ContentConflict, true);
         }
+        self.told_again(now_ms, key, &id)
+    }
+
+    /// What is kept of the answer, or that it is to be waited for.
+    fn told_again(&mut self, now_ms: u64, key: jobs::Key, id: &ids::SubmissionId) -> Reply {
+        self.jobs.ask(now_ms, key);
+        let known = self.jobs.get(key);
+        let answer = known.and_then(|known| known.answer(Some(id)));
+        answer.map_or(Reply::Open(key), |answer| Reply::Answer(Box::new(answer)))
     }
 
     /// Refuses a submission; one that may come again is refused for good.
@@ -258,7 +267,7 @@
     }
 
     /// A caller asks for an answer.
-    pub fn fetch(&self, now_ms: u64, team: &SmolStr, id: &ids::SubmissionId) -> Reply {
+    pub fn fetch(&mut self, now_ms: u64, team: &SmolStr, id: &ids::SubmissionId) -> Reply {
         match self.owner(now_ms, team, id) {
             Owner::Other { owner, if_silent } => Reply::forward(owner, if_silent),
             Owner::Unknown(code, is_final) => Reply::plain(Some(id.clone()), code, is_final),
@@ -266,22 +275,17 @@
             Owner::Unclaimed(_) => {
                 Reply::plain(Some(id.clone()), codes::Code::UnknownSubmission, false)
             }
-            Owner::Here => self.fetch_here(team, id),
+            Owner::Here => self.fetch_here(now_ms, team, id),
         }
     }
 
-    fn fetch_here(&self, team: &SmolStr, id: &ids::SubmissionId) -> Reply {
+    fn fetch_here(&mut self, now_ms: u64, team: &SmolStr, id: &ids::SubmissionId) -> Reply {
         let Some(key) = self.jobs.find(team, id) else {
             let code = self.past_use(team, id);
             let code = code.unwrap_or(codes::Code::UnknownSubmission);
             return Reply::plain(Some(id.clone()), code, true);
         };
-        match self.jobs.get(key) {
-            Some(jobs::table::Submission::Ended(ended)) => {
-                Reply::Answer(Box::new(ended.answer.clone()))
-            }
-            _ => Reply::Open(key),
-        }
+        self.told_again(now_ms, key, id)
     }
 
     /// A caller cancels.
@@ -304,7 +308,7 @@
     pub fn pending(&self, now_ms: u64, key: jobs::Key) -> Option<api::Answer> {
         match self.jobs.get(key)? {
             jobs::table::Submission::Open(open) => Some(answer::pending(open, now_ms)),
-            jobs::table::Submission::Ended(ended) => Some(ended.answer.clone()),
+            ended => ended.answer(None),
         }
     }
 
--- a/src/entry/tick.rs
+++ b/src/entry/tick.rs
@@ -22,6 +22,7 @@
         self.mind_pause(now_ms);
         let timeouts = self.settings.timeouts;
         self.jobs.advance(now_ms, timeouts.retain_ms.into());
+        self.jobs.shorten(now_ms, timeouts.answer_ms.into());
         let dead_after = u64::from(timeouts.dead_after_ms);
         self.tick_load(now_ms);
         let mut actions = self.end_overdue(now_ms);
@@ -60,6 +61,7 @@
         self.last_tick_ms = now_ms;
         if gap > PAUSE_MS {
             self.members.forgive(gap);
+            self.jobs.forgive(gap);
         }
     }
 
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -1,10 +1,12 @@
 //! Submissions: what was taken in, what became of each task, and the one answer.
 //!
 //! A submission is [`Open`] until every task's fate is decided, and then [`Ended`]
-//! for good. Only the second has an answer, so an answer is never partial.
+//! for good; a [`summary::Summary`] is all that is left of it after a time. Only what is
+//! over has an answer, so an answer is never partial.
 
 pub mod answer;
 pub mod due;
+pub mod summary;
 pub mod table;
 
 use std::collections;
@@ -129,8 +131,8 @@
 /// A submission that is over, with its answer.
 #[derive(Clone, Debug)]
 pub struct Ended {
-    /// What stays the same.
-    pub header: Header,
+    /// Tells a repeat from another submission under the same id.
+    pub fingerprint: u64,
     /// The final answer.
     pub answer: api::Answer,
 }
@@ -234,7 +236,7 @@
         }
         let answer = answer::compose(self, now_ms);
         Some(Ended {
-            header: self.header.clone(),
+            fingerprint: self.header.fingerprint,
             answer,
         })
     }
--- a/src/jobs/table.rs
+++ b/src/jobs/table.rs
@@ -9,6 +9,7 @@
 use crate::ids;
 use crate::jobs;
 use crate::jobs::due;
+use crate::jobs::summary;
 use crate::window;
 
 slotmap::new_key_type! {
@@ -16,21 +17,33 @@
     pub struct Key;
 }
 
-/// A submission in either part of its life.
+/// A submission in any part of its life; boxed, so that most lines are small.
 #[derive(Clone, Debug)]
 pub enum Submission {
     /// Not all tasks are decided.
-    Open(jobs::Open),
-    /// Over.
-    Ended(jobs::Ended),
+    Open(Box<jobs::Open>),
+    /// Over, with the whole answer.
+    Ended(Box<jobs::Ended>),
+    /// Over for long.
+    Summary(Box<summary::Summary>),
 }
 
 impl Submission {
-    /// What stays the same through both parts.
-    pub const fn header(&self) -> &jobs::Header {
+    /// Tells a repeat from another submission under the same id.
+    pub fn fingerprint(&self) -> u64 {
         match self {
-            Self::Open(open) => &open.header,
-            Self::Ended(ended) => &ended.header,
+            Self::Open(open) => open.header.fingerprint,
+            Self::Ended(ended) => ended.fingerprint,
+            Self::Summary(summary) => summary.fingerprint,
+        }
+    }
+
+    /// The final answer, as far as it is kept, to a call that names this id.
+    pub fn answer(&self, id: Option<&ids::SubmissionId>) -> Option<api::Answer> {
+        match self {
+            Self::Open(_) => None,
+            Self::Ended(ended) => Some(ended.answer.clone()),
+            Self::Summary(summary) => Some(summary.answer(id.cloned())),
         }
     }
 }
@@ -43,6 +56,8 @@
 struct Line {
     submission: Submission,
     tag: u64,
+    /// When its answer was last told or asked for, without pauses of this process.
+    told_ms: u64,
     is_refusal: bool,
 }
 
@@ -56,6 +71,9 @@
     lines: slotmap::SlotMap<Key, Line>,
     names: collections::HashMap<Name, Key>,
     due: due::Due,
+    /// Whole answers, and when they were told.
+    told: collections::VecDeque<(u64, Key)>,
+    paused_ms: u64,
     open: usize,
     refusals: usize,
 }
@@ -68,6 +86,8 @@
             lines: slotmap::SlotMap::with_key(),
             names: collections::HashMap::new(),
             due: due::Due::default(),
+            told: collections::VecDeque::new(),
+            paused_ms: 0,
             open: 0,
             refusals: 0,
         }
@@ -107,7 +127,7 @@
     pub fn open_at(&self, key: Key) -> Option<&jobs::Open> {
         match self.get(key)? {
             Submission::Open(open) => Some(open),
-            Submission::Ended(_) => None,
+            Submission::Ended(_) | Submission::Summary(_) => None,
         }
     }
 
@@ -147,7 +167,7 @@
     pub fn open_mut(&mut self, key: Key) -> Option<&mut jobs::Open> {
         match &mut self.lines.get_mut(key)?.submission {
             Submission::Open(open) => Some(open),
-            Submission::Ended(_) => None,
+            Submission::Ended(_) | Submission::Summary(_) => None,
         }
     }
 
@@ -168,8 +188,9 @@
         let key = self.lines.insert_with_key(|key| {
             self.due.insert(key, &open);
             Line {
-                submission: Submission::Open(open),
+                submission: Submission::Open(Box::new(open)),
                 tag,
+                told_ms: 0,
                 is_refusal: false,
             }
         });
@@ -188,14 +209,20 @@
         if self.refusals >= MAX_REFUSALS {
             return false;
         }
-        let name = (header.team.clone(), header.id.clone());
+        let name = (header.team, header.id);
         let tag = self.epochs.current();
-        let submission = Submission::Ended(jobs::Ended { header, answer });
+        let told_ms = header.arrived_ms.saturating_sub(self.paused_ms);
+        let ended = jobs::Ended {
+            fingerprint: header.fingerprint,
+            answer,
+        };
         let key = self.lines.insert(Line {
-            submission,
+            submission: Submission::Ended(Box::new(ended)),
             tag,
+            told_ms,
             is_refusal: true,
         });
+        self.told.push_back((told_ms, key));
         self.names.insert(name, key);
         self.refusals += 1;
         true
@@ -210,12 +237,46 @@
         let ended = open.end(now_ms)?;
         self.due.remove(key, open);
         let answer = ended.answer.clone();
-        line.submission = Submission::Ended(ended);
+        line.submission = Submission::Ended(Box::new(ended));
         line.tag = self.epochs.current();
+        line.told_ms = now_ms.saturating_sub(self.paused_ms);
+        self.told.push_back((line.told_ms, key));
         self.open -= 1;
         Some(answer)
     }
 
+    /// A caller asks for the answer: it stays whole for a while longer.
+    pub fn ask(&mut self, now_ms: u64, key: Key) {
+        if let Some(line) = self.lines.get_mut(key) {
+            line.told_ms = now_ms.saturating_sub(self.paused_ms);
+        }
+    }
+
+    /// This process stood still for so long, and nobody could ask for an answer.
+    pub const fn forgive(&mut self, paused_ms: u64) {
+        self.paused_ms += paused_ms;
+    }
+
+    /// Keeps only summaries of answers that nobody was told or asked for in that time.
+    pub fn shorten(&mut self, now_ms: u64, whole_ms: u64) {
+        let now_ms = now_ms.saturating_sub(self.paused_ms);
+        while let Some((told_ms, key)) = self.told.front().copied() {
+            if told_ms.saturating_add(whole_ms) > now_ms {
+                return;
+            }
+            self.told.pop_front();
+            let Some(line) = self.lines.get_mut(key) else {
+                continue;
+            };
+            if line.told_ms > told_ms {
+                self.told.push_back((line.told_ms, key));
+            } else if let Submission::Ended(ended) = &line.submission {
+                let summary = summary::Summary::from(ended.as_ref());
+                line.submission = Submission::Summary(Box::new(summary));
+            }
+        }
+    }
+
     /// Begins another epoch when it is time, and forgets what may be forgotten:
     /// what is over, and whose ticket would be refused if it came again.
     pub fn advance(&mut self, now_ms: u64, retain_ms: u64) {
@@ -223,17 +284,16 @@
             return;
         }
         let epochs = self.epochs;
-        let names = &mut self.names;
         let refusals = &mut self.refusals;
         self.lines.retain(|_, line| {
             let is_open = matches!(line.submission, Submission::Open(_));
             let is_kept = is_open || epochs.contains(line.tag);
             if !is_kept {
-                let header = line.submission.header();
-                names.remove(&(header.team.clone(), header.id.clone()));
                 *refusals -= usize::from(line.is_refusal);
             }
             is_kept
         });
+        let lines = &self.lines;
+        self.names.retain(|_, key| lines.contains_key(*key));
     }
 }
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -282,6 +282,7 @@
     );
     fields.whole("drain_ms", &mut timeouts.drain_ms, &ranges::DRAIN_MS);
     fields.whole("retain_ms", &mut timeouts.retain_ms, &ranges::RETAIN_MS);
+    fields.whole("answer_ms", &mut timeouts.answer_ms, &ranges::ANSWER_MS);
     fields.whole(
         "checkpoint_ms",
         &mut timeouts.checkpoint_ms,
--- a/src/settings/checked.rs
+++ b/src/settings/checked.rs
@@ -116,6 +116,8 @@
     pub drain_ms: u32,
     /// How long answers and started tasks are remembered.
     pub retain_ms: u32,
+    /// How long answers are kept with their outputs after they were told or asked for.
+    pub answer_ms: u32,
     /// Age of the last checkpoint after which another is written.
     pub checkpoint_ms: u32,
 }
@@ -132,6 +134,7 @@
             deadline_ms: 60_000,
             drain_ms: 40_000,
             retain_ms: 120_000,
+            answer_ms: 120_000,
             checkpoint_ms: 60_000,
         }
     }
--- a/src/settings/ranges.rs
+++ b/src/settings/ranges.rs
@@ -68,6 +68,8 @@
 pub const DRAIN_MS: Whole = 0..=120 * MINUTE_MS;
 /// `timeouts.retain_ms`.
 pub const RETAIN_MS: Whole = 1_000..=240 * MINUTE_MS;
+/// `timeouts.answer_ms`.
+pub const ANSWER_MS: Whole = 1_000..=240 * MINUTE_MS;
 /// `timeouts.checkpoint_ms`.
 pub const CHECKPOINT_MS: Whole = 100..=60 * MINUTE_MS;
 
--- a/tests/unit/main.rs
+++ b/tests/unit/main.rs
@@ -20,6 +20,7 @@
 mod placement;
 mod queue;
 mod ramp;
+mod remembering;
 mod retry;
 mod runner;
 mod settings;
--- a/tests/unit/settings/check.rs
+++ b/tests/unit/settings/check.rs
@@ -79,6 +79,7 @@
 )]
 #[case::drain_too_short("[timeouts]\ndrain_ms = 31999\n", codes::Code::SettingsImpossible, 2)]
 #[case::forgets("[timeouts]\nretain_ms = 35999\n", codes::Code::SettingsImpossible, 2)]
+#[case::answer("[timeouts]\nanswer_ms = 999\n", codes::Code::SettingsImpossible, 2)]
 #[case::payload(
     "[limits]\n\nmax_body_bytes = 1024\n",
     codes::Code::SettingsImpossible,
--- a/tests/unit/settings/pages.rs
+++ b/tests/unit/settings/pages.rs
@@ -13,7 +13,7 @@
 use super::fixtures;
 
 /// Whole numbers and ratios that the page lists.
-const LISTED_KEYS: usize = 30;
+const LISTED_KEYS: usize = 31;
 
 /// One row of the page's table of keys.
 struct Row {
