Show every bad file of a settings folder, and refuse a sync of one read in part

Cause: `config check` on a folder with one file that is not UTF-8 ended with 603 for that file and told nothing of the others; a link to nothing was passed over like a file that is not there, so that `sync` would have taken its keys out of force; a file that is no TOML hid the unknown keys of the others.

Ruled out: to change what processes check. They must refuse a folder for the same first class of problems everywhere; only the tool goes on, with the files at fault left out.

After: tests of a folder of five bad files show five, each with its file, line and number, and `sync` of a folder with a dead link ends before it calls anybody.

--- a/src/cmd/config/check.rs
+++ b/src/cmd/config/check.rs
@@ -7,8 +7,8 @@
 
 use crate::cli;
 use crate::cli::flags;
+use crate::cmd;
 use crate::cmd::answer;
-use crate::settings;
 use crate::settings::problem;
 
 const USAGE: &str = "
@@ -17,7 +17,8 @@
 Usage:
     bulrushtiller config check FOLDER [options]
 
-Each problem is printed as FILE:LINE: REASON (NUMBER).
+Each problem is printed as FILE:LINE: REASON (NUMBER). A file that is at fault is left
+out when the others are checked against each other.
 
 Options:
     --json          Print {\"ok\": ..., \"files\": N, \"problems\": [...]}
@@ -50,17 +51,18 @@
         return Ok(());
     };
     let args = Args::parse(args)?;
-    let files = cli::folder::read(&args.folder)?;
-    let problems = settings::check_folder(&files).err().unwrap_or_default();
+    let folder = cli::folder::read(&args.folder)?;
+    let files = folder.files.len() + folder.unread.len();
+    let problems = cmd::config::problems(&folder);
     if args.json {
         let report = Report {
             ok: problems.is_empty(),
-            files: files.len(),
+            files,
             problems: &problems,
         };
         cli::out::json(&report)?;
     } else {
-        print_text(files.len(), &problems)?;
+        print_text(files, &problems)?;
     }
     let code = problems.first().map(|problem| problem.code);
     code.map_or(Ok(()), answer::end)
--- a/src/cmd/config/diff.rs
+++ b/src/cmd/config/diff.rs
@@ -77,14 +77,14 @@
         return Ok(());
     };
     let args = Args::parse(args)?;
-    let files = cli::folder::read(&args.folder)?;
-    let merged = cmd::config::checked(&files)?;
+    let folder = cli::folder::read(&args.folder)?;
+    let merged = cmd::config::checked(&folder)?;
     let sources = args.config.sources()?;
     let state = cmd::block_on(async {
         let http = client::Http::open();
         follow::in_force(&http, sources).await
     })?;
-    let report = compare(&state, &files, &merged);
+    let report = compare(&state, &folder.files, &merged);
     if args.json {
         cli::out::json(&report)?;
     } else {
--- a/src/cmd/config/mod.rs
+++ b/src/cmd/config/mod.rs
@@ -7,6 +7,7 @@
 use crate::codes;
 use crate::settings::check as settings_check;
 use crate::settings::merge;
+use crate::settings::problem;
 
 pub mod check;
 pub mod diff;
@@ -49,12 +50,33 @@
     }
 }
 
+/// Every problem of a folder, also those that the first ones would hide.
+///
+/// Processes refuse a folder for its first class of problems, in which they all agree.
+/// An operator wants the others as well: the files at fault are left out, and the rest
+/// is checked again.
+fn problems(folder: &cli::folder::Folder) -> Vec<problem::Problem> {
+    let mut problems = folder.unread.clone();
+    let mut files = folder.files.clone();
+    while let Err(found) = settings_check::check_folder(&files) {
+        let before = files.len();
+        files.retain(|name, _text| found.iter().all(|problem| problem.file != *name));
+        problems.extend(found);
+        if files.len() == before {
+            break;
+        }
+    }
+    problems
+}
+
 /// Merges a folder; prints its problems and ends if there are any.
-fn checked(files: &merge::Files) -> cli::CliResult<merge::Merged> {
-    let problems = match settings_check::merge_checked(files) {
-        Ok((_settings, merged)) => return Ok(merged),
-        Err(problems) => problems,
-    };
+fn checked(folder: &cli::folder::Folder) -> cli::CliResult<merge::Merged> {
+    if folder.unread.is_empty()
+        && let Ok((_settings, merged)) = settings_check::merge_checked(&folder.files)
+    {
+        return Ok(merged);
+    }
+    let problems = problems(folder);
     for problem in &problems {
         cli::out::note(format_args!("{problem} ({})", problem.code.number()));
     }
--- a/src/cmd/config/sync.rs
+++ b/src/cmd/config/sync.rs
@@ -55,14 +55,14 @@
         return Ok(());
     };
     let args = Args::parse(args)?;
-    let files = cli::folder::read(&args.folder)?;
-    if files.is_empty() && !args.allow_empty {
+    let folder = cli::folder::read(&args.folder)?;
+    cmd::config::checked(&folder)?;
+    if folder.files.is_empty() && !args.allow_empty {
         let folder = args.folder.display();
         let text = format!("{folder} has no *.toml; --allow-empty removes everything");
         return Err(cli::CliError::Usage(text));
     }
-    cmd::config::checked(&files)?;
-    let outcome = cmd::block_on(sync(&args, files))?;
+    let outcome = cmd::block_on(sync(&args, folder.files))?;
     if outcome.changes.is_empty() {
         cli::out::note("the folder in force is equal already");
     }
--- a/tests/cli/test_config_check.rs
+++ b/tests/cli/test_config_check.rs
@@ -1,5 +1,8 @@
 //! `config check`.
 
+use std::fs;
+use std::os::unix;
+
 use rstest::rstest;
 
 use super::workdir;
@@ -56,3 +59,56 @@
     assert_eq!(run.status, 7, "{run:?}");
     assert!(run.stderr.contains("603: none"), "{run:?}");
 }
+
+/// An operator mends a folder on a bad night. One file was saved as Latin-1, another is
+/// a link to nothing, a third is no TOML. Each of them alone would hide the rest, and a
+/// link passed over would look like a file that was removed.
+#[test]
+fn no_bad_file_hides_another() {
+    let dir = workdir::Workdir::new();
+    let latin = dir.create("bad/10-latin.toml", "");
+    fs::write(latin, b"[policy]\n# cami\xf3n\nramp_ms = 1\n").unwrap();
+    let link = dir.create("bad/20-link.toml", "");
+    fs::remove_file(&link).unwrap();
+    unix::fs::symlink("nowhere", &link).unwrap();
+    dir.create("bad/30-syntax.toml", "[policy\n");
+    dir.create("bad/40-key.toml", "[policy]\nram_ms = 1\n");
+    dir.create("bad/50-type.toml", "[limits]\nmax_job_tasks = \"x\"\n");
+
+    let run = dir.run(&["config", "check", "bad", "--json"]);
+
+    let report = run.json();
+    let problems = report["problems"].as_array().unwrap();
+    let found = problems.iter().map(|problem| {
+        let (file, line) = (&problem["file"], &problem["line"]);
+        format!("{}:{line} {}", file.as_str().unwrap(), problem["code"])
+    });
+    let found: Vec<_> = found.collect();
+    assert_eq!((run.status, &report["files"]), (6, &5.into()), "{run:?}");
+    assert_eq!(
+        found,
+        [
+            "10-latin.toml:2 500",
+            "20-link.toml:0 603",
+            "30-syntax.toml:1 500",
+            "40-key.toml:2 501",
+            "50-type.toml:2 502",
+        ]
+    );
+}
+
+/// The folder has a link to nothing in place of a file that is in force. Passed over, it
+/// would look removed, and `sync` would take its keys out of force without a word.
+#[test]
+fn sync_refuses_a_folder_that_it_can_not_read_whole() {
+    let dir = workdir::Workdir::new();
+    dir.create("folder/10-a.toml", "[policy]\nramp_ms = 2000\n");
+    let link = dir.create("folder/20-teams.toml", "");
+    fs::remove_file(&link).unwrap();
+    unix::fs::symlink("nowhere", &link).unwrap();
+
+    let run = dir.run(&["config", "sync", "folder", "--log", workdir::NOBODY]);
+
+    assert_eq!(run.status, 7, "{run:?}");
+    assert!(run.stderr.contains("20-teams.toml: No such"), "{run:?}");
+}
