Tell of mistyped zones, and show the leading entry and what was sent on

Cause, as a stranger to the tool found it on a site of processes: - `zone out nowhere` ended with "in force at every process" and status 0, so a mistyped name looked like a zone that is out. It is still accepted, since a zone may be out before its first process comes; the standard error says that no process is in it. `passed_on` alone was 0 in a trial of 140 jobs over two entries, although all of them ended at one: `load` takes its tickets ahead, and they are the leading entry's.

--- a/src/cli/config.rs
+++ b/src/cli/config.rs
@@ -50,8 +50,8 @@
         let lists: Vec<String> = args.values_from_str("--entries")?;
         Ok(Self {
             entries: lists.iter().flat_map(|list| split_list(list)).collect(),
-            token: args.opt_value_from_str("--token")?,
-            log: args.opt_value_from_str("--log")?,
+            token: flags::value(args, "--token")?,
+            log: flags::value(args, "--log")?,
         })
     }
 
@@ -109,7 +109,7 @@
 impl Config {
     /// Takes the common flags and reads the other sources.
     pub fn take(args: &mut pico_args::Arguments) -> cli::CliResult<Self> {
-        let path: Option<path::PathBuf> = args.opt_value_from_str("--config")?;
+        let path: Option<path::PathBuf> = flags::value(args, "--config")?;
         let given = RawConfig::from_flags(args)?.or(RawConfig::from_env());
         let file = match path {
             Some(path) => RawConfig::from_file(&path)?,
--- a/src/cli/flags.rs
+++ b/src/cli/flags.rs
@@ -2,6 +2,8 @@
 
 use std::env;
 use std::ffi;
+use std::fmt;
+use std::str;
 use std::time;
 
 use smol_str::SmolStr;
@@ -77,12 +79,26 @@
     }
 }
 
+/// Takes an option's value; the message names the option where it can't be read.
+pub fn value<T>(args: &mut pico_args::Arguments, key: &'static str) -> cli::CliResult<Option<T>>
+where
+    T: str::FromStr,
+    T::Err: fmt::Display,
+{
+    match args.opt_value_from_str(key) {
+        Err(pico_args::Error::Utf8ArgumentParsingFailed { value, cause }) => Err(
+            cli::CliError::Usage(format!("{key}: failed to parse '{value}': {cause}")),
+        ),
+        other => Ok(other?),
+    }
+}
+
 /// Takes a time in milliseconds, up to [`MAX_TIME`].
 pub fn millis(
     args: &mut pico_args::Arguments,
     key: &'static str,
 ) -> cli::CliResult<Option<time::Duration>> {
-    let ms: Option<u64> = args.opt_value_from_str(key)?;
+    let ms: Option<u64> = value(args, key)?;
     let time = ms.map(time::Duration::from_millis);
     if time.is_some_and(|time| time > MAX_TIME) {
         let most = MAX_TIME.as_millis();
@@ -93,7 +109,7 @@
 
 /// Takes `--author`, or else the name of the user who is logged in.
 pub fn author(args: &mut pico_args::Arguments) -> cli::CliResult<SmolStr> {
-    let given: Option<SmolStr> = args.opt_value_from_str("--author")?;
+    let given: Option<SmolStr> = value(args, "--author")?;
     let user = || env::var("USER").ok().map(SmolStr::from);
     let author = given.or_else(user).unwrap_or_default();
     let good = author.len() <= ranges::MAX_AUTHOR_BYTES && !author.chars().any(char::is_control);
--- a/src/cli/folder.rs
+++ b/src/cli/folder.rs
@@ -68,8 +68,8 @@
 
 /// The line, from 1, that a place in a text is on.
 fn line_at(text: &[u8], place: usize) -> u32 {
-    let ends = text[..place].iter().filter(|b| **b == b'\n').count();
-    u32::try_from(ends + 1).unwrap_or(u32::MAX)
+    let lines = text[..place].split(|b| *b == b'\n').count();
+    u32::try_from(lines).unwrap_or(u32::MAX)
 }
 
 /// Reads one file.
--- a/src/client/survey.rs
+++ b/src/client/survey.rs
@@ -55,6 +55,8 @@
     pub running: Option<u64>,
     /// Whether it may start or hand out work now.
     pub fresh: Option<bool>,
+    /// The entry that decides while slots are scarce, as an entry sees it.
+    pub leader: Option<SmolStr>,
     /// Availability zones that it takes to be out of service.
     pub zones_out: Vec<SmolStr>,
     /// Given addresses without an answer, of which one may be this process's.
@@ -77,6 +79,7 @@
             queued: None,
             running: None,
             fresh: None,
+            leader: None,
             zones_out: Vec::new(),
             perhaps_at: Vec::new(),
         }
@@ -130,6 +133,7 @@
         self.queued = Some(status.queued);
         self.running = Some(status.running);
         self.fresh = Some(status.fresh);
+        self.leader.clone_from(&status.leader);
         self.zones_out.clone_from(&status.zones_out);
     }
 }
--- a/src/cmd/audit/mod.rs
+++ b/src/cmd/audit/mod.rs
@@ -97,14 +97,14 @@
 impl Args {
     fn parse(mut args: pico_args::Arguments) -> cli::CliResult<Self> {
         let config = cli::Config::take(&mut args)?;
-        let daemon: Option<SmolStr> = args.opt_value_from_str("--daemon")?;
+        let daemon: Option<SmolStr> = flags::value(&mut args, "--daemon")?;
         if let Some(address) = &daemon {
             flags::check_address(address)?;
         }
-        let result: Option<String> = args.opt_value_from_str("--result")?;
+        let result: Option<String> = flags::value(&mut args, "--result")?;
         let filter = Filter {
-            file: args.opt_value_from_str("--file")?,
-            author: args.opt_value_from_str("--author")?,
+            file: flags::value(&mut args, "--file")?,
+            author: flags::value(&mut args, "--author")?,
             result: result
                 .as_deref()
                 .map(change::Ending::try_from)
@@ -114,7 +114,7 @@
             config,
             daemon,
             filter,
-            from: args.opt_value_from_str("--from")?.unwrap_or(0),
+            from: flags::value(&mut args, "--from")?.unwrap_or(0),
             follow: args.contains("--follow"),
             json: args.contains("--json"),
         };
--- a/src/cmd/change/mod.rs
+++ b/src/cmd/change/mod.rs
@@ -73,7 +73,7 @@
 
 /// Takes `--base`.
 pub fn take_base(args: &mut pico_args::Arguments) -> cli::CliResult<Option<u64>> {
-    let text: Option<String> = args.opt_value_from_str("--base")?;
+    let text: Option<String> = flags::value(args, "--base")?;
     let Some(text) = text else {
         return Ok(None);
     };
@@ -90,7 +90,7 @@
 
 /// Takes `--id`, or else makes a new one.
 pub fn take_id(args: &mut pico_args::Arguments) -> cli::CliResult<SmolStr> {
-    let id: Option<SmolStr> = args.opt_value_from_str("--id")?;
+    let id: Option<SmolStr> = flags::value(args, "--id")?;
     let checked = id.map(|id| ids::check_name(&id)).transpose()?;
     Ok(checked.unwrap_or_else(publish::random_id))
 }
--- a/src/cmd/config/put.rs
+++ b/src/cmd/config/put.rs
@@ -33,7 +33,7 @@
 impl Args {
     fn parse(mut args: pico_args::Arguments) -> cli::CliResult<Self> {
         let options = change::Options::take(&mut args, false)?;
-        let name: Option<SmolStr> = args.opt_value_from_str("--name")?;
+        let name: Option<SmolStr> = flags::value(&mut args, "--name")?;
         let base = change::take_base(&mut args)?;
         let id = change::take_id(&mut args)?;
         let path = path::PathBuf::from(flags::one(args, "file")?);
--- a/src/cmd/config/show.rs
+++ b/src/cmd/config/show.rs
@@ -40,7 +40,7 @@
     fn parse(mut args: pico_args::Arguments) -> cli::CliResult<Self> {
         let parsed = Self {
             config: cli::Config::take(&mut args)?,
-            file: args.opt_value_from_str("--file")?,
+            file: flags::value(&mut args, "--file")?,
             json: args.contains("--json"),
         };
         flags::finish(args)?;
--- a/src/cmd/load/counters.rs
+++ b/src/cmd/load/counters.rs
@@ -10,15 +10,19 @@
 
 const WASTED: &str = "bulrushtiller_wasted_messages_total";
 const STARTED: &str = "bulrushtiller_tasks_started_total";
+const PASSED_ON: &str = "bulrushtiller_passed_on_total";
+const FORWARDED: &str = "bulrushtiller_submissions_forwarded_total";
 
 /// Longest wait for one entry's metrics.
 const METRICS_TIMEOUT: time::Duration = time::Duration::from_secs(3);
 
-/// The two counters, summed over the entries and over their labels.
+/// The counters, summed over the entries and over their labels.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Counters {
     wasted: f64,
     started: f64,
+    passed_on: f64,
+    forwarded: f64,
 }
 
 impl Counters {
@@ -31,6 +35,8 @@
             let one = Self::parse(&reply.text());
             sum.wasted += one.wasted;
             sum.started += one.started;
+            sum.passed_on += one.passed_on;
+            sum.forwarded += one.forwarded;
         }
         Some(sum)
     }
@@ -40,6 +46,8 @@
         Self {
             wasted: sum_of(text, WASTED),
             started: sum_of(text, STARTED),
+            passed_on: sum_of(text, PASSED_ON),
+            forwarded: sum_of(text, FORWARDED),
         }
     }
 
@@ -54,6 +62,14 @@
             per_task: (tasks > 0.0).then(|| messages / tasks),
         }
     }
+
+    /// Submissions that were sent on since `before`, likewise.
+    pub fn sent_on_since(self, before: Self) -> tally::SentOn {
+        tally::SentOn {
+            passed_on: (self.passed_on - before.passed_on).max(0.0),
+            forwarded: (self.forwarded - before.forwarded).max(0.0),
+        }
+    }
 }
 
 fn sum_of(text: &str, name: &str) -> f64 {
--- a/src/cmd/load/mod.rs
+++ b/src/cmd/load/mod.rs
@@ -75,18 +75,22 @@
             duration: time::Duration::from_secs_f64(seconds),
             job_size: count(&mut args, "--job-size", JOB_SIZE, MAX_JOB_SIZE)?,
             mix: mix(&mut args)?,
-            seed: args.opt_value_from_str("--seed")?.unwrap_or(SEED),
+            seed: flags::value(&mut args, "--seed")?.unwrap_or(SEED),
         };
         let bounds = drive::Bounds {
             open: count(&mut args, "--connections", OPEN, MAX_OPEN)?,
             deadline: flags::millis(&mut args, "--deadline-ms")?.unwrap_or(DEADLINE),
             idempotent: args.contains("--idempotent"),
         };
+        let slots = flags::value(&mut args, "--slots")?;
+        if slots == Some(0) {
+            return Err(cli::CliError::Usage("--slots is at least 1".to_owned()));
+        }
         let parsed = Self {
             config,
             plan,
             bounds,
-            slots: args.opt_value_from_str("--slots")?,
+            slots,
             json: args.contains("--json"),
         };
         flags::finish(args)?;
@@ -101,7 +105,7 @@
     usual: f64,
     range: ops::RangeInclusive<f64>,
 ) -> cli::CliResult<f64> {
-    let value: f64 = args.opt_value_from_str(key)?.unwrap_or(usual);
+    let value: f64 = flags::value(args, key)?.unwrap_or(usual);
     if range.contains(&value) {
         return Ok(value);
     }
@@ -116,7 +120,7 @@
     usual: usize,
     most: usize,
 ) -> cli::CliResult<usize> {
-    let value: usize = args.opt_value_from_str(key)?.unwrap_or(usual);
+    let value: usize = flags::value(args, key)?.unwrap_or(usual);
     if (1..=most).contains(&value) {
         return Ok(value);
     }
@@ -124,7 +128,7 @@
 }
 
 fn mix(args: &mut pico_args::Arguments) -> cli::CliResult<plan::Mix> {
-    let text: Option<String> = args.opt_value_from_str("--mix")?;
+    let text: Option<String> = flags::value(args, "--mix")?;
     text.as_deref().unwrap_or(MIX).parse()
 }
 
@@ -163,9 +167,10 @@
     let entries = entries::Entries::new(http.clone(), addresses, token);
     let (tally, elapsed) = drive::drive(entries, &args.plan, args.bounds).await;
     let after = counters::Counters::read(&http, addresses).await;
-    let wasted = before.zip(after).map(|(before, after)| after.since(before));
+    let both = before.zip(after);
     tally::Report {
-        wasted,
+        wasted: both.map(|(before, after)| after.since(before)),
+        sent_on: both.map(|(before, after)| after.sent_on_since(before)),
         ..tally.report(elapsed, args.slots)
     }
 }
@@ -235,6 +240,7 @@
             .map(|goodput| format!("goodput      {goodput:.3} of capacity")),
     );
     lines.push(wasted_line(report.wasted));
+    lines.extend(report.sent_on.map(sent_on_line));
     lines.join("\n") + "\n"
 }
 
@@ -243,6 +249,11 @@
     format!("{what:<12} {count} with {code} ({text})")
 }
 
+fn sent_on_line(sent_on: tally::SentOn) -> String {
+    let (passed_on, forwarded) = (sent_on.passed_on, sent_on.forwarded);
+    format!("sent on      {passed_on} to the leading entry, {forwarded} to that of their ticket")
+}
+
 fn wasted_line(wasted: Option<tally::Wasted>) -> String {
     let Some(wasted) = wasted else {
         return "wasted       not known, an entry's metrics could not be read".to_owned();
--- a/src/cmd/load/tally.rs
+++ b/src/cmd/load/tally.rs
@@ -100,6 +100,7 @@
             completed_task_ms_per_s: work_per_s,
             goodput: slots.map(|slots| work_per_s / (f64::from(slots) * SCALE)),
             wasted: None,
+            sent_on: None,
         }
     }
 
@@ -153,6 +154,16 @@
     pub per_task: Option<f64>,
 }
 
+/// Submissions that an entry sent on to another, from the entries' counters.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize)]
+pub struct SentOn {
+    /// To the leading entry, since slots were scarce.
+    pub passed_on: f64,
+    /// To the entry that minted their ticket.
+    pub forwarded: f64,
+}
+
 /// All figures.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize)]
@@ -177,4 +188,6 @@
     pub goodput: Option<f64>,
     /// Absent when an entry's counters could not be read.
     pub wasted: Option<Wasted>,
+    /// Absent likewise.
+    pub sent_on: Option<SentOn>,
 }
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -16,7 +16,8 @@
     bulrushtiller status [options]
 
 Columns: role, name, availability zone, state, revision of the settings in force
-there, slots in use, tasks waiting, tasks running, and whether it may start work.
+there, slots in use, tasks waiting, tasks running, whether it may start work, and the
+entry that decides while slots are scarce, as each entry sees it.
 
 Options:
     --json          Print a JSON array, one object a process
@@ -79,7 +80,7 @@
 
 fn render(processes: &[survey::Process]) -> String {
     let heading = [
-        "role", "name", "zone", "state", "revision", "busy", "queued", "running", "fresh",
+        "role", "name", "zone", "state", "revision", "busy", "queued", "running", "fresh", "leader",
     ];
     let mut table = cli::out::Table::new(&heading);
     for process in processes {
@@ -104,5 +105,6 @@
         cli::out::cell(process.queued),
         cli::out::cell(process.running),
         cli::out::cell(fresh),
+        cli::out::cell(process.leader.as_ref()),
     ]
 }
--- a/src/cmd/submit.rs
+++ b/src/cmd/submit.rs
@@ -80,8 +80,8 @@
         let deadline = flags::millis(&mut args, "--deadline-ms")?;
         let wait = flags::millis(&mut args, "--wait-ms")?;
         let idempotent = args.contains("--idempotent");
-        let id: Option<SmolStr> = args.opt_value_from_str("--submission")?;
-        let file: Option<path::PathBuf> = args.opt_value_from_str("--file")?;
+        let id: Option<SmolStr> = flags::value(&mut args, "--submission")?;
+        let file: Option<path::PathBuf> = flags::value(&mut args, "--file")?;
         let mut submission = match file {
             Some(path) => read_job(&path)?,
             None => job_from_flags(&mut args)?,
@@ -142,21 +142,19 @@
 }
 
 fn job_from_flags(args: &mut pico_args::Arguments) -> cli::CliResult<api::Submission> {
-    let count: usize = args.opt_value_from_str("--tasks")?.unwrap_or(1);
+    let count: usize = flags::value(args, "--tasks")?.unwrap_or(1);
     if count > MAX_TASKS {
         return Err(cli::CliError::Usage(format!(
             "--tasks is at most {MAX_TASKS}"
         )));
     }
     let task = api::Task {
-        kind: args.opt_value_from_str("--kind")?.unwrap_or_default(),
-        payload: args.opt_value_from_str("--payload")?.unwrap_or_default(),
-        cpu_milli: args.opt_value_from_str("--cpu-milli")?.unwrap_or_default(),
-        memory_mib: args.opt_value_from_str("--memory-mib")?.unwrap_or_default(),
-        accelerators: args
-            .opt_value_from_str("--accelerators")?
-            .unwrap_or_default(),
-        run_ms: args.opt_value_from_str("--run-ms")?.unwrap_or_default(),
+        kind: flags::value(args, "--kind")?.unwrap_or_default(),
+        payload: flags::value(args, "--payload")?.unwrap_or_default(),
+        cpu_milli: flags::value(args, "--cpu-milli")?.unwrap_or_default(),
+        memory_mib: flags::value(args, "--memory-mib")?.unwrap_or_default(),
+        accelerators: flags::value(args, "--accelerators")?.unwrap_or_default(),
+        run_ms: flags::value(args, "--run-ms")?.unwrap_or_default(),
     };
     Ok(api::Submission {
         submission: None,
--- a/src/cmd/zone.rs
+++ b/src/cmd/zone.rs
@@ -86,15 +86,24 @@
 
 fn switch(args: pico_args::Arguments, out: bool) -> cli::CliResult<()> {
     let args = Switch::parse(args, out)?;
-    let (outcome, is_out) = cmd::block_on(async {
+    let (outcome, is_out, is_known) = cmd::block_on(async {
         let mut editor = change::Editor::open(&args.options).await?;
         let edit = args.edit();
         check_other_zones(&editor, &edit, &args.zone)?;
         editor.apply(&edit).await?;
         let is_out = editor.state().settings().is_zone_out(&args.zone);
-        Ok::<_, cli::CliError>((editor.finish().await?, is_out))
+        let outcome = editor.finish().await?;
+        let is_known = is_known(args.options.config.known_entries(), &args.zone).await;
+        Ok::<_, cli::CliError>((outcome, is_out, is_known))
     })?;
-    change::print(&outcome, &args.options)?;
+    let printed = change::print(&outcome, &args.options);
+    if !is_known {
+        let zone = &args.zone;
+        cli::out::note(format_args!(
+            "no process is in an availability zone '{zone}'; 'zone list' shows all that are"
+        ));
+    }
+    printed?;
     if is_out == args.out {
         return Ok(());
     }
@@ -103,6 +112,16 @@
     Err(cli::CliError::failed(codes::Code::SettingsConflict, text))
 }
 
+/// Whether a process that answers or is known to one that does is in the zone.
+///
+/// A mistyped name is accepted, since a zone may be out before its first process comes;
+/// untold, the operator would believe that the zone that was meant is out.
+async fn is_known(entries: &[SmolStr], zone: &str) -> bool {
+    let processes = survey::survey(&client::Http::open(), entries).await;
+    let is_in = |process: &survey::Process| process.zone == zone;
+    !processes.iter().any(|process| process.answered) || processes.iter().any(is_in)
+}
+
 /// Refuses to replace a file that speaks of another availability zone.
 ///
 /// Names of zones that differ in case only share a file; to put it for one would
--- a/tests/cli/fake_entry.rs
+++ b/tests/cli/fake_entry.rs
@@ -155,7 +155,7 @@
         let entry = self.silent_entry.as_ref();
         let entry = entry.map(|address| peer("entry", "e2", address));
         api::Status {
-            leader: None,
+            leader: Some(self.name.clone()),
             role: SmolStr::new("entry"),
             name: self.name.clone(),
             incarnation: format_smolstr!("life-of-{}", self.name),
--- a/tests/cli/test_help.rs
+++ b/tests/cli/test_help.rs
@@ -47,7 +47,7 @@
 #[case::repeated(&["status", "--json", "--json"], "option --json is unknown, repeated")]
 #[case::argument(&["status", "now"], "unexpected argument 'now'")]
 #[case::missing_value(&["submit", "--tasks"], "--tasks")]
-#[case::bad_number(&["submit", "--tasks", "many"], "failed to parse 'many'")]
+#[case::bad_number(&["submit", "--tasks", "many"], "--tasks: failed to parse 'many'")]
 #[case::no_task(&["submit", "--tasks", "0"], "at least one task")]
 #[case::two_tasks(&["submit", "--tasks", "2", "--request"], "exactly one task")]
 #[case::long_deadline(&["submit", "--deadline-ms", "18446744073709551615"], "at most 86400000")]
--- a/tests/cli/test_load.rs
+++ b/tests/cli/test_load.rs
@@ -144,3 +144,25 @@
     assert_eq!(run.status, 7, "{run:?}");
     assert!(run.stderr.contains("no job got a final answer"), "{run:?}");
 }
+
+#[test]
+fn what_was_sent_on_is_counted_since_the_load_began() {
+    let before = counters::Counters::parse("bulrushtiller_passed_on_total 3\n");
+    let text = "bulrushtiller_passed_on_total 8\n\
+        bulrushtiller_submissions_forwarded_total 2\n";
+
+    let sent_on = counters::Counters::parse(text).sent_on_since(before);
+
+    assert_eq!((sent_on.passed_on, sent_on.forwarded), (5.0, 2.0));
+}
+
+/// A share of nothing would be printed as infinity, and as null in JSON.
+#[test]
+fn no_slots_at_all_are_refused() {
+    let dir = workdir::Workdir::new();
+
+    let run = dir.run(&["load", "--slots", "0"]);
+
+    assert_eq!(run.status, 2, "{run:?}");
+    assert!(run.stderr.contains("--slots is at least 1"), "{run:?}");
+}
--- a/tests/cli/test_status.rs
+++ b/tests/cli/test_status.rs
@@ -23,12 +23,14 @@
     assert_eq!(run.status, 0, "{run:?}");
     assert_eq!(
         rows[1],
-        ["entry", "e1", "Caxias", "alive", "7", "-", "3", "2", "yes"]
+        [
+            "entry", "e1", "Caxias", "alive", "7", "-", "3", "2", "yes", "e1"
+        ]
     );
     assert_eq!(
         rows[2],
         [
-            "runner", "runner-1", "Vacaria", "silent", "6", "4/8", "-", "-", "-"
+            "runner", "runner-1", "Vacaria", "silent", "6", "4/8", "-", "-", "-", "-"
         ]
     );
 }
--- a/tests/cli/test_zone.rs
+++ b/tests/cli/test_zone.rs
@@ -119,3 +119,22 @@
     assert!(kept.stdout.contains("Caxias  out"), "{kept:?}");
     assert!(!dropped.stdout.contains("Caxias"), "{dropped:?}");
 }
+
+/// An operator in a hurry mistypes the zone. The change is accepted and in force, and
+/// the zone that was meant goes on; only the tool can tell.
+#[actix_rt::test]
+async fn a_zone_without_any_process_is_told() {
+    let (dir, log) = (workdir::Workdir::new(), fake_log::start());
+    let behaviour = fake_entry::Behaviour::Answer(codes::Code::Complete);
+    let entry = fake_entry::FakeEntry::start("e1", behaviour);
+    let address = entry.address();
+
+    let rest = ["--no-wait", "--entries", &address];
+    let mistyped = zone(&dir, &log, &[&["out", "Caxais"], &rest[..]].concat()).await;
+    let meant = zone(&dir, &log, &[&["out", "Caxias"], &rest[..]].concat()).await;
+
+    let told = "no process is in an availability zone 'Caxais'";
+    assert!(mistyped.stderr.contains(told), "{mistyped:?}");
+    assert_eq!((mistyped.status, meant.status), (0, 0), "{mistyped:?}");
+    assert_eq!(meant.stderr, "", "{meant:?}");
+}
