--- a/src/entry/calls.rs
+++ b/src/entry/calls.rs
@@ -128,7 +128,10 @@
             },
         };
         let reply = match self.owner(now_ms, team, &id) {
-            Owner::Other { owner, if_silent } => Reply::forward(owner, if_silent),
+            Owner::Other { owner, if_silent } => {
+                self.counts.forwarded += 1;
+                Reply::forward(owner, if_silent)
+            }
             Owner::Unknown(codes::Code::ClaimUnavailable, _) => {
                 Reply::Answer(Box::new(self.claim_unavailable(team, id)))
             }
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -121,6 +121,8 @@
     pub retries: u64,
     /// Submissions passed on to the leading entry.
     pub passed_on: u64,
+    /// Submissions sent on to the entry that minted their ticket or claimed their id.
+    pub forwarded: u64,
 }
 
 /// The state of one life of one entry.
--- a/src/entry/forwarding.rs
+++ b/src/entry/forwarding.rs
@@ -43,12 +43,18 @@
     call: wire::Call,
     wait_ms: u64,
 ) -> Option<api::Answer> {
+    let id = http::call_id(&call);
     let message = message(peer, team, call);
     let limit = time::Duration::from_millis(wait_ms.saturating_add(GRACE_MS));
     let path = wire::FORWARD_PATH;
     let reply = outgoing::post_afresh(&peer.address, path, &message, limit).await;
-    let reply: wire::ForwardReply = reply.ok()?;
-    Some(reply.answer)
+    let reply: Result<wire::ForwardReply, _> = reply;
+    if let Err(e) = &reply {
+        let id = id.as_ref().map(ToString::to_string).unwrap_or_default();
+        let to = peer.name.as_str();
+        log::warn!(event = "forward.silent", submission = id, to = to; "{e}");
+    }
+    Some(reply.ok()?.answer)
 }
 
 const fn message(peer: &wire::Peer, team: SmolStr, call: wire::Call) -> wire::Forward {
@@ -84,10 +90,12 @@
     submission: api::Submission,
     ticket: ids::SubmissionId,
 ) -> api::Answer {
+    let (id, name) = (ticket.to_string(), to.name.as_str());
+    log::info!(event = "submission.passed_on", submission = id, to = name; "passed on");
     let unknown = (codes::Code::OwnerSilent, false);
     let wait_ms = submission.wait_ms;
     match take_in(to, &team, &submission, &ticket).await {
-        Passed::Declined => keep(shared, team, submission).await,
+        Passed::Declined => keep(shared, team, submission, &id).await,
         Passed::Unknown => silent(Some(ticket), unknown),
         Passed::Answer(answer) if answer.is_final || wait_ms == 0 => *answer,
         Passed::Answer(_pending) => {
@@ -125,7 +133,8 @@
         Ok(reply) => return first_word(reply),
         Err(outgoing::CallError::NotSent(_)) => return Passed::Declined,
         Err(e) => {
-            log::warn!(event = "pass_on.silent", to = to.name.as_str(); "{e}");
+            let (id, to) = (ticket.to_string(), to.name.as_str());
+            log::warn!(event = "pass_on.silent", submission = id, to = to; "{e}");
         }
     }
     let reply = outgoing::post_afresh(address, path, &message, TAKEN_IN_AFRESH).await;
@@ -162,11 +171,19 @@
     Passed::Answer(Box::new(answer))
 }
 
-/// Takes a submission in here after all.
-async fn keep(shared: &http::Shared, team: SmolStr, submission: api::Submission) -> api::Answer {
+/// Takes a submission in here after all; `declined` is the ticket that the other entry
+/// did nothing with.
+async fn keep(
+    shared: &http::Shared,
+    team: SmolStr,
+    submission: api::Submission,
+    declined: &str,
+) -> api::Answer {
     let Ok(ticket) = shared.control.send(messages::WantOwnTicket).await else {
         return answer::plain(None, codes::Code::Leaving, true);
     };
+    let id = ticket.to_string();
+    log::info!(event = "pass_on.declined", submission = id, declined = declined; "kept here");
     let submission = api::Submission {
         submission: Some(ticket),
         ..submission
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -145,7 +145,7 @@
     }
 }
 
-fn call_id(call: &wire::Call) -> Option<ids::SubmissionId> {
+pub(super) fn call_id(call: &wire::Call) -> Option<ids::SubmissionId> {
     match call {
         wire::Call::Submit(submission) => submission.submission.clone(),
         wire::Call::Fetch { submission, .. } | wire::Call::Cancel { submission } => {
--- a/src/entry/report.rs
+++ b/src/entry/report.rs
@@ -65,6 +65,11 @@
                 "Submissions passed on to the leading entry",
                 counts.passed_on,
             ),
+            counter(
+                "submissions_forwarded",
+                "Submissions sent on to the entry that owns their id",
+                counts.forwarded,
+            ),
             counter("retries", "Idempotent tasks started again", counts.retries),
             gauge(
                 "queued_tasks",
--- a/src/keeper.rs
+++ b/src/keeper.rs
@@ -8,6 +8,7 @@
 use crate::audit;
 use crate::settings;
 use crate::settings::reader;
+use crate::settings::record;
 use crate::settings::state;
 use crate::wire;
 
@@ -241,7 +242,8 @@
             revision,
             time_ms: unix_ms,
         });
-        log::info!(event = "settings.in_force", revision:? = revision; "in force here");
+        let revision = record::show_revision(revision);
+        log::info!(event = "settings.in_force", revision = revision.as_str(); "in force here");
         true
     }
 }
--- a/tests/failure/logs.rs
+++ b/tests/failure/logs.rs
@@ -14,7 +14,12 @@
 
 /// Every line that a daemon has logged, as JSON.
 fn lines(rig: &rig::Rig, daemon: &processes::Process) -> Vec<serde_json::Value> {
-    let path = rig.site.folder().join(format!("{}.jsonl", daemon.name()));
+    lines_of(rig, daemon.name())
+}
+
+/// The same by its name.
+pub fn lines_of(rig: &rig::Rig, daemon: &str) -> Vec<serde_json::Value> {
+    let path = rig.site.folder().join(format!("{daemon}.jsonl"));
     let text = fs::read_to_string(path).expect("a log file");
     let parse = |line| serde_json::from_str(line).expect("a line of JSON");
     text.lines().map(parse).collect()
@@ -28,7 +33,8 @@
     daemons(rig).flat_map(|one| lines(rig, one)).collect()
 }
 
-fn attribute<'a>(line: &'a serde_json::Value, name: &str) -> &'a str {
+/// An attribute of a line; empty where it has none.
+pub fn attribute<'a>(line: &'a serde_json::Value, name: &str) -> &'a str {
     line["attributes"][name].as_str().unwrap_or_default()
 }
 
@@ -146,6 +152,6 @@
 
     let listed = [listed("an entry"), listed("a runner")];
     assert!(listed.iter().all(|names| names.len() >= 8), "{listed:?}");
-    assert_eq!(&listed[0] - &of_entry, collections::BTreeSet::new());
-    assert_eq!(&listed[1] - &of_runner, collections::BTreeSet::new());
+    assert_eq!(listed[0], of_entry);
+    assert_eq!(listed[1], of_runner);
 }
--- a/tests/failure/passing.rs
+++ b/tests/failure/passing.rs
@@ -6,6 +6,7 @@
 use bulrushtiller::api;
 use bulrushtiller::codes;
 use bulrushtiller::ids;
+use bulrushtiller_standins::processes;
 use bulrushtiller_standins::relay;
 use bulrushtiller_standins::site;
 use rstest::rstest;
@@ -13,6 +14,7 @@
 
 use crate::check;
 use crate::cuts;
+use crate::logs;
 use crate::rig;
 use crate::watch;
 
@@ -176,3 +178,29 @@
     assert_eq!(first[0].code, codes::Code::Complete);
     assert!(exit.expect("waited for").expect("it ends").success());
 }
+
+// An operator has the id that a caller was given, and looks for it in the logs. The entry
+// that was called says whom it passed the submission on to, the leading entry how it ended
+// and a runner that it started, all under the one id.
+#[test]
+fn passed_submission_is_followed_by_its_id() {
+    let rig = passing_rig();
+
+    let answer = told("followed", 20).submit(&rig, 1).expect("an answer");
+
+    let id = answer.submission.expect("an id").to_string();
+    let event_of = |name: &str, event: &str| {
+        let lines = logs::lines_of(&rig, name);
+        let is_it = |line: &serde_json::Value| {
+            logs::attribute(line, "event") == event && logs::attribute(line, "submission") == id
+        };
+        lines.into_iter().find(is_it)
+    };
+    let passed = event_of("entry-1", "submission.passed_on").expect("the passing line");
+    assert_eq!(logs::attribute(&passed, "to"), "entry-0");
+    assert!(event_of("entry-0", "submission.ended").is_some());
+    assert_eq!(event_of("entry-1", "submission.ended"), None);
+    let runners = rig.runners.iter().map(processes::Process::name);
+    let started = runners.filter_map(|name| event_of(name, "task.start"));
+    assert_eq!(started.count(), 1);
+}
--- a/tests/unit/main.rs
+++ b/tests/unit/main.rs
@@ -16,6 +16,7 @@
 mod leading;
 mod learning;
 mod membership;
+mod operations;
 mod placement;
 mod queue;
 mod ramp;
