Add a naive dispatcher to compare real processes with

`standin-naive` stands beside the other stand-ins, in no release binary: one process, callers' calls, a worker drawn at random for each task, first come first served with as many at once as it has slots, no bound, no deadline, no cancelling.

Ruled out: a mode of an entry, which would put naive code into the product; and a port of the simulated naive version of `measure/`, which has no calls.

A first trial failed: every job ended with 605, since the ticket's second part had leading zeros, which a ticket never has. A test of `load` against the dispatcher covers that now.

--- a/standins/src/bin/standin-site.rs
+++ b/standins/src/bin/standin-site.rs
@@ -20,9 +20,9 @@
 Usage: standin-site [options] -- COMMAND [ARGS]
 
 The command finds the site by BULRUSHTILLER_ENTRIES, BULRUSHTILLER_LOG,
-BULRUSHTILLER_TOKEN, SITE_FOLDER (the processes' logs), SITE_LOG, SITE_PEERS and
-SITE_RUNNERS. The programs are taken from the folder of this one. Its exit status is
-the command's.
+BULRUSHTILLER_TOKEN, SITE_FOLDER (the processes' logs), SITE_LOG, SITE_PEERS,
+SITE_RUNNERS and SITE_WORKERS. The programs are taken from the folder of this one. Its
+exit status is the command's.
 
   --entries N        default 3
   --runners N        of 8 slots each; default 11
@@ -186,7 +186,8 @@
             .env("SITE_FOLDER", self.site.folder())
             .env("SITE_LOG", self.log.address().to_string())
             .env("SITE_PEERS", peers.join(","))
-            .env("SITE_RUNNERS", addresses(&self.runners));
+            .env("SITE_RUNNERS", addresses(&self.runners))
+            .env("SITE_WORKERS", addresses(&self.workers));
         command
     }
 
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,4 +1,5 @@
-//! Small stand-ins for what the platform provides; used by tests and the demo only.
+//! Small stand-ins for what the platform provides, and a naive dispatcher to compare with;
+//! used by tests, measurements and the demo only.
 //!
 //! Nothing here is part of the product: the crate does not depend on it, and no
 //! release binary contains any of this.
@@ -8,6 +9,7 @@
 
 pub mod command;
 pub mod log_service;
+pub mod naive;
 pub mod processes;
 pub mod relay;
 pub mod server;
--- a/tests/cli/test_load.rs
+++ b/tests/cli/test_load.rs
@@ -6,6 +6,8 @@
 use bulrushtiller::cmd::load::plan;
 use bulrushtiller::cmd::load::tally;
 use bulrushtiller::codes;
+use bulrushtiller_standins::naive;
+use bulrushtiller_standins::worker;
 
 use super::fake_entry;
 use super::workdir;
@@ -166,3 +168,34 @@
     assert_eq!(run.status, 2, "{run:?}");
     assert!(run.stderr.contains("--slots is at least 1"), "{run:?}");
 }
+
+/// The comparison with a naive dispatcher stands on the driver working with both.
+#[actix_rt::test]
+async fn naive_dispatcher_serves_the_same_driver() {
+    let worker = worker::Worker::start(worker::Options::default()).unwrap();
+    let options = naive::Options {
+        workers: vec![worker.address()],
+        ..naive::Options::default()
+    };
+    let naive = naive::Naive::start(&options).unwrap();
+    let dir = workdir::Workdir::new();
+    let address = naive.address().to_string();
+
+    let args = ["load", "--entries", &address, "--token", workdir::TOKEN];
+    let rest = [
+        "--rate",
+        "40",
+        "--seconds",
+        "0.5",
+        "--mix",
+        "t=1..5",
+        "--json",
+    ];
+    let run = dir.run_beside(&[&args[..], &rest].concat()).await;
+
+    let report = run.json();
+    let jobs = report["jobs"].as_u64().unwrap();
+    assert!(jobs > 0, "{run:?}");
+    assert_eq!(report["by_code"]["0"], jobs, "{run:?}");
+    assert_eq!(report["wasted"]["tasks"], 4.0 * jobs as f64, "{run:?}");
+}
