Wait for the revision in force also when a sync changes nothing

The operator would believe that all have it.

Ruled out: to publish the same folder again, which would make a revision for nothing.

Before: status 0 of the repeat, by reading the code and the test that failed in thought only; after: a test with a runner that stays one revision behind has 7 from both and the runner's name.

--- a/src/cmd/change/editor.rs
+++ b/src/cmd/change/editor.rs
@@ -102,12 +102,17 @@
     }
 
     /// Waits for the last revision if that was asked for, and gives everything that was done.
+    ///
+    /// Where nothing was left to change that is the one in force on the log: a script that
+    /// repeats a command which was not in force in time must not take the repeat's silence
+    /// for an end of the wait.
     pub async fn finish(mut self) -> cli::CliResult<report::Outcome> {
-        let awaited = self
-            .outcome
-            .revision()
-            .filter(|_revision| self.options.wait);
-        if let Some(revision) = awaited {
+        let awaited = if self.outcome.changes.is_empty() {
+            self.state().revision()
+        } else {
+            self.outcome.revision()
+        };
+        if let Some(revision) = awaited.filter(|_revision| self.options.wait) {
             let entries = self.options.config.entries()?;
             let until = time::Instant::now() + self.options.limit;
             let missing = rollout::missing(&self.http, entries, revision, until).await;
--- a/tests/cli/test_zone.rs
+++ b/tests/cli/test_zone.rs
@@ -138,3 +138,32 @@
     assert_eq!((mistyped.status, meant.status), (0, 0), "{mistyped:?}");
     assert_eq!(meant.stderr, "", "{meant:?}");
 }
+
+/// A `sync` is not in force everywhere in time, and the operator's script repeats it. By
+/// then the folder on the log is equal; the repeat must go on waiting, or the script
+/// believes that all processes have it.
+#[actix_rt::test]
+async fn sync_waits_also_when_nothing_is_left_to_change() {
+    let (dir, log) = (workdir::Workdir::new(), fake_log::start());
+    let behaviour = fake_entry::Behaviour::Answer(codes::Code::Complete);
+    let entry = fake_entry::FakeEntry::start("e1", behaviour);
+    let (log_address, address) = (log.address().to_string(), entry.address());
+    for _revision in 0..7 {
+        zone(&dir, &log, &["out", "Caxias", "--no-wait"]).await;
+    }
+    dir.create("folder/10-a.toml", "[policy]\nramp_ms = 2000\n");
+    let at = ["--log", &log_address, "--entries", &address];
+    let rest = ["--keep-zones", "--wait", "--limit-ms", "300"];
+    let args = [&["config", "sync", "folder"], &at[..], &rest].concat();
+
+    let first = dir.run_beside(&args).await;
+    let repeat = dir.run_beside(&args).await;
+
+    // The fake entry says that it has revision 7 and that its runner has 6.
+    let told = "not in force at runner-1 (silent): revision 6";
+    assert!(first.stdout.contains("accepted at revision 7"), "{first:?}");
+    assert!(first.stdout.contains(told), "{first:?}");
+    assert!(repeat.stderr.contains("is equal already"), "{repeat:?}");
+    assert!(repeat.stdout.contains(told), "{repeat:?}");
+    assert_eq!((first.status, repeat.status), (7, 7), "{repeat:?}");
+}
