Do not end a refusal that is not the last word as "not run"

Cause: under a client's own id a 106 with `final: false` speaks of one call; DESIGN-STARTS says so, the callers' page and the tool did not. The tool repeats lost calls through the next entry, so the first may have been taken in, and yet it ended with status 3, "refused, and not run". A script that submits anew on 3 would run the task twice.

Ruled out: status 4, which promises that the task is not started again; it may well be started by the first call. The 600s promise nothing of it.

Before: status 3 on a site whose log was down. After: 7 (602) with a line that says why; a test of the tool covers it.

--- a/src/cmd/answer.rs
+++ b/src/cmd/answer.rs
@@ -7,13 +7,23 @@
 /// Longest output that is shown in a table, in characters.
 const SHOWN_CHARS: usize = 60;
 
+/// Said of a refusal that is not the last word.
+const UNSURE: &str = "refused for now; an earlier call under this id may have been taken in";
+
 /// Prints an answer and ends with its exit status.
+///
+/// A refusal speaks of one call. Under an id of the client's own, an earlier call through
+/// another entry may have been taken in and its answer lost; the exit status of "not run"
+/// would have a script submit anew, and the task would run twice.
 pub fn print(answer: &api::Answer, json: bool) -> cli::CliResult<()> {
     if json {
         cli::out::json(answer)?;
     } else {
         cli::out::print(&render(answer))?;
     }
+    if !answer.is_final && answer.code.class() == codes::Class::NotRun {
+        return Err(cli::CliError::failed(codes::Code::TimedOut, UNSURE));
+    }
     end(answer.code)
 }
 
--- a/tests/cli/fake_entry.rs
+++ b/tests/cli/fake_entry.rs
@@ -201,7 +201,7 @@
         submission,
         code,
         text: SmolStr::new(code.text()),
-        is_final: code != codes::Code::Pending,
+        is_final: !matches!(code, codes::Code::Pending | codes::Code::ClaimUnavailable),
         retry_after_ms: None,
         ticket: None,
         tasks: if is_complete { vec![ran] } else { Vec::new() },
--- a/tests/cli/test_submit.rs
+++ b/tests/cli/test_submit.rs
@@ -158,3 +158,21 @@
     assert_eq!(run.status, status, "{run:?}");
     assert!(run.stderr.contains(complaint), "{run:?}");
 }
+
+/// A script submits under its own id, the answer is lost, and the next entry can't claim
+/// the id while the log is down. Its refusal speaks of that call only: the first may run.
+/// With the exit status of "not run" the script would submit anew, and it would run twice.
+#[actix_rt::test]
+async fn refusal_that_is_not_the_last_word_does_not_end_as_not_run() {
+    let behaviour = fake_entry::Behaviour::Answer(codes::Code::ClaimUnavailable);
+    let entry = fake_entry::FakeEntry::start("e1", behaviour);
+    let dir = workdir::Workdir::new();
+    let address = entry.address();
+
+    let more = ["--submission", "my-own-1", "--deadline-ms", "100"];
+    let run = dir.run_beside(&args(&address, &more)).await;
+
+    assert!(run.stdout.contains("106 "), "{run:?}");
+    assert_eq!(run.status, 7, "{run:?}");
+    assert!(run.stderr.contains("may have been taken in"), "{run:?}");
+}
