Say in a refusal what is wrong with the body, and name the daemon's option

Cause: whoever writes a client got "the body can't be read" for every fault and "the body is larger than allowed" for a job with a task too many; the daemon told of "failed to parse 'nonsense'" without the option.

The text of a refusal now has the place and reason, cut at 200 characters since it may quote the caller's own body; codes and statuses are as they were.

--- a/src/config.rs
+++ b/src/config.rs
@@ -30,6 +30,11 @@
             display("{err}")
             source(err)
         }
+        /// The value of an argument is wrong.
+        Value(name: &'static str, err: pico_args::Error) {
+            display("{name}: {err}")
+            source(err)
+        }
         /// An argument that nobody asked for.
         Unknown(argument: String) {
             display("unknown argument '{argument}'")
@@ -211,7 +216,9 @@
 where
     T::Err: std::fmt::Display,
 {
-    if let Some(value) = args.opt_value_from_str(name)? {
+    let given = args.opt_value_from_str(name);
+    let given = given.map_err(|err| ConfigError::Value(name, err))?;
+    if let Some(value) = given {
         *slot = Some(value);
     }
     Ok(())
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -89,11 +89,15 @@
         found.ok_or(codes::Code::BadToken)
     }
 
-    async fn read<T: de::DeserializeOwned>(&self, payload: web::Payload) -> Result<T, codes::Code> {
+    async fn read<T: de::DeserializeOwned>(
+        &self,
+        payload: web::Payload,
+    ) -> Result<T, incoming::Refusal> {
         let settings = self.settings()?;
         let max = settings.limits.max_body_bytes as usize;
         let body = incoming::read_body(payload, max).await?;
-        serde_json::from_slice(&body).map_err(|_bad| codes::Code::BadBody)
+        let bad = |err| incoming::Refusal::new(codes::Code::BadBody, err);
+        serde_json::from_slice(&body).map_err(bad)
     }
 
     pub(super) async fn call(&self, team: SmolStr, call: wire::Call) -> api::Answer {
@@ -163,11 +167,12 @@
         shared.team(&req)?;
         let order = shared.read(payload).await?;
         let given = shared.control.send(messages::WantTickets(order)).await;
-        given.map_err(|_ended| codes::Code::Leaving)?
+        let given = given.map_err(|_ended| codes::Code::Leaving)?;
+        given.map_err(incoming::Refusal::from)
     };
     match work.await {
         Ok(tickets) => actix_web::HttpResponse::Ok().json(tickets),
-        Err(code) => incoming::refuse(code),
+        Err(refusal) => incoming::refuse_for(&refusal),
     }
 }
 
@@ -187,10 +192,10 @@
     respond(submit(&shared, &req, payload, 1).await)
 }
 
-fn respond(answered: Result<api::Answer, codes::Code>) -> actix_web::HttpResponse {
+fn respond(answered: Result<api::Answer, incoming::Refusal>) -> actix_web::HttpResponse {
     match answered {
         Ok(answer) => incoming::answer(&answer),
-        Err(code) => incoming::refuse(code),
+        Err(refusal) => incoming::refuse_for(&refusal),
     }
 }
 
@@ -199,7 +204,7 @@
     req: &actix_web::HttpRequest,
     payload: web::Payload,
     most_tasks: usize,
-) -> Result<api::Answer, codes::Code> {
+) -> Result<api::Answer, incoming::Refusal> {
     let team = shared.team(req)?;
     let submission: api::Submission = shared.read(payload).await?;
     let settings = shared.settings()?;
@@ -211,21 +216,27 @@
     submission: &api::Submission,
     limits: &settings::Limits,
     most_tasks: usize,
-) -> Result<(), codes::Code> {
+) -> Result<(), incoming::Refusal> {
     let tasks = submission.tasks.len();
     if tasks == 0 || (most_tasks == 1 && tasks > 1) {
-        return Err(codes::Code::BadBody);
+        let detail = format!("{tasks} tasks; a job has one or more, a request exactly one");
+        return Err(incoming::Refusal::new(codes::Code::BadBody, detail));
     }
-    if tasks > limits.max_job_tasks as usize {
-        return Err(codes::Code::TooLarge);
+    let most = limits.max_job_tasks;
+    if tasks > most as usize {
+        let detail = format!("{tasks} tasks; at most {most}");
+        return Err(incoming::Refusal::new(codes::Code::TooLarge, detail));
     }
-    let is_large = |task: &api::Task| task.payload.len() > limits.max_payload_bytes as usize;
+    let most = limits.max_payload_bytes;
+    let is_large = |task: &api::Task| task.payload.len() > most as usize;
     if submission.tasks.iter().any(is_large) {
-        return Err(codes::Code::TooLarge);
+        let detail = format!("a payload has more than {most} bytes");
+        return Err(incoming::Refusal::new(codes::Code::TooLarge, detail));
     }
     let is_named = |task: &api::Task| task.kind.is_empty() || ids::check_name(&task.kind).is_ok();
     if !submission.tasks.iter().all(is_named) {
-        return Err(codes::Code::BadBody);
+        let detail = "a kind is no name: 1 to 64 of a-z, A-Z, 0-9, '-' and '_'";
+        return Err(incoming::Refusal::new(codes::Code::BadBody, detail));
     }
     Ok(())
 }
@@ -276,7 +287,8 @@
         let team = shared.team(&req)?;
         let order: api::CancelOrder = shared.read(payload).await?;
         if order.submissions.len() > MAX_CANCELS {
-            return Err(codes::Code::TooLarge);
+            let detail = format!("at most {MAX_CANCELS} submissions");
+            return Err(incoming::Refusal::new(codes::Code::TooLarge, detail));
         }
         let calls = order
             .submissions
@@ -286,11 +298,11 @@
             .buffered(CANCELS_AT_ONCE)
             .collect()
             .await;
-        Ok::<_, codes::Code>(api::Cancelled { answers })
+        Ok::<_, incoming::Refusal>(api::Cancelled { answers })
     };
     match work.await {
         Ok(cancelled) => actix_web::HttpResponse::Ok().json(cancelled),
-        Err(code) => incoming::refuse(code),
+        Err(refusal) => incoming::refuse_for(&refusal),
     }
 }
 
@@ -320,8 +332,8 @@
     let id = call_id(&forward.call);
     let answer = if forward.incarnation != shared.incarnation {
         answer::plain(id, codes::Code::OwnerGone, true)
-    } else if let Err(code) = check_forward(&shared, &forward) {
-        answer::plain(id, code, true)
+    } else if let Err(refusal) = check_forward(&shared, &forward) {
+        refusal.answer(id)
     } else {
         owned(&shared, forward, id).await
     };
@@ -333,10 +345,10 @@
 
 /// The forwarding entry has checked the call by its own settings, which may be
 /// older than those in force here; a job without tasks would never be answered.
-fn check_forward(shared: &Shared, forward: &wire::Forward) -> Result<(), codes::Code> {
+fn check_forward(shared: &Shared, forward: &wire::Forward) -> Result<(), incoming::Refusal> {
     let settings = shared.settings()?;
     if !settings.teams.contains_key(&forward.team) {
-        return Err(codes::Code::BadToken);
+        return Err(codes::Code::BadToken.into());
     }
     match &forward.call {
         wire::Call::Submit(submission) => check(submission, &settings.limits, usize::MAX),
--- a/src/incoming.rs
+++ b/src/incoming.rs
@@ -1,5 +1,6 @@
 //! Reading what others send, within bounds, and answering with numbered results.
 
+use std::fmt;
 use std::net;
 use std::time;
 
@@ -80,6 +81,50 @@
     builder.json(answer)
 }
 
+/// Most of a detail that goes back to a caller, in characters; it may quote the body.
+const MAX_DETAIL_CHARS: usize = 200;
+
+/// Why a call was refused before anything was made of it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Refusal {
+    /// The numbered result.
+    pub code: codes::Code,
+    /// What is wrong, for whoever writes the client; may be empty.
+    pub detail: String,
+}
+
+impl Refusal {
+    /// A numbered result with what is wrong.
+    pub fn new(code: codes::Code, detail: impl fmt::Display) -> Self {
+        let detail = detail.to_string();
+        Self { code, detail }
+    }
+
+    /// The final answer that says so.
+    pub fn answer(&self, id: Option<ids::SubmissionId>) -> api::Answer {
+        let plain = answer::plain(id, self.code, true);
+        if self.detail.is_empty() {
+            return plain;
+        }
+        let detail: String = self.detail.chars().take(MAX_DETAIL_CHARS).collect();
+        api::Answer {
+            text: smol_str::format_smolstr!("{}: {detail}", plain.text),
+            ..plain
+        }
+    }
+}
+
+impl From<codes::Code> for Refusal {
+    fn from(code: codes::Code) -> Self {
+        Self::new(code, "")
+    }
+}
+
+/// Refuses with a numbered result, and says in words what is wrong.
+pub fn refuse_for(refusal: &Refusal) -> actix_web::HttpResponse {
+    answer(&refusal.answer(None))
+}
+
 /// Refuses with a numbered result; nothing was started because of the request.
 pub fn refuse(code: codes::Code) -> actix_web::HttpResponse {
     answer(&answer::plain(None, code, true))
--- a/tests/failure/input/callers.rs
+++ b/tests/failure/input/callers.rs
@@ -214,3 +214,27 @@
     assert_eq!(count(Code::Complete), 64);
     assert_eq!(count(Code::Pending), 16);
 }
+
+// Whoever writes a client sends a job that is almost right. "The body can't be read" alone
+// leaves them to guess; the answer says where, and which bound was passed.
+#[test]
+fn refusal_says_what_is_wrong() {
+    let rig = rig::Rig::start(&rig::Plan::default());
+    let entry = rig.entries[0].address();
+    let many = job(&json!({"tasks": tasks(281)}));
+
+    let unread = raw::body(entry, &submit("{\"tasks\": [{}], \"wait_ms\": \"soon\"}"));
+    let too_many = raw::body(entry, &many);
+
+    let [unread, too_many] = [unread, too_many].map(|body| {
+        let answer: api::Answer = serde_json::from_slice(&body).expect("an answer");
+        (answer.code, answer.text.to_string())
+    });
+    assert_eq!(unread.0, Code::BadBody);
+    assert!(unread.1.contains("expected u64 at line 1"), "{unread:?}");
+    assert_eq!(too_many.0, Code::TooLarge);
+    assert!(
+        too_many.1.ends_with("281 tasks; at most 280"),
+        "{too_many:?}"
+    );
+}
--- a/tests/unit/api.rs
+++ b/tests/unit/api.rs
@@ -2,6 +2,7 @@
 
 use bulrushtiller::api;
 use bulrushtiller::codes;
+use bulrushtiller::incoming;
 use proptest::prelude::*;
 
 use crate::fixed;
@@ -55,6 +56,25 @@
     assert_eq!(taken, None);
 }
 
+/// A caller's own text may come back in the reason; a body of megabytes must not.
+#[test]
+fn reason_of_a_refusal_is_told_and_bounded() {
+    let long = "x".repeat(100_000);
+    let told = incoming::Refusal::new(codes::Code::TooLarge, "4 tasks; at most 3");
+    let bounded = incoming::Refusal::new(codes::Code::BadBody, long);
+    let plain = incoming::Refusal::from(codes::Code::BadToken);
+
+    let [told, bounded, plain] = [told, bounded, plain].map(|refusal| refusal.answer(None));
+
+    assert_eq!(
+        told.text,
+        "the body is larger than allowed: 4 tasks; at most 3"
+    );
+    assert!(bounded.text.len() < 300, "{}", bounded.text.len());
+    assert_eq!(plain.text, codes::Code::BadToken.text());
+    assert!(told.is_final && bounded.is_final && plain.is_final);
+}
+
 proptest! {
     #![proptest_config(fixed::cases(500))]
 
