--- a/tests/cli/test_load.rs
+++ b/tests/cli/test_load.rs
@@ -6,6 +6,8 @@
 use bulrushtiller::cmd::load::plan;
 use bulrushtiller::cmd::load::tally;
 use bulrushtiller::codes;
+use bulrushtiller_standins::naive;
+use bulrushtiller_standins::worker;
 
 use super::fake_entry;
 use super::workdir;
@@ -144,3 +146,56 @@
     assert_eq!(run.status, 7, "{run:?}");
     assert!(run.stderr.contains("no job got a final answer"), "{run:?}");
 }
+
+#[test]
+fn what_was_sent_on_is_counted_since_the_load_began() {
+    let before = counters::Counters::parse("bulrushtiller_passed_on_total 3\n");
+    let text = "bulrushtiller_passed_on_total 8\n\
+        bulrushtiller_submissions_forwarded_total 2\n";
+
+    let sent_on = counters::Counters::parse(text).sent_on_since(before);
+
+    assert_eq!((sent_on.passed_on, sent_on.forwarded), (5.0, 2.0));
+}
+
+/// A share of nothing would be printed as infinity, and as null in JSON.
+#[test]
+fn no_slots_at_all_are_refused() {
+    let dir = workdir::Workdir::new();
+
+    let run = dir.run(&["load", "--slots", "0"]);
+
+    assert_eq!(run.status, 2, "{run:?}");
+    assert!(run.stderr.contains("--slots is at least 1"), "{run:?}");
+}
+
+/// The comparison with a naive dispatcher stands on the driver working with both.
+#[actix_rt::test]
+async fn naive_dispatcher_serves_the_same_driver() {
+    let worker = worker::Worker::start(worker::Options::default()).unwrap();
+    let options = naive::Options {
+        workers: vec![worker.address()],
+        ..naive::Options::default()
+    };
+    let naive = naive::Naive::start(&options).unwrap();
+    let dir = workdir::Workdir::new();
+    let address = naive.address().to_string();
+
+    let args = ["load", "--entries", &address, "--token", workdir::TOKEN];
+    let rest = [
+        "--rate",
+        "40",
+        "--seconds",
+        "0.5",
+        "--mix",
+        "t=1..5",
+        "--json",
+    ];
+    let run = dir.run_beside(&[&args[..], &rest].concat()).await;
+
+    let report = run.json();
+    let jobs = report["jobs"].as_u64().unwrap();
+    assert!(jobs > 0, "{run:?}");
+    assert_eq!(report["by_code"]["0"], jobs, "{run:?}");
+    assert_eq!(report["wasted"]["tasks"], 4.0 * jobs as f64, "{run:?}");
+}
