--- a/measure/src/patterns/burst.rs
+++ b/measure/src/patterns/burst.rs
@@ -21,8 +21,18 @@
     let jobs = workload::draw(&[steady, burst], seed);
     let settings = patterns::settings(&["escola", "coursework"]);
     let as_one = patterns::as_one_team(&jobs);
+    let itself = patterns::each_for_itself(settings.clone());
+    let one = patterns::one_entry(site);
     let versions = [
         ("ours", sim::run(site, &settings, &jobs, &[], seed)),
+        (
+            "each entry for itself",
+            sim::run(site, &itself, &jobs, &[], seed),
+        ),
+        (
+            "one entry that sees all",
+            sim::run(&one, &settings, &jobs, &[], seed),
+        ),
         (
             "first come first served",
             sim::run(site, &patterns::first_come(), &as_one, &[], seed),
--- a/measure/src/patterns/hot_caller.rs
+++ b/measure/src/patterns/hot_caller.rs
@@ -27,11 +27,21 @@
         (name.to_owned(), figures)
     };
     let ours = |jobs| sim::run(site, &settings, jobs, &[], seed);
+    let itself = patterns::each_for_itself(settings.clone());
+    let apart = sim::run(site, &itself, &both, &[], seed);
+    let one = patterns::one_entry(site);
+    let central = sim::run(&one, &settings, &both, &[], seed);
     let as_one = patterns::as_one_team(&both);
     let first_come = sim::run(site, &patterns::first_come(), &as_one, &[], seed);
     vec![
         row("ours, alone", &alone, &ours(&alone)),
         row("ours, beside the hot one", &both, &ours(&both)),
+        row("each entry for itself, beside the hot one", &both, &apart),
+        row(
+            "one entry that sees all, beside the hot one",
+            &both,
+            &central,
+        ),
         row("no teams, beside the hot one", &both, &first_come),
         row(
             "naive, beside the hot one",
--- a/measure/src/patterns/mod.rs
+++ b/measure/src/patterns/mod.rs
@@ -92,6 +92,21 @@
     settings
 }
 
+/// The same site with one entry that sees all slots and orders all work: what no
+/// way of sharing them between entries can beat.
+pub fn one_entry(site: &sim::Site) -> sim::Site {
+    sim::Site {
+        entries: 1,
+        ..site.clone()
+    }
+}
+
+/// The same settings without a leading entry: nothing is passed on.
+pub fn each_for_itself(mut settings: settings::Settings) -> settings::Settings {
+    settings.policy.pass_on_below = 0.0;
+    settings
+}
+
 /// A named version and its figures.
 pub type Row = (String, report::Figures);
 
--- a/measure/src/patterns/steady.rs
+++ b/measure/src/patterns/steady.rs
@@ -21,12 +21,29 @@
         (name.to_owned(), figures)
     };
     let ours = |jobs| sim::run(site, &settings, jobs, &[], seed);
+    let itself = patterns::each_for_itself(settings.clone());
+    let apart = |jobs| sim::run(site, &itself, jobs, &[], seed);
+    let one = patterns::one_entry(site);
+    let central = |jobs| sim::run(&one, &settings, jobs, &[], seed);
     let as_one = patterns::as_one_team(&jobs);
     let first_come = sim::run(site, &patterns::first_come(), &as_one, &[], seed);
     vec![
         row("ours, each run time declared", &ours(&jobs)),
         row("ours, the longest declared for all", &ours(&longest)),
         row("ours, nothing declared", &ours(&nothing)),
+        row(
+            "each entry for itself, each run time declared",
+            &apart(&jobs),
+        ),
+        row("each entry for itself, nothing declared", &apart(&nothing)),
+        row(
+            "one entry that sees all, each run time declared",
+            &central(&jobs),
+        ),
+        row(
+            "one entry that sees all, nothing declared",
+            &central(&nothing),
+        ),
         row("first come first served", &first_come),
         row("naive", &sim::naive::run(site, &jobs, &[], seed)),
     ]
--- a/measure/tests/load.rs
+++ b/measure/tests/load.rs
@@ -2,6 +2,8 @@
 //!
 //! A goal that is not met has a line in `docs/MEASUREMENTS.md` and no test here.
 
+use std::thread;
+
 use bulrushtiller_measure::patterns;
 use bulrushtiller_measure::report;
 use bulrushtiller_measure::sim;
@@ -24,6 +26,25 @@
     found.expect("the row is there").1
 }
 
+/// Patterns run at one time.
+const THREADS: usize = 4;
+
+/// Runs every pattern, a few at a time.
+fn every_pattern() -> Vec<(&'static str, Vec<patterns::Row>)> {
+    let run_some = |first: usize| {
+        let some = patterns::ALL.iter().skip(first).step_by(THREADS);
+        some.map(|(name, run)| (*name, run(&sim::Site::taipa(), LOAD, SEED)))
+            .collect::<Vec<_>>()
+    };
+    thread::scope(|scope| {
+        let threads: Vec<_> = (0..THREADS)
+            .map(|first| scope.spawn(move || run_some(first)))
+            .collect();
+        let done = threads.into_iter().map(|one| one.join().unwrap());
+        done.flatten().collect()
+    })
+}
+
 #[test]
 fn answers_at_seven_tenths_load_take_little_longer_than_ideal() {
     let rows = rows("steady");
@@ -81,9 +102,9 @@
 
 #[test]
 fn every_pattern_is_true_to_its_callers_and_wastes_few_messages() {
-    for (name, run) in patterns::ALL {
-        let rows = run(&sim::Site::taipa(), LOAD, SEED);
+    let tables = every_pattern();
 
+    for (name, rows) in tables {
         let ours = rows.iter().filter(|(row, _)| row.starts_with("ours"));
         for (row, figures) in ours {
             assert!(figures.wasted <= WASTED, "{name}, {row}: {figures:?}");
