Measure lost entries, a retry storm, sizes that are far off and stragglers

Cause: four decisions had no pattern (passing on under failures, the retry budget, learned sizes, the slice that judges servers under chance stragglers), so nothing said what they cost or bring.

The driver learned: entries that are killed or stand still, with the balancer, the refused connections and the 302 of the real entry (`sim::lives`); runners that die and refuse connections; workers that page while their memory is overcommitted (`sim::workers`).

`double_starts` counts only jobs that are not idempotent now, since idempotent tasks are started again on purpose; no pattern before had any, so no assertion that stood is weaker for it.

--- a/measure/src/patterns/mod.rs
+++ b/measure/src/patterns/mod.rs
@@ -2,13 +2,17 @@
 
 pub mod burst;
 pub mod cancel_wave;
+pub mod entry_lost;
 pub mod far_off;
 pub mod hot_caller;
 pub mod long_among_short;
 pub mod overload;
 pub mod placement;
+pub mod retry_storm;
 pub mod servers;
+pub mod sizes;
 pub mod steady;
+pub mod stragglers;
 pub mod zone_change;
 
 use smol_str::SmolStr;
@@ -129,6 +133,10 @@
     ("stuck-server", servers::stuck),
     ("zone-change", zone_change::warm),
     ("cold-zone", zone_change::cold),
+    ("entry-lost", entry_lost::run),
+    ("retry-storm", retry_storm::run),
+    ("sizes", sizes::run),
+    ("stragglers", stragglers::run),
 ];
 
 /// Finds a pattern by its name.
--- a/measure/src/report.rs
+++ b/measure/src/report.rs
@@ -39,7 +39,7 @@
     pub wasted: f64,
     /// Times an entry took a runner out for what its tasks came to.
     pub ejections: u64,
-    /// Starts of a task that had started before.
+    /// Starts of a task that had started before, of jobs that are not idempotent.
     pub double_starts: u64,
     /// Starts in a zone long after it was taken out.
     pub late_starts: u64,
--- a/measure/src/sim/events.rs
+++ b/measure/src/sim/events.rs
@@ -3,20 +3,28 @@
 use std::cmp;
 use std::sync;
 
+use bulrushtiller::entry::attempts;
 use bulrushtiller::ids;
 use bulrushtiller::settings;
 use bulrushtiller::wire;
 
 use crate::sim;
+use crate::sim::workers;
 
 #[derive(Debug)]
 pub(super) enum Event {
     Arrive(usize),
+    Submit(Submit),
     PassedOn {
+        from: usize,
+        call: Submit,
+    },
+    Keep {
         job: usize,
         entry: usize,
-        ticket: ids::SubmissionId,
     },
+    Silent(usize),
+    Thaw(usize),
     Cancel(usize),
     Tick,
     Heartbeats,
@@ -36,13 +44,25 @@
         message: ToEntry,
     },
     TaskEnd {
+        runner: usize,
+        end: workers::End,
+    },
+    /// A worker stopped a task.
+    Stopped {
         runner: usize,
         attempt: ids::Attempt,
-        run_ms: u32,
-        is_failed: bool,
     },
 }
 
+/// A call by which a job comes to an entry.
+#[derive(Debug)]
+pub(super) struct Submit {
+    pub(super) job: usize,
+    pub(super) entry: usize,
+    /// Minted by that entry, where it was passed on.
+    pub(super) ticket: Option<ids::SubmissionId>,
+}
+
 #[derive(Clone, Copy, Debug)]
 pub(super) enum Target {
     Entry(usize),
@@ -58,6 +78,7 @@
 #[derive(Debug)]
 pub(super) enum ToEntry {
     Reply(wire::DispatchReply),
+    Failed(ids::Attempt, attempts::Fault),
     Fenced(wire::Fence, wire::FenceReply),
     Heartbeat(wire::Heartbeat),
     HeartbeatReply(wire::HeartbeatReply),
--- a/measure/src/sim/mod.rs
+++ b/measure/src/sim/mod.rs
@@ -5,10 +5,12 @@
 
 mod events;
 mod faults;
+mod lives;
 pub mod naive;
 mod servers;
 pub mod site;
 pub mod ways;
+mod workers;
 pub mod world;
 
 pub use site::Fault;
@@ -53,7 +55,8 @@
     pub wasted: u64,
     /// Times an entry took a runner out for what its tasks came to.
     pub ejections: u64,
-    /// Starts of a task that had started before; must stay 0 for jobs.
+    /// Starts of a task that had started before, of jobs that are not idempotent; must
+    /// stay 0.
     pub double_starts: u64,
     /// Starts in a zone later than the bound after it was taken out.
     pub late_starts: u64,
--- a/measure/src/sim/site.rs
+++ b/measure/src/sim/site.rs
@@ -94,6 +94,13 @@
         /// Which runner.
         runner: usize,
     },
+    /// A runner and its server die: connections are refused, what ran on it is lost.
+    Died {
+        /// When.
+        at_ms: u64,
+        /// Which runner.
+        runner: usize,
+    },
     /// Tasks started at a runner's server never end, while the runner itself lives.
     Stuck {
         /// When.
@@ -108,6 +115,22 @@
         /// Which runner.
         runner: usize,
     },
+    /// An entry is killed and does not come back.
+    EntryKilled {
+        /// When.
+        at_ms: u64,
+        /// Which entry.
+        entry: usize,
+    },
+    /// An entry stands still for a while.
+    EntryFrozen {
+        /// When.
+        at_ms: u64,
+        /// Which entry.
+        entry: usize,
+        /// For how long, milliseconds.
+        for_ms: u64,
+    },
     /// Operators take a zone out.
     ZoneOut {
         /// When.
@@ -131,8 +154,11 @@
             Self::Slow { at_ms, .. }
             | Self::FailsAll { at_ms, .. }
             | Self::Frozen { at_ms, .. }
+            | Self::Died { at_ms, .. }
             | Self::Stuck { at_ms, .. }
             | Self::Well { at_ms, .. }
+            | Self::EntryKilled { at_ms, .. }
+            | Self::EntryFrozen { at_ms, .. }
             | Self::ZoneOut { at_ms, .. }
             | Self::ZoneIn { at_ms, .. } => *at_ms,
         }
--- a/measure/src/sim/world.rs
+++ b/measure/src/sim/world.rs
@@ -19,6 +19,8 @@
 
 use crate::sim;
 use crate::sim::events;
+use crate::sim::lives;
+use crate::sim::workers;
 use crate::workload;
 
 /// Where the clock begins, so that ages can be taken from the first moment on.
@@ -40,14 +42,20 @@
     pub(super) events: collections::BinaryHeap<events::Timed>,
     pub(super) entries: Vec<entry::Core>,
     pub(super) runners: Vec<runner::Core>,
+    pub(super) lives: Vec<lives::Life>,
+    pub(super) workers: Vec<workers::Worker>,
     pub(super) speeds: Vec<f64>,
     pub(super) fails_all: Vec<bool>,
     pub(super) frozen: Vec<bool>,
+    pub(super) died: Vec<bool>,
     pub(super) stuck: Vec<bool>,
     pub(super) applied: Vec<u64>,
     pub(super) out_since: collections::HashMap<SmolStr, u64>,
     pub(super) submitted: collections::HashMap<(usize, jobs::Key), usize>,
     pub(super) placed: Vec<Option<(usize, jobs::Key)>>,
+    /// The entry that holds the connection of each job's caller.
+    pub(super) called: Vec<Option<usize>>,
+    pub(super) is_answered: Vec<bool>,
     pub(super) open: usize,
     /// One way of each job between its caller and the entry that owns it.
     pub(super) ways_us: Vec<u64>,
@@ -116,7 +124,7 @@
                 slots: site.slots,
                 size: wire::Resources {
                     cpu_milli: 16_000,
-                    memory_mib: 32_768,
+                    memory_mib: workers::MEMORY_MIB,
                     accelerators: 0,
                 },
             };
@@ -132,14 +140,19 @@
             events: collections::BinaryHeap::new(),
             entries: (0..site.entries).map(entry).collect(),
             runners: (0..site.runners).map(runner).collect(),
+            lives: vec![lives::Life::Up; site.entries],
+            workers: (0..site.runners).map(|_| workers::Worker::new()).collect(),
             speeds: vec![1.0; site.runners],
             fails_all: vec![false; site.runners],
             frozen: vec![false; site.runners],
+            died: vec![false; site.runners],
             stuck: vec![false; site.runners],
             applied: vec![0; site.runners],
             out_since: collections::HashMap::new(),
             submitted: collections::HashMap::new(),
             placed: vec![None; jobs.len()],
+            called: vec![None; jobs.len()],
+            is_answered: vec![false; jobs.len()],
             open: jobs.len(),
             ways_us: vec![site.to_caller_us; jobs.len()],
             returns: jobs.iter().map(|job| job.returns).collect(),
@@ -203,9 +216,11 @@
     fn happen(&mut self, event: events::Event) {
         match event {
             events::Event::Arrive(job) => self.arrive(job),
-            events::Event::PassedOn { job, entry, ticket } => {
-                self.submit(job, entry, Some(ticket));
-            }
+            events::Event::Submit(call) => self.submit(call),
+            events::Event::PassedOn { from, call } => self.passed_on(from, call),
+            events::Event::Keep { job, entry } => self.keep(job, entry),
+            events::Event::Silent(job) => self.silent(job),
+            events::Event::Thaw(entry) => self.thaw(entry),
             events::Event::Cancel(job) => self.cancel(job),
             events::Event::Tick => self.tick(),
             events::Event::Heartbeats => self.heartbeats(),
@@ -223,30 +238,40 @@
                 message,
             } => self.at_runner(runner, entry, message),
             events::Event::ToEntry { entry, message } => self.at_entry(entry, message),
-            events::Event::TaskEnd {
-                runner,
-                attempt,
-                run_ms,
-                is_failed,
-            } => {
-                self.task_end(runner, attempt, run_ms, is_failed);
-            }
+            events::Event::TaskEnd { runner, end } => self.task_end(runner, &end),
+            events::Event::Stopped { runner, attempt } => self.stopped(runner, attempt),
         }
     }
 
     /// The balancer sends each call to an entry at random.
     fn arrive(&mut self, index: usize) {
-        let entry = self.rng.random_range(0..self.entries.len());
+        let entry = self.balance();
         self.ways_us[index] = self.site.to_caller_us;
-        self.submit(index, entry, None);
+        self.submit(events::Submit {
+            job: index,
+            entry,
+            ticket: None,
+        });
     }
 
-    fn submit(&mut self, index: usize, entry: usize, ticket: Option<ids::SubmissionId>) {
+    pub(super) fn draw_below(&mut self, bound: usize) -> usize {
+        self.rng.random_range(0..bound)
+    }
+
+    pub(super) fn submit(&mut self, call: events::Submit) {
+        let (index, entry) = (call.job, call.entry);
+        if !self.lives[entry].is_up() {
+            self.not_taken(call);
+            return;
+        }
+        let ticket = call.ticket;
+        self.called[index].get_or_insert(entry);
         let job = &self.jobs[index];
         let task = |(run_ms, declared_ms): (&u32, &u32)| api::Task {
             kind: job.kind.clone(),
             payload: format!("{index} {run_ms}"),
             run_ms: *declared_ms,
+            memory_mib: job.memory.declared_mib,
             ..api::Task::default()
         };
         let submission = api::Submission {
@@ -286,18 +311,21 @@
         let way_us = self.site.latency_us(entry, to);
         self.ways_us[job] += way_us;
         let at_us = self.now_us + way_us;
-        let event = events::Event::PassedOn {
+        let call = events::Submit {
             job,
             entry: to,
-            ticket,
+            ticket: Some(ticket),
         };
-        self.at(at_us, event);
+        self.at(at_us, events::Event::PassedOn { from: entry, call });
     }
 
     fn cancel(&mut self, index: usize) {
         let Some((entry, key)) = self.placed[index] else {
             return;
         };
+        if !self.lives[entry].is_up() {
+            return;
+        }
         let now_ms = self.now_ms();
         let Some(pending) = self.entries[entry].pending(now_ms, key) else {
             return;
@@ -314,6 +342,7 @@
         let retry_after_ms = answer.retry_after_ms;
         if let Some(after_ms) = retry_after_ms.filter(|_| self.returns[index] > 0) {
             self.returns[index] -= 1;
+            self.called[index] = None;
             let at_us = self.now_us + 2 * self.ways_us[index] + after_ms * 1_000;
             self.at(at_us, events::Event::Arrive(index));
             return;
@@ -321,13 +350,16 @@
         self.receive(index, answer);
     }
 
-    fn receive(&mut self, job: usize, answer: &api::Answer) {
+    pub(super) fn receive(&mut self, job: usize, answer: &api::Answer) {
+        if std::mem::replace(&mut self.is_answered[job], true) {
+            return;
+        }
         self.open -= 1;
         let is_not_run = answer.code.class() == codes::Class::NotRun;
         self.outcome.untrue += u64::from(is_not_run && self.has_started[job]);
         self.outcome.received.push(sim::Received {
             job,
-            at_us: self.now_us - START_US + self.ways_us[job],
+            at_us: self.heard_us(job) - START_US + self.ways_us[job],
             sent_us: self.sent_us[job],
             code: answer.code,
             fates: answer.tasks.iter().map(|task| task.fate).collect(),
@@ -370,10 +402,14 @@
     }
 
     fn at_entry(&mut self, entry: usize, message: events::ToEntry) {
+        let Some(message) = self.read(entry, message) else {
+            return;
+        };
         let now_ms = self.now_ms();
         let core = &mut self.entries[entry];
         let actions = match message {
             events::ToEntry::Reply(reply) => core.dispatch_answered(now_ms, reply),
+            events::ToEntry::Failed(attempt, fault) => core.dispatch_failed(now_ms, attempt, fault),
             events::ToEntry::Fenced(fence, reply) => core.fence_answered(now_ms, &fence, reply),
             events::ToEntry::Heartbeat(heartbeat) => {
                 let (reply, actions) = core.heartbeat(now_ms, &heartbeat);
@@ -404,6 +440,9 @@
     fn tick(&mut self) {
         let now_ms = self.now_ms();
         for entry in 0..self.entries.len() {
+            if !self.lives[entry].is_up() {
+                continue;
+            }
             let actions = self.entries[entry].tick(now_ms);
             self.act(entry, actions);
         }
@@ -447,6 +486,9 @@
 
     fn entry_heartbeats(&mut self, now_ms: u64) {
         for sender in 0..self.entries.len() {
+            if !self.lives[sender].is_up() {
+                continue;
+            }
             for entry in (0..self.entries.len()).filter(|entry| *entry != sender) {
                 let to = Some(self.entries[entry].me().incarnation);
                 let heartbeat = self.entries[sender].heartbeat_to_send(now_ms, to);
--- a/measure/src/workload.rs
+++ b/measure/src/workload.rs
@@ -25,6 +25,17 @@
     pub returns: u32,
     /// Whether its tasks may be started again.
     pub is_idempotent: bool,
+    /// Memory of each of its tasks.
+    pub memory: Memory,
+}
+
+/// Memory of a task, mebibytes.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Memory {
+    /// What it really takes; 0: its worker does not observe it.
+    pub real_mib: u32,
+    /// What its caller declares.
+    pub declared_mib: u32,
 }
 
 /// A stream of like jobs.
@@ -126,6 +137,7 @@
             cancel_us: None,
             returns: 0,
             is_idempotent: false,
+            memory: Memory::default(),
         });
     }
 }
--- a/measure/tables.sh
+++ b/measure/tables.sh
@@ -7,6 +7,6 @@
 cd "$(dirname "$0")/.."
 
 if [ $# -eq 0 ]; then
-    set -- docs/MEASUREMENTS.md docs/MEASUREMENTS-PLACEMENT.md
+    set -- docs/MEASUREMENTS.md docs/MEASUREMENTS-PLACEMENT.md docs/MEASUREMENTS-FAULTS.md
 fi
 exec cargo run --locked --release --quiet -p bulrushtiller-measure -- renew "$@"
