Assert the goals that are met since submissions are passed on

The tests of one site, load and seed share one run of all patterns, on a queue of four threads that `renew` uses too.

--- a/measure/src/lib.rs
+++ b/measure/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod pages;
 pub mod patterns;
 pub mod report;
+pub mod runs;
 pub mod sim;
 pub mod slopes;
 pub mod workload;
--- a/measure/src/pages/layout.rs
+++ b/measure/src/pages/layout.rs
@@ -3,7 +3,6 @@
 use std::collections;
 
 use crate::pages::marker;
-use crate::pages::runs;
 use crate::patterns;
 use crate::report;
 
@@ -156,7 +155,7 @@
 }
 
 /// Prints a table, each line ended.
-pub fn print(marker: &marker::Marker, seeds: &runs::OfSeeds) -> String {
+pub fn print(marker: &marker::Marker, seeds: &[Vec<patterns::Row>]) -> String {
     let columns = columns(marker).unwrap_or_default();
     match marker.layout {
         Layout::Seeds => by_seed(&columns, seeds),
@@ -165,7 +164,7 @@
     }
 }
 
-fn by_seed(columns: &[Column], seeds: &runs::OfSeeds) -> String {
+fn by_seed(columns: &[Column], seeds: &[Vec<patterns::Row>]) -> String {
     let heads = columns.iter().map(|column| column.head);
     let mut lines = head(["version", "seed"].into_iter().chain(heads));
     for (seed, rows) in (1..).zip(seeds) {
@@ -178,7 +177,7 @@
     joined(&lines)
 }
 
-fn merged(mut columns: Vec<Column>, seeds: &runs::OfSeeds) -> String {
+fn merged(mut columns: Vec<Column>, seeds: &[Vec<patterns::Row>]) -> String {
     let all = || seeds.iter().flatten();
     let has_unanswered = all().any(|(_, figures)| figures.unanswered > 0);
     if has_unanswered && columns.iter().all(|column| column.head != UNANSWERED.head) {
@@ -203,7 +202,7 @@
     joined(&lines)
 }
 
-fn p99(columns: &[Column], seeds: &runs::OfSeeds) -> String {
+fn p99(columns: &[Column], seeds: &[Vec<patterns::Row>]) -> String {
     let numbers: Vec<String> = (1..=seeds.len()).map(|seed| seed.to_string()).collect();
     let heads = numbers.iter().map(String::as_str);
     let mut lines = head(["version"].into_iter().chain(heads));
@@ -215,7 +214,7 @@
     joined(&lines)
 }
 
-fn rows(seeds: &runs::OfSeeds) -> usize {
+fn rows(seeds: &[Vec<patterns::Row>]) -> usize {
     seeds.iter().map(Vec::len).min().unwrap_or(0)
 }
 
--- a/measure/src/pages/mod.rs
+++ b/measure/src/pages/mod.rs
@@ -6,12 +6,13 @@
 
 mod layout;
 mod marker;
-mod runs;
 
 pub use layout::Layout;
 pub use marker::Marker;
 pub use marker::PageError;
 
+use crate::runs;
+
 /// Line behind a table.
 const END: &str = "<!-- end -->";
 
@@ -26,14 +27,24 @@
 /// The page with each table printed anew.
 pub fn renew(page: &str) -> Result<String, PageError> {
     let tables = markers(page)?;
-    let printed: Vec<String> = runs::all(&tables)
-        .iter()
-        .zip(&tables)
+    let runs: Vec<runs::Run> = tables.iter().flat_map(of_seeds).collect();
+    let done = runs::all(&runs);
+    let done = done.chunks(SEEDS.len()).zip(&tables);
+    let printed: Vec<String> = done
         .map(|(seeds, table)| layout::print(table, seeds))
         .collect();
     replace(page, &printed)
 }
 
+fn of_seeds(table: &Marker) -> [runs::Run; SEEDS.len()] {
+    SEEDS.map(|seed| runs::Run {
+        pattern: table.run,
+        site: table.site.clone(),
+        load: table.load,
+        seed,
+    })
+}
+
 /// The page with these tables in place of those between its markers.
 pub fn replace(page: &str, tables: &[String]) -> Result<String, PageError> {
     let mut renewed = String::with_capacity(page.len());
--- a/measure/tests/load.rs
+++ b/measure/tests/load.rs
@@ -2,11 +2,13 @@
 //!
 //! A goal that is not met has a line in `docs/MEASUREMENTS.md` and no test here.
 
-use std::thread;
+use std::sync;
 
 use bulrushtiller_measure::patterns;
 use bulrushtiller_measure::report;
+use bulrushtiller_measure::runs;
 use bulrushtiller_measure::sim;
+use rstest::rstest;
 
 const SEED: u64 = 1;
 const LOAD: f64 = 0.7;
@@ -16,9 +18,9 @@
 const RATIO_P99: f64 = 1.5;
 const WASTED: f64 = 0.05;
 
-fn rows(pattern: &str) -> Vec<patterns::Row> {
-    let run = patterns::find(pattern).expect("the pattern is known");
-    run(&sim::Site::taipa(), LOAD, SEED)
+fn rows(pattern: &str) -> &'static [patterns::Row] {
+    let found = TABLES.iter().find(|(known, _)| *known == pattern);
+    &found.expect("the pattern is known").1
 }
 
 fn row(rows: &[patterns::Row], name: &str) -> report::Figures {
@@ -26,30 +28,51 @@
     found.expect("the row is there").1
 }
 
-/// Patterns run at one time.
-const THREADS: usize = 4;
+type Table = (&'static str, Vec<patterns::Row>);
 
-/// Runs every pattern, a few at a time.
-fn every_pattern() -> Vec<(&'static str, Vec<patterns::Row>)> {
-    let run_some = |first: usize| {
-        let some = patterns::ALL.iter().skip(first).step_by(THREADS);
-        some.map(|(name, run)| (*name, run(&sim::Site::taipa(), LOAD, SEED)))
-            .collect::<Vec<_>>()
+/// The tables of all patterns at Pedra Seca's site, run once for all tests.
+static TABLES: sync::LazyLock<Vec<Table>> = sync::LazyLock::new(every_pattern);
+
+fn every_pattern() -> Vec<Table> {
+    let run = |(_, pattern): &(&str, patterns::Pattern)| runs::Run {
+        pattern: *pattern,
+        site: sim::Site::taipa(),
+        load: LOAD,
+        seed: SEED,
     };
-    thread::scope(|scope| {
-        let threads: Vec<_> = (0..THREADS)
-            .map(|first| scope.spawn(move || run_some(first)))
-            .collect();
-        let done = threads.into_iter().map(|one| one.join().unwrap());
-        done.flatten().collect()
-    })
+    let all: Vec<_> = patterns::ALL.iter().map(run).collect();
+    let names = patterns::ALL.iter().map(|(name, _)| *name);
+    names.zip(runs::all(&all)).collect()
 }
 
 #[test]
 fn answers_at_seven_tenths_load_take_little_longer_than_ideal() {
     let rows = rows("steady");
 
+    let ours = row(rows, "ours, each run time declared");
+
+    assert!(ours.ratio_p99 <= RATIO_P99, "{ours:?}");
+}
+
+#[test]
+fn answers_at_the_archivo_take_little_longer_than_ideal() {
+    let run = patterns::find("steady").expect("the pattern is known");
+
+    let rows = run(&sim::Site::formulario(), LOAD, SEED);
+
     let ours = row(&rows, "ours, each run time declared");
+    assert!(ours.ratio_p99 <= RATIO_P99, "{ours:?}");
+}
+
+// One of eleven servers fails every task at once, or stands still for good. The jobs that
+// it does not take with it are answered as if it was well.
+#[rstest]
+#[case::fails_all("fails-all")]
+#[case::frozen("frozen-server")]
+fn answers_beside_a_bad_server_are_near_the_ideal(#[case] pattern: &str) {
+    let rows = rows(pattern);
+
+    let ours = row(rows, "ours");
 
     assert!(ours.ratio_p99 <= RATIO_P99, "{ours:?}");
 }
@@ -58,7 +81,7 @@
 fn the_slots_do_useful_work_at_twice_the_load() {
     let rows = rows("overload");
 
-    let ours = row(&rows, "ours");
+    let ours = row(rows, "ours");
 
     assert!(ours.goodput >= GOODPUT, "{ours:?}");
     assert!(ours.useful >= GOODPUT, "{ours:?}");
@@ -71,8 +94,8 @@
 fn a_team_beside_a_hot_caller_loses_no_job() {
     let rows = rows("hot-caller");
 
-    let beside = row(&rows, "ours, beside the hot one");
-    let without_teams = row(&rows, "no teams, beside the hot one");
+    let beside = row(rows, "ours, beside the hot one");
+    let without_teams = row(rows, "no teams, beside the hot one");
 
     assert_eq!(beside.complete, beside.jobs, "{beside:?}");
     assert!(beside.ratio_p99 * 10.0 < without_teams.ratio_p99);
@@ -82,9 +105,9 @@
 fn short_tasks_do_not_wait_behind_long_ones_as_when_first_come() {
     let rows = rows("long-among-short");
 
-    let ours = row(&rows, "ours: short");
-    let first_come = row(&rows, "first come first served: short");
-    let long = row(&rows, "ours: long");
+    let ours = row(rows, "ours: short");
+    let first_come = row(rows, "first come first served: short");
+    let long = row(rows, "ours: long");
 
     assert!(ours.ratio_p99 < first_come.ratio_p99, "{ours:?}");
     assert_eq!(long.complete, long.jobs, "{long:?}");
@@ -94,16 +117,17 @@
 fn a_wave_of_cancellations_gives_its_slots_to_the_others() {
     let rows = rows("cancel-wave");
 
-    let ours = row(&rows, "ours");
-    let ignored = row(&rows, "cancelling ignored");
+    let ours = row(rows, "ours");
+    let ignored = row(rows, "cancelling ignored");
 
     assert!(ours.useful > ignored.useful, "{ours:?} {ignored:?}");
 }
 
 #[test]
 fn every_pattern_is_true_to_its_callers_and_wastes_few_messages() {
-    let tables = every_pattern();
+    let tables = &*TABLES;
 
+    assert_eq!(tables.len(), patterns::ALL.len());
     for (name, rows) in tables {
         let ours = rows.iter().filter(|(row, _)| row.starts_with("ours"));
         for (row, figures) in ours {
--- a/measure/tests/servers.rs
+++ b/measure/tests/servers.rs
@@ -72,6 +72,9 @@
     let ours = row(&rows, &format!("settings of {name}: while out"));
 
     assert!(ours.goodput >= LEAST_WORK, "{ours:?}");
+    // What is beyond the slots waits, so the ratio says something below them only.
+    let is_within = load < 1.0;
+    assert!(!is_within || ours.ratio_p99 <= MOST_RATIO_P99, "{ours:?}");
     assert!(ours.wasted <= MOST_WASTED, "{ours:?}");
     assert_eq!((ours.double_starts, ours.late_starts), (0, 0));
 }
