Give the driver's callers a module, and tell a broken connection from an answer

A job that is answered twice would have gone unseen, which the driver noticed before by counting open jobs below zero.

A caller has heard nothing, an answer, or that its connection broke; only after a break are later answers passed over, a second answer stops the run, and a caller whose connection broke does not come back by itself.

--- a/measure/src/sim/lives.rs
+++ b/measure/src/sim/lives.rs
@@ -1,9 +1,12 @@
 //! Entries that are killed or stand still, and what callers and other entries then
 //! meet with.
 
+use rand::Rng as _;
+
 use bulrushtiller::codes;
 use bulrushtiller::jobs::answer;
 
+use crate::sim::callers;
 use crate::sim::events;
 use crate::sim::world;
 
@@ -51,13 +54,16 @@
         self.lives[entry] = Life::Killed { since_us };
         let owned = self.submitted.iter().filter(|((of, _), _)| *of == entry);
         let mut lost: Vec<usize> = owned.map(|(_, job)| *job).collect();
-        let called = self.called.iter().enumerate();
-        let held = called.filter(|(_, called)| **called == Some(entry));
-        lost.extend(held.map(|(job, _)| job));
+        let is_held = |job: &usize| {
+            self.called[*job] == Some(entry) && self.heard[*job] == callers::Heard::Nothing
+        };
+        lost.extend((0..self.jobs.len()).filter(is_held));
         lost.sort_unstable();
+        lost.dedup();
         self.submitted.retain(|(of, _), _| *of != entry);
         for job in lost {
             self.receive_code(job, codes::Code::OwnerGone);
+            self.heard[job] = callers::Heard::Break;
         }
     }
 
@@ -91,7 +97,7 @@
         let lives = self.lives.iter().enumerate();
         let open = lives.filter(|(_, life)| !is_known_down(life));
         let open: Vec<usize> = open.map(|(entry, _)| entry).collect();
-        open[self.draw_below(open.len())]
+        open[self.rng.random_range(0..open.len())]
     }
 
     /// A call comes to an entry that is down.
--- a/measure/src/sim/mod.rs
+++ b/measure/src/sim/mod.rs
@@ -3,6 +3,7 @@
 //! Both sides are the real decision modules; latencies, service times and faults
 //! are the only things made up.
 
+mod callers;
 mod events;
 mod faults;
 mod lives;
