--- a/measure/src/lib.rs
+++ b/measure/src/lib.rs
@@ -1,8 +1,10 @@
 //! Deterministic measurements over the pure decision modules: queues, slots and
 //! service times in a clock of their own, without network or processes.
 
+pub mod pages;
 pub mod patterns;
 pub mod report;
+pub mod runs;
 pub mod sim;
 pub mod slopes;
 pub mod workload;
--- a/measure/src/patterns/mod.rs
+++ b/measure/src/patterns/mod.rs
@@ -2,13 +2,17 @@
 
 pub mod burst;
 pub mod cancel_wave;
+pub mod entry_lost;
 pub mod far_off;
 pub mod hot_caller;
 pub mod long_among_short;
 pub mod overload;
 pub mod placement;
+pub mod retry_storm;
 pub mod servers;
+pub mod sizes;
 pub mod steady;
+pub mod stragglers;
 pub mod zone_change;
 
 use smol_str::SmolStr;
@@ -92,6 +96,21 @@
     settings
 }
 
+/// The same site with one entry that sees all slots and orders all work: what no
+/// way of sharing them between entries can beat.
+pub fn one_entry(site: &sim::Site) -> sim::Site {
+    sim::Site {
+        entries: 1,
+        ..site.clone()
+    }
+}
+
+/// The same settings without a leading entry: nothing is passed on.
+pub fn each_for_itself(mut settings: settings::Settings) -> settings::Settings {
+    settings.policy.pass_on_below = 0.0;
+    settings
+}
+
 /// A named version and its figures.
 pub type Row = (String, report::Figures);
 
@@ -114,6 +133,10 @@
     ("stuck-server", servers::stuck),
     ("zone-change", zone_change::warm),
     ("cold-zone", zone_change::cold),
+    ("entry-lost", entry_lost::run),
+    ("retry-storm", retry_storm::run),
+    ("sizes", sizes::run),
+    ("stragglers", stragglers::run),
 ];
 
 /// Finds a pattern by its name.
--- a/measure/src/sim/world.rs
+++ b/measure/src/sim/world.rs
@@ -3,13 +3,9 @@
 use std::collections;
 use std::sync;
 
-use rand::Rng as _;
 use rand::SeedableRng as _;
 use smol_str::SmolStr;
 
-use bulrushtiller::api;
-use bulrushtiller::codes;
-use bulrushtiller::entry::calls;
 use bulrushtiller::entry::core as entry;
 use bulrushtiller::ids;
 use bulrushtiller::jobs;
@@ -18,7 +14,10 @@
 use bulrushtiller::wire;
 
 use crate::sim;
+use crate::sim::callers;
 use crate::sim::events;
+use crate::sim::lives;
+use crate::sim::workers;
 use crate::workload;
 
 /// Where the clock begins, so that ages can be taken from the first moment on.
@@ -40,14 +39,20 @@
     pub(super) events: collections::BinaryHeap<events::Timed>,
     pub(super) entries: Vec<entry::Core>,
     pub(super) runners: Vec<runner::Core>,
+    pub(super) lives: Vec<lives::Life>,
+    pub(super) workers: Vec<workers::Worker>,
     pub(super) speeds: Vec<f64>,
     pub(super) fails_all: Vec<bool>,
     pub(super) frozen: Vec<bool>,
+    pub(super) died: Vec<bool>,
     pub(super) stuck: Vec<bool>,
     pub(super) applied: Vec<u64>,
     pub(super) out_since: collections::HashMap<SmolStr, u64>,
     pub(super) submitted: collections::HashMap<(usize, jobs::Key), usize>,
     pub(super) placed: Vec<Option<(usize, jobs::Key)>>,
+    /// The entry that holds the connection of each job's caller.
+    pub(super) called: Vec<Option<usize>>,
+    pub(super) heard: Vec<callers::Heard>,
     pub(super) open: usize,
     /// One way of each job between its caller and the entry that owns it.
     pub(super) ways_us: Vec<u64>,
@@ -116,7 +121,7 @@
                 slots: site.slots,
                 size: wire::Resources {
                     cpu_milli: 16_000,
-                    memory_mib: 32_768,
+                    memory_mib: workers::MEMORY_MIB,
                     accelerators: 0,
                 },
             };
@@ -132,14 +137,19 @@
             events: collections::BinaryHeap::new(),
             entries: (0..site.entries).map(entry).collect(),
             runners: (0..site.runners).map(runner).collect(),
+            lives: vec![lives::Life::Up; site.entries],
+            workers: (0..site.runners).map(|_| workers::Worker::new()).collect(),
             speeds: vec![1.0; site.runners],
             fails_all: vec![false; site.runners],
             frozen: vec![false; site.runners],
+            died: vec![false; site.runners],
             stuck: vec![false; site.runners],
             applied: vec![0; site.runners],
             out_since: collections::HashMap::new(),
             submitted: collections::HashMap::new(),
             placed: vec![None; jobs.len()],
+            called: vec![None; jobs.len()],
+            heard: vec![callers::Heard::Nothing; jobs.len()],
             open: jobs.len(),
             ways_us: vec![site.to_caller_us; jobs.len()],
             returns: jobs.iter().map(|job| job.returns).collect(),
@@ -203,9 +213,11 @@
     fn happen(&mut self, event: events::Event) {
         match event {
             events::Event::Arrive(job) => self.arrive(job),
-            events::Event::PassedOn { job, entry, ticket } => {
-                self.submit(job, entry, Some(ticket));
-            }
+            events::Event::Submit(call) => self.submit(call),
+            events::Event::PassedOn { from, call } => self.passed_on(from, call),
+            events::Event::Keep { job, entry } => self.keep(job, entry),
+            events::Event::Silent(job) => self.silent(job),
+            events::Event::Thaw(entry) => self.thaw(entry),
             events::Event::Cancel(job) => self.cancel(job),
             events::Event::Tick => self.tick(),
             events::Event::Heartbeats => self.heartbeats(),
@@ -223,116 +235,9 @@
                 message,
             } => self.at_runner(runner, entry, message),
             events::Event::ToEntry { entry, message } => self.at_entry(entry, message),
-            events::Event::TaskEnd {
-                runner,
-                attempt,
-                run_ms,
-                is_failed,
-            } => {
-                self.task_end(runner, attempt, run_ms, is_failed);
-            }
-        }
-    }
-
-    /// The balancer sends each call to an entry at random.
-    fn arrive(&mut self, index: usize) {
-        let entry = self.rng.random_range(0..self.entries.len());
-        self.ways_us[index] = self.site.to_caller_us;
-        self.submit(index, entry, None);
-    }
-
-    fn submit(&mut self, index: usize, entry: usize, ticket: Option<ids::SubmissionId>) {
-        let job = &self.jobs[index];
-        let task = |(run_ms, declared_ms): (&u32, &u32)| api::Task {
-            kind: job.kind.clone(),
-            payload: format!("{index} {run_ms}"),
-            run_ms: *declared_ms,
-            ..api::Task::default()
-        };
-        let submission = api::Submission {
-            submission: ticket,
-            deadline_ms: job.deadline_ms,
-            wait_ms: 0,
-            idempotent: job.is_idempotent,
-            tasks: job.run_ms.iter().zip(&job.declared_ms).map(task).collect(),
-        };
-        let now_ms = self.now_ms();
-        let (reply, actions) = self.entries[entry].submit(now_ms, &job.team, submission);
-        match reply {
-            calls::Reply::Answer(answer) => self.refused(index, &answer),
-            calls::Reply::Open(key) => {
-                self.submitted.insert((entry, key), index);
-                self.sent_us[index] = self.now_us - START_US - self.ways_us[index];
-                self.placed[index] = Some((entry, key));
-            }
-            calls::Reply::Forward { owner, ticket, .. } => {
-                self.pass_on(index, entry, &owner.address, ticket);
-            }
-            calls::Reply::Claiming(_) => {}
-        }
-        self.act(entry, actions);
-    }
-
-    fn pass_on(
-        &mut self,
-        job: usize,
-        entry: usize,
-        address: &str,
-        ticket: Option<ids::SubmissionId>,
-    ) {
-        let (Some(to), Some(ticket)) = (self.entry_at(address), ticket) else {
-            return;
-        };
-        let way_us = self.site.latency_us(entry, to);
-        self.ways_us[job] += way_us;
-        let at_us = self.now_us + way_us;
-        let event = events::Event::PassedOn {
-            job,
-            entry: to,
-            ticket,
-        };
-        self.at(at_us, event);
-    }
-
-    fn cancel(&mut self, index: usize) {
-        let Some((entry, key)) = self.placed[index] else {
-            return;
-        };
-        let now_ms = self.now_ms();
-        let Some(pending) = self.entries[entry].pending(now_ms, key) else {
-            return;
-        };
-        let Some(id) = pending.submission else { return };
-        let team = self.jobs[index].team.clone();
-        let (_, actions) = self.entries[entry].cancel(now_ms, &team, &id);
-        self.act(entry, actions);
-    }
-
-    /// A refused caller comes back when it was told to, so often as it has patience.
-    fn refused(&mut self, index: usize, answer: &api::Answer) {
-        self.outcome.refusals += 1;
-        let retry_after_ms = answer.retry_after_ms;
-        if let Some(after_ms) = retry_after_ms.filter(|_| self.returns[index] > 0) {
-            self.returns[index] -= 1;
-            let at_us = self.now_us + 2 * self.ways_us[index] + after_ms * 1_000;
-            self.at(at_us, events::Event::Arrive(index));
-            return;
+            events::Event::TaskEnd { runner, end } => self.task_end(runner, &end),
+            events::Event::Stopped { runner, attempt } => self.stopped(runner, attempt),
         }
-        self.receive(index, answer);
-    }
-
-    fn receive(&mut self, job: usize, answer: &api::Answer) {
-        self.open -= 1;
-        let is_not_run = answer.code.class() == codes::Class::NotRun;
-        self.outcome.untrue += u64::from(is_not_run && self.has_started[job]);
-        self.outcome.received.push(sim::Received {
-            job,
-            at_us: self.now_us - START_US + self.ways_us[job],
-            sent_us: self.sent_us[job],
-            code: answer.code,
-            fates: answer.tasks.iter().map(|task| task.fate).collect(),
-            retry_after_ms: answer.retry_after_ms,
-        });
     }
 
     pub(super) fn act(&mut self, entry: usize, actions: Vec<entry::Action>) {
@@ -370,10 +275,14 @@
     }
 
     fn at_entry(&mut self, entry: usize, message: events::ToEntry) {
+        let Some(message) = self.read(entry, message) else {
+            return;
+        };
         let now_ms = self.now_ms();
         let core = &mut self.entries[entry];
         let actions = match message {
             events::ToEntry::Reply(reply) => core.dispatch_answered(now_ms, reply),
+            events::ToEntry::Failed(attempt, fault) => core.dispatch_failed(now_ms, attempt, fault),
             events::ToEntry::Fenced(fence, reply) => core.fence_answered(now_ms, &fence, reply),
             events::ToEntry::Heartbeat(heartbeat) => {
                 let (reply, actions) = core.heartbeat(now_ms, &heartbeat);
@@ -390,7 +299,7 @@
         self.act(entry, actions);
     }
 
-    fn entry_at(&self, address: &str) -> Option<usize> {
+    pub(super) fn entry_at(&self, address: &str) -> Option<usize> {
         let mut entries = self.entries.iter();
         entries.position(|one| one.me().address == address)
     }
@@ -404,6 +313,9 @@
     fn tick(&mut self) {
         let now_ms = self.now_ms();
         for entry in 0..self.entries.len() {
+            if !self.lives[entry].is_up() {
+                continue;
+            }
             let actions = self.entries[entry].tick(now_ms);
             self.act(entry, actions);
         }
@@ -452,6 +364,9 @@
 
     fn entry_heartbeats(&mut self, now_ms: u64) {
         for sender in 0..self.entries.len() {
+            if !self.lives[sender].is_up() {
+                continue;
+            }
             for entry in (0..self.entries.len()).filter(|entry| *entry != sender) {
                 let to = Some(self.entries[entry].me().incarnation);
                 let heartbeat = self.entries[sender].heartbeat_to_send(now_ms, to);
