--- a/src/cmd/change/mod.rs
+++ b/src/cmd/change/mod.rs
@@ -1,5 +1,6 @@
 //! What all commands that change settings share.
 
+use std::ffi;
 use std::time;
 
 use smol_str::SmolStr;
@@ -7,6 +8,7 @@
 use crate::cli;
 use crate::cli::flags;
 use crate::client::publish;
+use crate::cmd;
 use crate::ids;
 use crate::settings::record;
 
@@ -95,8 +97,31 @@
     Ok(checked.unwrap_or_else(publish::random_id))
 }
 
-/// Makes one change and waits if that was asked for.
-pub async fn apply_one(options: &Options, edit: &Edit) -> cli::CliResult<Outcome> {
+/// The command line of a command that makes one change.
+#[derive(Clone, Debug)]
+pub struct One {
+    /// The options of every change.
+    pub options: Options,
+    /// The change.
+    pub edit: Edit,
+}
+
+/// Runs a command that makes one change, and waits if that was asked for.
+pub fn run_one(
+    argv: Vec<ffi::OsString>,
+    usage: &str,
+    parse: fn(pico_args::Arguments) -> cli::CliResult<One>,
+) -> cli::CliResult<()> {
+    let usage = format!("{usage}{USAGE}");
+    let Some(args) = flags::start(argv, &usage)? else {
+        return Ok(());
+    };
+    let One { options, edit } = parse(args)?;
+    let outcome = cmd::block_on(apply_one(&options, &edit))?;
+    print(&outcome, &options)
+}
+
+async fn apply_one(options: &Options, edit: &Edit) -> cli::CliResult<Outcome> {
     let mut editor = Editor::open(options).await?;
     editor.apply(edit).await?;
     editor.finish().await
--- a/src/cmd/config/put.rs
+++ b/src/cmd/config/put.rs
@@ -7,7 +7,6 @@
 
 use crate::cli;
 use crate::cli::flags;
-use crate::cmd;
 use crate::cmd::change;
 
 const USAGE: &str = "
@@ -25,40 +24,27 @@
     --id ID         Id of the change, to repeat one whose end was not seen
 ";
 
-struct Args {
-    options: change::Options,
-    edit: change::Edit,
-}
-
-impl Args {
-    fn parse(mut args: pico_args::Arguments) -> cli::CliResult<Self> {
-        let options = change::Options::take(&mut args, false)?;
-        let name: Option<SmolStr> = flags::value(&mut args, "--name")?;
-        let base = change::take_base(&mut args)?;
-        let id = change::take_id(&mut args)?;
-        let path = path::PathBuf::from(flags::one(args, "file")?);
-        let file = match name {
-            Some(name) => name,
-            None => cli::folder::name(&path)?,
-        };
-        let text = Some(cli::folder::read_file(&path)?);
-        let edit = change::Edit {
-            id,
-            file,
-            text,
-            base,
-        };
-        Ok(Self { options, edit })
-    }
+fn parse(mut args: pico_args::Arguments) -> cli::CliResult<change::One> {
+    let options = change::Options::take(&mut args, false)?;
+    let name: Option<SmolStr> = flags::value(&mut args, "--name")?;
+    let base = change::take_base(&mut args)?;
+    let id = change::take_id(&mut args)?;
+    let path = path::PathBuf::from(flags::one(args, "file")?);
+    let file = match name {
+        Some(name) => name,
+        None => cli::folder::name(&path)?,
+    };
+    let text = Some(cli::folder::read_file(&path)?);
+    let edit = change::Edit {
+        id,
+        file,
+        text,
+        base,
+    };
+    Ok(change::One { options, edit })
 }
 
 /// Runs `config put`.
 pub fn run(argv: Vec<ffi::OsString>) -> cli::CliResult<()> {
-    let usage = format!("{USAGE}{}", change::USAGE);
-    let Some(args) = flags::start(argv, &usage)? else {
-        return Ok(());
-    };
-    let args = Args::parse(args)?;
-    let outcome = cmd::block_on(change::apply_one(&args.options, &args.edit))?;
-    change::print(&outcome, &args.options)
+    change::run_one(argv, USAGE, parse)
 }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 use std::future;
 
 use crate::cli;
+use crate::cli::flags;
 
 pub mod answer;
 pub mod audit;
@@ -63,6 +64,23 @@
     }
 }
 
+/// The command line of a subcommand that shows something and has no option of its own.
+struct ShowArgs {
+    config: cli::Config,
+    json: bool,
+}
+
+impl ShowArgs {
+    fn parse(mut args: pico_args::Arguments) -> cli::CliResult<Self> {
+        let parsed = Self {
+            config: cli::Config::take(&mut args)?,
+            json: args.contains("--json"),
+        };
+        flags::finish(args)?;
+        Ok(parsed)
+    }
+}
+
 /// Complains about a subcommand.
 fn unknown(name: &ffi::OsStr, usage: &str) -> cli::CliError {
     let name = name.to_string_lossy();
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -23,28 +23,12 @@
     --json          Print a JSON array, one object a process
 ";
 
-struct Args {
-    config: cli::Config,
-    json: bool,
-}
-
-impl Args {
-    fn parse(mut args: pico_args::Arguments) -> cli::CliResult<Self> {
-        let parsed = Self {
-            config: cli::Config::take(&mut args)?,
-            json: args.contains("--json"),
-        };
-        flags::finish(args)?;
-        Ok(parsed)
-    }
-}
-
 /// Runs `status`.
 pub fn run(argv: Vec<ffi::OsString>) -> cli::CliResult<()> {
     let Some(args) = flags::start(argv, USAGE)? else {
         return Ok(());
     };
-    let args = Args::parse(args)?;
+    let args = cmd::ShowArgs::parse(args)?;
     let entries = args.config.entries()?;
     let processes = cmd::block_on(async {
         let http = client::Http::open();
--- a/src/cmd/zone.rs
+++ b/src/cmd/zone.rs
@@ -158,24 +158,8 @@
     slots: u32,
 }
 
-struct List {
-    config: cli::Config,
-    json: bool,
-}
-
-impl List {
-    fn parse(mut args: pico_args::Arguments) -> cli::CliResult<Self> {
-        let parsed = Self {
-            config: cli::Config::take(&mut args)?,
-            json: args.contains("--json"),
-        };
-        flags::finish(args)?;
-        Ok(parsed)
-    }
-}
-
 fn list(args: pico_args::Arguments) -> cli::CliResult<()> {
-    let args = List::parse(args)?;
+    let args = cmd::ShowArgs::parse(args)?;
     let sources = args.config.sources()?;
     let (state, processes) = cmd::block_on(async {
         let http = client::Http::open();
