Let long tasks wait up to five seconds before age alone decides

Ruled out: taking ageing out, since it is what bounds the wait of a very long task.

Conclusion: 5 s; the bound is kept.

--- a/src/settings/checked.rs
+++ b/src/settings/checked.rs
@@ -180,7 +180,7 @@
             eject_failures: 5,
             eject_ms: 5_000,
             ramp_ms: 3_000,
-            age_ms: 2_000,
+            age_ms: 5_000,
             pass_on_below: 0.5,
         }
     }
