--- a/tests/failure/leaving.rs
+++ b/tests/failure/leaving.rs
@@ -1,16 +1,12 @@
 //! A backend server that is leaving gets no new work (point 7).
 
-use std::net;
 use std::thread;
 use std::time;
 
 use bulrushtiller::api;
 use bulrushtiller::codes;
 use bulrushtiller::ids;
-use bulrushtiller::outgoing;
 use bulrushtiller::wire;
-use serde::Serialize;
-use serde::de;
 
 use crate::rig;
 use crate::watch;
@@ -92,15 +88,6 @@
     assert_eq!(watch::answers(outcome)[0].code, codes::Code::Complete);
 }
 
-/// Sends a message to a process and reads the answer.
-fn say<M: Serialize, R: de::DeserializeOwned>(to: net::SocketAddr, path: &str, message: &M) -> R {
-    let limit = time::Duration::from_secs(5);
-    let to = to.to_string();
-    let exchange = outgoing::post_afresh(&to, path, message, limit);
-    let answer = actix_rt::System::new().block_on(exchange);
-    answer.expect("an answer")
-}
-
 fn attempt(number: u64) -> ids::Attempt {
     let owner = ids::Incarnation(1);
     ids::Attempt { owner, number }
@@ -128,7 +115,7 @@
         bar: false,
         stop: false,
     };
-    let known: wire::FenceReply = say(runner, wire::FENCE_PATH, &question);
+    let known: wire::FenceReply = rig::say(runner, wire::FENCE_PATH, &question);
 
     rig.runners[0].terminate().expect("told to stop");
     rig::wait_until("it is leaving", || rig::status(runner).leaving);
@@ -148,7 +135,7 @@
         submission: "s".into(),
         index: 0,
     };
-    let reply: wire::DispatchReply = say(runner, wire::DISPATCH_PATH, &dispatch);
+    let reply: wire::DispatchReply = rig::say(runner, wire::DISPATCH_PATH, &dispatch);
     let outcome = vec![caller.join().expect("the caller goes on")];
 
     let code = codes::Code::Leaving;
--- a/tests/failure/passing.rs
+++ b/tests/failure/passing.rs
@@ -6,6 +6,7 @@
 use bulrushtiller::api;
 use bulrushtiller::codes;
 use bulrushtiller::ids;
+use bulrushtiller::wire;
 use bulrushtiller_standins::relay;
 use bulrushtiller_standins::site;
 use rstest::rstest;
@@ -152,9 +153,33 @@
     check::check(&rig, &passed.iter().collect::<Vec<_>>());
 }
 
+fn declined_payload() -> String {
+    rig::sleep(20, "declined")
+}
+
+/// Passes a submission on to the leading entry, as one does that has not heard yet that
+/// this one stops.
+fn pass_on_by_hand(rig: &rig::Rig, ticket: &ids::SubmissionId) -> api::Answer {
+    let ids::SubmissionId::Ticket(of) = ticket else {
+        panic!("{ticket} is not a ticket");
+    };
+    let forward = wire::Forward {
+        version: wire::VERSION,
+        incarnation: of.incarnation,
+        team: SmolStr::new_static(rig::TEAM),
+        call: wire::Call::Submit(api::Submission {
+            submission: Some(ticket.clone()),
+            wait_ms: 0,
+            ..rig::job(&[declined_payload()])
+        }),
+    };
+    let reply: wire::ForwardReply = rig::say(rig.links.entries[0], wire::FORWARD_PATH, &forward);
+    reply.answer
+}
+
 // The leading entry is told to stop while submissions are passed on to it. What it took in
-// comes back whole through the entry that passed it on, and what comes later is kept there:
-// no caller of the other entry is refused.
+// comes back whole through the entry that passed it on, what is on its way to it is declined
+// and never starts, and what comes later is kept: no caller of the other entry is refused.
 #[test]
 fn leading_entry_stops_and_cuts_nothing_passed_on() {
     let mut rig = passing_rig();
@@ -164,7 +189,11 @@
     let submission = rig::job(&[long.payload(0).to_owned()]);
     let waiting = thread::spawn(move || watch::call(caller, &submission));
     rig::wait_until("it runs", || rig.starts_of(long.payload(0)) == 1);
+    let ticket = rig.ticket(0);
     rig.entries[0].terminate().expect("told to stop");
+    let entry = rig.entries[0].address();
+    rig::wait_until("it stops", || rig::status(entry).leaving);
+    let declined = pass_on_by_hand(&rig, &ticket);
     let later = (0..20).map(|at| told(&format!("later-{at}"), 20).submit(&rig, 1));
     let answers: Vec<_> = later.collect();
     let first = watch::answers(vec![waiting.join().expect("the caller goes on")]);
@@ -173,6 +202,11 @@
     for answer in answers {
         assert_eq!(answer.expect("an answer").code, codes::Code::Complete);
     }
+    assert_eq!(
+        (declined.code, declined.is_final),
+        (codes::Code::Leaving, true)
+    );
+    assert_eq!(rig.starts_of(&declined_payload()), 0);
     assert_eq!(first[0].code, codes::Code::Complete);
     assert!(exit.expect("waited for").expect("it ends").success());
 }
--- a/tests/failure/rig.rs
+++ b/tests/failure/rig.rs
@@ -11,6 +11,7 @@
 use bulrushtiller::api;
 use bulrushtiller::ids;
 use bulrushtiller::leading;
+use bulrushtiller::outgoing;
 use bulrushtiller_standins::processes;
 use bulrushtiller_standins::site;
 use bulrushtiller_standins::worker;
@@ -32,6 +33,9 @@
 /// Bearer token of the team that tests use unless they say otherwise.
 pub const TOKEN: &str = TEAMS[0].1;
 
+/// Its team.
+pub const TEAM: &str = TEAMS[0].0;
+
 /// Bearer token of another team.
 pub const OTHER_TOKEN: &str = TEAMS[1].1;
 
@@ -352,3 +356,16 @@
 fn client() -> awc::Client {
     awc::Client::builder().timeout(LIMIT).finish()
 }
+
+/// Sends a message to a process and reads the answer.
+pub fn say<M: Serialize, R: de::DeserializeOwned>(
+    to: net::SocketAddr,
+    path: &str,
+    message: &M,
+) -> R {
+    let limit = time::Duration::from_secs(5);
+    let to = to.to_string();
+    let exchange = outgoing::post_afresh(&to, path, message, limit);
+    let answer = actix_rt::System::new().block_on(exchange);
+    answer.expect("an answer")
+}
--- a/tests/failure/stops.rs
+++ b/tests/failure/stops.rs
@@ -7,6 +7,7 @@
 use bulrushtiller::api;
 use bulrushtiller::codes;
 
+use crate::check;
 use crate::rig;
 use crate::watch;
 
@@ -79,8 +80,12 @@
     assert_eq!(watch::answers(outcome)[0].code, codes::Code::Complete);
 }
 
-// Runners are told to stop one after another, as in a rollout, while callers go on.
-// Each ends by itself, and every job is answered complete.
+/// Longer than a server that closes waits by itself for requests in progress (2 s), so
+/// that only a runner that drains brings it to an end.
+const LONG_MS: u64 = 3_000;
+
+// Runners are told to stop one after another, as in a rollout, while callers go on and
+// long tasks run at each. Each ends by itself, and every job is answered complete.
 #[test]
 fn runners_stopped_under_load_cut_nothing() {
     let mut rig = rig::Rig::start(&rig::Plan::default());
@@ -89,12 +94,23 @@
     sleep_ms(500);
 
     let mut exits = Vec::new();
-    for at in 0..2 {
+    let mut long_jobs = Vec::new();
+    for (at, entry) in entries.iter().copied().enumerate() {
+        let long = rig::sleep(LONG_MS, &format!("long-{at}"));
+        let submission = rig::job(&vec![long.clone(); 6]);
+        long_jobs.push(thread::spawn(move || watch::call(entry, &submission)));
+        rig::wait_until("a long task runs there", || {
+            let starts = rig.starts();
+            let mut starts = starts.iter();
+            starts.any(|(worker, one)| *worker == at && one.payload == long)
+        });
         rig.runners[at].terminate().expect("told to stop");
         exits.push(rig.runners[at].wait_exit(STOP).expect("waited for"));
     }
     sleep_ms(500);
-    let answers = watch::answers(callers.stop());
+    let mut answers = watch::answers(callers.stop());
+    let join = |caller: thread::JoinHandle<_>| caller.join().expect("the caller goes on");
+    answers.extend(watch::answers(long_jobs.into_iter().map(join).collect()));
 
     assert!(exits.iter().all(|one| one.is_some_and(|one| one.success())));
     let failed: Vec<_> = answers
@@ -154,3 +170,31 @@
     assert!(answer.is_final);
     assert_ne!(answer.code.class(), codes::Class::NotRun, "it was running");
 }
+
+// Operators allow a stop one second. A runner is told to stop while its backend server hangs
+// with a task, which so outlives its own limit. When the second is over the runner ends and
+// breaks the dispatch off. The caller is told that the task may have run, which is true, and
+// it is not started again.
+#[test]
+fn runner_past_its_deadline_leaves_what_may_have_run() {
+    let settings = "[timeouts]\nrun_limit_ms = 700\npark_ms = 300\ndrain_ms = 1000\n";
+    let mut rig = rig::Rig::start(&rig::Plan {
+        settings: settings.to_owned(),
+        ..rig::Plan::default()
+    });
+    let told = check::Told::sleeping(Some(rig.ticket(0)), 500, &["past-the-deadline"]);
+    let told = told.waiting(0);
+    told.submit(&rig, 0).expect("an answer");
+    rig::wait_until("the task runs", || rig.starts_of(told.payload(0)) == 1);
+    let at = rig.starts()[0].0;
+
+    rig.workers[at].freeze().expect("it hangs");
+    rig.runners[at].terminate().expect("told to stop");
+    let exit = rig.runners[at].wait_exit(STOP).expect("waited for");
+    let answer = told.submit_until_final(&rig, 0);
+    rig.workers[at].thaw().expect("it goes on");
+
+    assert!(exit.expect("it ends").success());
+    assert_eq!(answer.tasks[0].fate, api::Fate::MayHaveRun, "{answer:?}");
+    check::check(&rig, &[&told]);
+}
--- a/tests/failure/truth.rs
+++ b/tests/failure/truth.rs
@@ -186,3 +186,46 @@
     assert_eq!(other.code, codes::Code::Complete);
     check::check(&rig, &[&told, &small]);
 }
+
+// The log takes three appends a second, and twenty callers come with ids of their own at two
+// entries, a moment apart. Claims that the log refuses are not made: their callers are told
+// so within seconds, and nothing of theirs starts, then or later. The others start once.
+#[test]
+fn claims_over_the_append_limit_of_the_log() {
+    let rig = rig::Rig::start(&rig::Plan {
+        log: vec!["--appends-per-s", "3"],
+        ..rig::Plan::default()
+    });
+    let sleeping = |at: usize| {
+        let id = rig::own_id(&format!("pressa-{at}"));
+        check::Told::sleeping(Some(id), 20, &[&format!("hasty-{at}")])
+    };
+    let told: Vec<_> = (0..20).map(sleeping).collect();
+
+    let answers: Vec<_> = thread::scope(|scope| {
+        let mut calls = Vec::new();
+        for (at, one) in told.iter().enumerate() {
+            let rig = &rig;
+            calls.push(scope.spawn(move || one.submit(rig, at % 2)));
+            thread::sleep(time::Duration::from_millis(30));
+        }
+        let join = |call: thread::ScopedJoinHandle<'_, _>| call.join().expect("a call ends");
+        calls.into_iter().map(join).collect()
+    });
+    thread::sleep(time::Duration::from_millis(500));
+
+    let mut refused = 0;
+    for (one, answer) in told.iter().zip(answers) {
+        let answer = answer.expect("an answer");
+        let is_refused = answer.code == codes::Code::ClaimUnavailable;
+        assert!(
+            is_refused || answer.code == codes::Code::Complete,
+            "{answer:?}"
+        );
+        assert_eq!(rig.starts_of(one.payload(0)), usize::from(!is_refused));
+        refused += usize::from(is_refused);
+    }
+    assert!(refused > 0, "the log took all claims");
+    assert!(refused < told.len(), "the log took none");
+    check::check(&rig, &told.iter().collect::<Vec<_>>());
+}
--- a/tests/unit/starts.rs
+++ b/tests/unit/starts.rs
@@ -140,3 +140,28 @@
 
     assert!(ledger.len() <= 20, "{} are remembered", ledger.len());
 }
+
+// A runner has been asked about, or handed, as many attempts as it may remember. What it
+// could not remember it must not take in, since a copy would start a second time; and an
+// entry must not be told that an attempt is barred which would be taken in later.
+#[test]
+fn full_ledger_takes_nothing_in_and_promises_nothing() {
+    let mut ledger = starts::Ledger::new(0);
+    (0..starts::MAX_RECORDS).for_each(|at| ledger.bar(attempt(at)));
+    let next = attempt(starts::MAX_RECORDS);
+
+    let taken_in = ledger.admit(next, ledger.epoch());
+    ledger.bar(next);
+    let promise = ledger.get(next).cloned();
+    let first = ledger.admit(attempt(0), ledger.epoch());
+    ledger.advance(LENGTH_MS, LENGTH_MS);
+    ledger.advance(2 * LENGTH_MS, LENGTH_MS);
+    let later = ledger.admit(next, ledger.epoch());
+
+    let full = starts::Admission::Refused(codes::Code::RunnerFull);
+    let barred = starts::Entry::Barred(codes::Code::Fenced);
+    assert_eq!(taken_in, full);
+    assert_eq!(promise, None);
+    assert_eq!(first, starts::Admission::Known(barred));
+    assert_eq!(later, starts::Admission::New, "there is room again");
+}
