Make the test of stopping runners independent of placement

In ten runs in a row that were begun, the first failed in this test, in its arrangement: "in vain: a long task runs there". Six long tasks were offered beside a full load, and nothing made sure that one comes to the runner that is to stop next.

Now each round begins on an idle site with 24 long tasks, more than the slots of any two runners, and callers come once one runs at the runner that stops. Nothing is eased: 3 s tasks at both runners, all answers complete.

On a daemon that does not drain (trial on a scratch copy) it fails: answers that are not complete.

--- a/tests/failure/stops.rs
+++ b/tests/failure/stops.rs
@@ -84,33 +84,34 @@
 /// that only a runner that drains brings it to an end.
 const LONG_MS: u64 = 3_000;
 
-// Runners are told to stop one after another, as in a rollout, while callers go on and
-// long tasks run at each. Each ends by itself, and every job is answered complete.
+/// Tasks of a long job: more than the slots of any two runners, so that each gets some.
+const LONG_TASKS: usize = 24;
+
+// Runners are told to stop one after another, as in a rollout, with long tasks at each and
+// while callers come and go. Each ends by itself, and every job is answered complete.
 #[test]
 fn runners_stopped_under_load_cut_nothing() {
     let mut rig = rig::Rig::start(&rig::Plan::default());
     let entries = watch::addresses(&rig.entries);
-    let callers = watch::Callers::start(&entries, 3, 10, 100);
-    sleep_ms(500);
 
     let mut exits = Vec::new();
-    let mut long_jobs = Vec::new();
+    let mut answers = Vec::new();
     for (at, entry) in entries.iter().copied().enumerate() {
         let long = rig::sleep(LONG_MS, &format!("long-{at}"));
-        let submission = rig::job(&vec![long.clone(); 6]);
-        long_jobs.push(thread::spawn(move || watch::call(entry, &submission)));
+        let submission = rig::job(&vec![long.clone(); LONG_TASKS]);
+        let caller = thread::spawn(move || watch::call(entry, &submission));
         rig::wait_until("a long task runs there", || {
             let starts = rig.starts();
             let mut starts = starts.iter();
             starts.any(|(worker, one)| *worker == at && one.payload == long)
         });
+        let callers = watch::Callers::start(&entries, 3, 10, 100);
         rig.runners[at].terminate().expect("told to stop");
         exits.push(rig.runners[at].wait_exit(STOP).expect("waited for"));
+        let long_job = caller.join().expect("the caller goes on");
+        answers.extend(watch::answers(vec![long_job]));
+        answers.extend(watch::answers(callers.stop()));
     }
-    sleep_ms(500);
-    let mut answers = watch::answers(callers.stop());
-    let join = |caller: thread::JoinHandle<_>| caller.join().expect("the caller goes on");
-    answers.extend(watch::answers(long_jobs.into_iter().map(join).collect()));
 
     assert!(exits.iter().all(|one| one.is_some_and(|one| one.success())));
     let failed: Vec<_> = answers
