Name entries in replies to heartbeats only when they changed

membership::naming: a reply gives its list under a digest of the list and the answering life; asked with that digest it leaves the list out, and the asker puts it in again from what it holds, before anybody reads the reply. Fields at their defaults are left out where the release before reads absence as the default (tests with that release's types, both ways). Calls no longer say that answers may be uncompressed (29 bytes).

Ruled out: longer intervals to entries that do not lead, and leaving out heartbeats beside dispatches: death is seen by silence at every entry, and evidence and revision come only with replies to heartbeats; both bounds would be worse. A short form with the identity once a life was not built.

Tests: the property test found a fault of the first version: a successor with the same list left it out, and the asker, rightly, did not fill in another life's; the digest now covers the life.

--- a/measure/src/sim/world.rs
+++ b/measure/src/sim/world.rs
@@ -436,6 +436,7 @@
                     load: Some(runner.load_for(owner)),
                     slots: 0,
                     tickets: 0,
+                    entries_held: None,
                 };
                 self.reply(index, entry, events::ToEntry::Heartbeat(heartbeat));
             }
--- a/measure/src/slopes/fixtures.rs
+++ b/measure/src/slopes/fixtures.rs
@@ -90,6 +90,7 @@
         load: Some(load(sequence, busy)),
         slots: 0,
         tickets: 0,
+        entries_held: None,
     }
 }
 
--- a/measure/src/slopes/wire.rs
+++ b/measure/src/slopes/wire.rs
@@ -43,6 +43,8 @@
         let what = "wire: reply to a heartbeat, by entries known";
         points.push(bytes(what, entries, &heartbeat_reply(entries)));
     }
+    let what = "wire: reply to a heartbeat of one that holds the list";
+    points.push(bytes(what, 1, &heartbeat_reply(0)));
     points
 }
 
@@ -61,5 +63,6 @@
             .collect(),
         slots: 88,
         tickets: None,
+        entries_digest: None,
     }
 }
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -23,6 +23,7 @@
 use crate::leading;
 use crate::learning;
 use crate::membership;
+use crate::membership::naming;
 use crate::queue;
 use crate::ramp;
 use crate::retry;
@@ -303,19 +304,21 @@
         }
         let reply = wire::HeartbeatReply {
             tickets,
-            ..self.heartbeat_reply(now_ms)
+            ..self.heartbeat_reply(now_ms, heartbeat.entries_held)
         };
         (reply, actions)
     }
 
-    fn heartbeat_reply(&self, now_ms: u64) -> wire::HeartbeatReply {
+    fn heartbeat_reply(&self, now_ms: u64, held: Option<u64>) -> wire::HeartbeatReply {
+        let named = naming::Named::new(self.me.incarnation, self.live_entries(now_ms), held);
         wire::HeartbeatReply {
             version: wire::VERSION,
             sender: self.me.clone(),
             leaving: self.is_leaving,
             revision: self.revision,
             evidence: self.freshness.evidence(now_ms),
-            entries: self.live_entries(now_ms),
+            entries: named.entries,
+            entries_digest: named.digest,
             slots: self.slots,
             tickets: None,
         }
@@ -385,6 +388,7 @@
             load: None,
             slots: self.slots,
             tickets,
+            entries_held: None,
         }
     }
 
--- a/src/entry/hearing.rs
+++ b/src/entry/hearing.rs
@@ -83,7 +83,10 @@
         let mut targets = self.contacts.targets();
         targets.extend(self.core.foreign_runners(now_ms));
         for target in targets {
-            let heartbeat = self.core.heartbeat_to_send(now_ms, target.incarnation);
+            let heartbeat = wire::Heartbeat {
+                entries_held: target.entries_held,
+                ..self.core.heartbeat_to_send(now_ms, target.incarnation)
+            };
             let done = cx.address().recipient();
             let (pool, clock) = (&self.parts.pool, self.parts.clock);
             heartbeats::send(pool, clock, target, heartbeat, limit, done);
@@ -117,10 +120,11 @@
 
     fn handle(&mut self, message: heartbeats::HeartbeatDone, cx: &mut Self::Context) {
         let now_ms = self.now_ms();
-        let Some(reply) = message.reply else {
+        let Some(mut reply) = message.reply else {
             self.contacts.failed(&message.address);
             return;
         };
+        self.contacts.restore(&message.address, &mut reply);
         self.contacts.answered(now_ms, &message.address, &reply);
         let is_behind = self
             .core
--- a/src/entry/report.rs
+++ b/src/entry/report.rs
@@ -123,6 +123,7 @@
             address: runner.peer.address.clone(),
             incarnation: Some(runner.peer.incarnation),
             is_afresh: false,
+            entries_held: None,
         };
         by_zone.into_values().map(target).collect()
     }
--- a/src/membership/contacts.rs
+++ b/src/membership/contacts.rs
@@ -9,6 +9,7 @@
 use smol_str::SmolStr;
 
 use crate::ids;
+use crate::membership::naming;
 use crate::wire;
 
 /// One address to send to.
@@ -20,6 +21,8 @@
     pub incarnation: Option<ids::Incarnation>,
     /// Whether to use a new connection, because the last call brought no answer.
     pub is_afresh: bool,
+    /// The list of entries that it told last, see [`naming`].
+    pub entries_held: Option<u64>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -28,6 +31,7 @@
     peer: Option<wire::Peer>,
     heard_ms: u64,
     is_failing: bool,
+    told: Option<naming::Told>,
 }
 
 /// The addresses known.
@@ -55,6 +59,7 @@
             address: address.clone(),
             incarnation: contact.peer.as_ref().map(|peer| peer.incarnation),
             is_afresh: contact.is_failing,
+            entries_held: contact.told.as_ref().map(naming::Told::digest),
         };
         self.by_address.iter().map(target).collect()
     }
@@ -73,7 +78,14 @@
         live.filter_map(|contact| contact.peer.as_ref())
     }
 
-    /// An address answered.
+    /// Puts the entries into an answer that left them out.
+    pub fn restore(&mut self, address: &SmolStr, reply: &mut wire::HeartbeatReply) {
+        if let Some(contact) = self.by_address.get_mut(address) {
+            naming::Told::restore(&mut contact.told, reply);
+        }
+    }
+
+    /// An address answered; see [`Contacts::restore`] before.
     pub fn answered(&mut self, now_ms: u64, address: &SmolStr, reply: &wire::HeartbeatReply) {
         if let Some(contact) = self.by_address.get_mut(address) {
             contact.heard_ms = now_ms;
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod announcements;
 pub mod contacts;
+pub mod naming;
 
 use std::collections;
 
--- a/src/outgoing.rs
+++ b/src/outgoing.rs
@@ -69,6 +69,8 @@
 ) -> Result<R, CallError> {
     let body = wire::encode(message)?;
     let request = client.post(format!("http://{address}{path}"));
+    // Answers are never compressed, and saying so costs 29 bytes of each call.
+    let request = request.no_decompress();
     let request = request.insert_header((http::header::CONTENT_TYPE, CONTENT_TYPE));
     let exchange = async {
         let mut response = request.send_body(body).await.map_err(|e| classify(&e))?;
--- a/src/runner/control.rs
+++ b/src/runner/control.rs
@@ -172,7 +172,7 @@
         self.contacts
             .drop_silent(now_ms, u64::from(timeouts.dead_after_ms) * 20);
         for target in self.contacts.targets() {
-            let heartbeat = self.heartbeat_for(now_ms, target.incarnation);
+            let heartbeat = self.heartbeat_for(now_ms, &target);
             let done = cx.address().recipient();
             heartbeats::send(
                 &self.parts.pool,
@@ -185,8 +185,10 @@
         }
     }
 
-    fn heartbeat_for(&mut self, now_ms: u64, to: Option<ids::Incarnation>) -> wire::Heartbeat {
-        let load = self.core.load_for(to.unwrap_or(ids::Incarnation(0)));
+    fn heartbeat_for(&mut self, now_ms: u64, to: &contacts::Target) -> wire::Heartbeat {
+        let load = self
+            .core
+            .load_for(to.incarnation.unwrap_or(ids::Incarnation(0)));
         wire::Heartbeat {
             version: wire::VERSION,
             sender: self.core.me().clone(),
@@ -196,6 +198,7 @@
             load: Some(load),
             slots: 0,
             tickets: 0,
+            entries_held: to.entries_held,
         }
     }
 
--- a/src/runner/hearing.rs
+++ b/src/runner/hearing.rs
@@ -4,6 +4,7 @@
 
 use crate::clock;
 use crate::heartbeats;
+use crate::membership::naming;
 use crate::runner::control;
 use crate::runner::messages;
 use crate::streams;
@@ -22,13 +23,16 @@
             self.contacts.hear_of(now_ms, &message.0.sender);
         }
         let since_ms = now_ms.saturating_sub(self.timeouts().dead_after_ms.into());
+        let live = self.contacts.live(since_ms).cloned().collect();
+        let named = naming::Named::new(self.core.me().incarnation, live, message.0.entries_held);
         actix::MessageResult(wire::HeartbeatReply {
             version: wire::VERSION,
             sender: self.core.me().clone(),
             leaving: self.core.is_leaving(),
             revision: self.keeper.state().revision(),
             evidence: self.core.freshness().evidence(now_ms),
-            entries: self.contacts.live(since_ms).cloned().collect(),
+            entries: named.entries,
+            entries_digest: named.digest,
             slots: 0,
             tickets: None,
         })
@@ -39,10 +43,11 @@
     type Result = ();
 
     fn handle(&mut self, message: heartbeats::HeartbeatDone, cx: &mut Self::Context) {
-        let Some(reply) = message.reply else {
+        let Some(mut reply) = message.reply else {
             self.contacts.failed(&message.address);
             return;
         };
+        self.contacts.restore(&message.address, &mut reply);
         self.contacts
             .answered(self.now_ms(), &message.address, &reply);
         let is_behind = reply.revision > self.keeper.state().revision();
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -64,8 +64,10 @@
 #[derive(Deserialize, Serialize)]
 pub struct Evidence {
     /// Milliseconds since the log was read to its end.
+    #[serde(skip_serializing_if = "Option::is_none")]
     pub log_age_ms: Option<u64>,
     /// Milliseconds since a process of another availability zone was heard.
+    #[serde(skip_serializing_if = "Option::is_none")]
     pub foreign_age_ms: Option<u64>,
 }
 
@@ -135,10 +137,10 @@
     /// What is in use, by the greater of declared and observed.
     pub used: Resources,
     /// Of `busy` and `parked` together, those of the entry that this is sent to.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub mine: u32,
     /// Of `used`, what those take.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub mine_used: Resources,
     /// The runner's epoch, to be stamped on dispatches.
     pub epoch: u64,
@@ -161,13 +163,18 @@
     /// The sender's evidence.
     pub evidence: Evidence,
     /// The load, from a runner.
+    #[serde(skip_serializing_if = "Option::is_none")]
     pub load: Option<Load>,
     /// Slots in service that the sender sees, from an entry.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub slots: u32,
     /// How many tickets the sender asks for, from an entry to the one that leads.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub tickets: u32,
+    /// The list of entries that the sender holds from this process and need not be told
+    /// again, by its [`HeartbeatReply::entries_digest`].
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub entries_held: Option<u64>,
 }
 
 /// Tickets set apart by the entry that minted them, under numbers in a row.
@@ -197,12 +204,17 @@
     /// Its evidence.
     pub evidence: Evidence,
     /// The entries it knows to be alive, itself left out.
+    ///
+    /// None of them where the asker holds this list, see [`Heartbeat::entries_held`].
     pub entries: Vec<Peer>,
+    /// What to hold the list under, where it is given.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub entries_digest: Option<u64>,
     /// Slots in service that it sees.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub slots: u32,
     /// The tickets asked for.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub tickets: Option<TicketRange>,
 }
 
@@ -418,6 +430,11 @@
     }
 }
 
+/// Whether a field can be left out: a reader puts its default there.
+fn is_default<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
+}
+
 /// Writes a message.
 pub fn encode<T: Serialize>(message: &T) -> Result<Vec<u8>, WireError> {
     Ok(rmp_serde::to_vec_named(message)?)
--- a/tests/failure/input.rs
+++ b/tests/failure/input.rs
@@ -117,6 +117,7 @@
         load: None,
         slots: 0,
         tickets: 0,
+        entries_held: None,
     })
 }
 
--- a/tests/unit/dispatching/world.rs
+++ b/tests/unit/dispatching/world.rs
@@ -381,6 +381,7 @@
                 load: Some(core.load_for(ids::Incarnation(1))),
                 slots: 0,
                 tickets: 0,
+                entries_held: None,
             };
             let (_, actions) = self.entry.heartbeat(now_ms, &heartbeat);
             self.act_for_entry(actions);
--- a/tests/unit/entry.rs
+++ b/tests/unit/entry.rs
@@ -41,6 +41,7 @@
         }),
         slots: 0,
         tickets: 0,
+        entries_held: None,
     }
 }
 
--- a/tests/unit/main.rs
+++ b/tests/unit/main.rs
@@ -17,6 +17,7 @@
 mod leading;
 mod learning;
 mod membership;
+mod naming;
 mod placement;
 mod queue;
 mod ramp;
--- a/tests/unit/membership.rs
+++ b/tests/unit/membership.rs
@@ -43,6 +43,7 @@
         entries,
         slots: 0,
         tickets: None,
+        entries_digest: None,
     }
 }
 
@@ -161,6 +162,7 @@
         }),
         slots: 0,
         tickets: 0,
+        entries_held: None,
     }
 }
 
--- a/tests/unit/remembering.rs
+++ b/tests/unit/remembering.rs
@@ -48,6 +48,7 @@
         load: Some(load(1)),
         slots: 0,
         tickets: 0,
+        entries_held: None,
     }
 }
 
--- a/tests/unit/slots.rs
+++ b/tests/unit/slots.rs
@@ -39,6 +39,7 @@
         load: Some(load),
         slots: 0,
         tickets: 0,
+        entries_held: None,
     }
 }
 
--- a/tests/unit/wire.rs
+++ b/tests/unit/wire.rs
@@ -37,6 +37,7 @@
         }),
         slots: 0,
         tickets: 0,
+        entries_held: None,
     }
 }
 
@@ -92,6 +93,114 @@
     assert_eq!(read, message);
 }
 
+/// A heartbeat and its answer as the release before wrote and read them.
+mod earlier {
+    use bulrushtiller::wire;
+
+    #[derive(Debug)]
+    #[derive(serde::Deserialize, serde::Serialize)]
+    pub struct Evidence {
+        pub log_age_ms: Option<u64>,
+        pub foreign_age_ms: Option<u64>,
+    }
+
+    #[derive(Debug)]
+    #[derive(serde::Deserialize, serde::Serialize)]
+    pub struct Heartbeat {
+        pub version: u32,
+        pub sender: wire::Peer,
+        pub leaving: bool,
+        pub revision: Option<u64>,
+        pub evidence: Evidence,
+        pub load: Option<wire::Load>,
+        #[serde(default)]
+        pub slots: u32,
+        #[serde(default)]
+        pub tickets: u32,
+    }
+
+    #[derive(Debug)]
+    #[derive(serde::Deserialize, serde::Serialize)]
+    pub struct HeartbeatReply {
+        pub version: u32,
+        pub sender: wire::Peer,
+        pub leaving: bool,
+        pub revision: Option<u64>,
+        pub evidence: Evidence,
+        pub entries: Vec<wire::Peer>,
+        #[serde(default)]
+        pub slots: u32,
+        #[serde(default)]
+        pub tickets: Option<wire::TicketRange>,
+    }
+}
+
+/// An idle process leaves out all that can be left out.
+#[test]
+fn earlier_release_reads_what_is_left_out() {
+    let mut message = heartbeat([1, 2, 3, 4], 0, false);
+    message.load = None;
+    message.evidence = wire::Evidence::default();
+    let reply = wire::HeartbeatReply {
+        version: wire::VERSION,
+        sender: peer(),
+        leaving: false,
+        revision: None,
+        evidence: wire::Evidence::default(),
+        entries: vec![peer()],
+        entries_digest: Some(7),
+        slots: 0,
+        tickets: None,
+    };
+
+    let message = wire::encode(&message).expect("a message");
+    let reply = wire::encode(&reply).expect("a message");
+    let message: earlier::Heartbeat = wire::decode(&message).expect("an earlier message");
+    let reply: earlier::HeartbeatReply = wire::decode(&reply).expect("an earlier message");
+
+    assert_eq!((message.slots, message.tickets), (0, 0));
+    assert!(message.load.is_none() && message.evidence.log_age_ms.is_none());
+    assert_eq!(reply.entries, [peer()]);
+}
+
+/// A process of the release before says nothing of a list that it holds, and gives all.
+#[test]
+fn earlier_release_is_read() {
+    let evidence = || earlier::Evidence {
+        log_age_ms: None,
+        foreign_age_ms: Some(5),
+    };
+    let message = earlier::Heartbeat {
+        version: wire::VERSION,
+        sender: peer(),
+        leaving: false,
+        revision: None,
+        evidence: evidence(),
+        load: None,
+        slots: 0,
+        tickets: 0,
+    };
+    let reply = earlier::HeartbeatReply {
+        version: wire::VERSION,
+        sender: peer(),
+        leaving: false,
+        revision: None,
+        evidence: evidence(),
+        entries: vec![peer()],
+        slots: 0,
+        tickets: None,
+    };
+
+    let message = wire::encode(&message).expect("an earlier message");
+    let reply = wire::encode(&reply).expect("an earlier message");
+    let message: wire::Heartbeat = wire::decode(&message).expect("a message");
+    let reply: wire::HeartbeatReply = wire::decode(&reply).expect("a message");
+
+    assert_eq!(message.entries_held, None);
+    assert_eq!(message.evidence.foreign_age_ms, Some(5));
+    assert_eq!((reply.entries_digest, reply.entries), (None, vec![peer()]));
+}
+
 /// Two releases side by side: the later one's message may be another in all but its
 /// version, and is told apart from garbage.
 #[test]
