Pause between appends of claims where entries are many

Cause: an entry appended claims on clients' own ids as soon as its last append ended. The log takes several hundred appends a second from all; 164 entries would ask for thousands.

claims::pace: 3 ms between two appends for each live entry beyond three, so about 340 appends a second from 164 entries, half a second's claims in one. Up to three entries nothing changes: no caller of today waits longer.

Ruled out: one fixed pause (callers of three entries would wait for nothing), a rate shared out among entries (needs messages).

Figures: appends of one entry in a second with a claim each 5 ms and a log that answers at once, before and after: with three entries 200 and 200; with 164 entries 200 (no pause existed) and 3, with 195 of the 200 ids in them, the rest in the next. From the unit test; the 200 before is its three-entry case.

Conclusion: the log's appends hold at that size by arithmetic. That each entry reads the claims of all was not measured.

--- a/src/claims/mod.rs
+++ b/src/claims/mod.rs
@@ -6,6 +6,7 @@
 //! entries read the same stream, so they agree without talking to each other.
 
 pub mod log;
+pub mod pace;
 
 use std::collections;
 
--- a/src/entry/calls.rs
+++ b/src/entry/calls.rs
@@ -150,7 +150,7 @@
             let refusal = self.claim_unavailable(&name.0, id);
             return (Reply::Answer(Box::new(refusal)), Vec::new());
         }
-        let actions = self.append_claims().into_iter().collect();
+        let actions = self.append_claims(now_ms).into_iter().collect();
         (Reply::Claiming(name), actions)
     }
 
--- a/src/entry/claim_calls.rs
+++ b/src/entry/claim_calls.rs
@@ -65,7 +65,8 @@
     type Result = ();
 
     fn handle(&mut self, _message: claims::log::Appended, cx: &mut Self::Context) {
-        let actions = self.core.claims_appended();
+        let now_ms = self.now_ms();
+        let actions = self.core.claims_appended(now_ms);
         self.act(cx, actions);
     }
 }
--- a/src/entry/claiming.rs
+++ b/src/entry/claiming.rs
@@ -27,18 +27,24 @@
         } else {
             self.claims.unreachable();
         }
-        actions.extend(self.append_claims());
+        actions.extend(self.append_claims(now_ms));
         actions
     }
 
     /// An append of claims ended.
-    pub fn claims_appended(&mut self) -> Vec<core::Action> {
+    pub fn claims_appended(&mut self, now_ms: u64) -> Vec<core::Action> {
         self.claims.appended();
-        self.append_claims().into_iter().collect()
+        self.append_claims(now_ms).into_iter().collect()
     }
 
-    pub(crate) fn append_claims(&mut self) -> Option<core::Action> {
-        self.claims.next_record().map(core::Action::AppendClaims)
+    pub(crate) fn append_claims(&mut self, now_ms: u64) -> Option<core::Action> {
+        if !self.claim_pace.is_due(now_ms) {
+            return None;
+        }
+        let record = self.claims.next_record()?;
+        let entries = self.live_entries(now_ms).len() as u64 + 1;
+        self.claim_pace.began(now_ms, entries);
+        Some(core::Action::AppendClaims(record))
     }
 
     pub(crate) fn expire_claims(&mut self, now_ms: u64) -> Vec<core::Action> {
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -15,6 +15,7 @@
 use crate::admission::returning;
 use crate::api;
 use crate::claims;
+use crate::claims::pace;
 use crate::entry::flights;
 use crate::freshness;
 use crate::health;
@@ -136,6 +137,7 @@
     pub(crate) ramps: ramp::Ramps,
     pub(crate) jobs: jobs::Table,
     pub(crate) claims: claims::Table,
+    pub(crate) claim_pace: pace::Pace,
     pub(crate) queue: queue::Queue,
     pub(crate) retries: retry::Retries,
     pub(crate) in_flight: flights::Flights,
@@ -182,6 +184,7 @@
             ramps: ramp::Ramps::default(),
             jobs: jobs::Table::new(now_ms),
             claims: claims::Table::new(claimer),
+            claim_pace: pace::Pace::default(),
             queue,
             retries,
             in_flight: flights::Flights::default(),
--- a/src/entry/tick.rs
+++ b/src/entry/tick.rs
@@ -32,7 +32,7 @@
         actions.extend(self.ask_silent(now_ms));
         self.start_due_again(now_ms);
         actions.extend(self.expire_claims(now_ms));
-        actions.extend(self.append_claims());
+        actions.extend(self.append_claims(now_ms));
         self.members
             .forget_silent(now_ms, dead_after * FORGET_FACTOR);
         let members = &self.members;
--- a/tests/unit/entry.rs
+++ b/tests/unit/entry.rs
@@ -109,3 +109,52 @@
 
     assert_eq!(submit(&mut entry, now_ms), refused);
 }
+
+/// Appends that an entry makes in a second in which a claim comes every five milliseconds
+/// and the log answers at once, and the ids in them.
+fn claims_of_a_second(entries: u64) -> (usize, usize) {
+    let mut entry = entry::core::Core::new(peer(wire::Role::Entry, "entry"), settings(&[]), 0, 1);
+    for at in 1..entries {
+        let sender = peer(wire::Role::Entry, &format!("entry-{at}"));
+        let heartbeat = wire::Heartbeat {
+            sender,
+            load: None,
+            ..heartbeat()
+        };
+        entry.heartbeat(0, &heartbeat);
+    }
+    let (mut appends, mut ids) = (0, 0);
+    for now_ms in (0_u64..1_000).step_by(5) {
+        let id = ids::SubmissionId::Own(smol_str::format_smolstr!("own-{now_ms}"));
+        let submission = api::Submission {
+            submission: Some(id),
+            deadline_ms: None,
+            wait_ms: 0,
+            idempotent: false,
+            tasks: vec![api::Task::default()],
+        };
+        let (_, mut actions) = entry.submit(now_ms, &TEAM, submission);
+        actions.extend(entry.tick(now_ms));
+        for action in actions {
+            if let entry::core::Action::AppendClaims(record) = action {
+                appends += 1;
+                ids += record.claims.len();
+                entry.claims_appended(now_ms);
+            }
+        }
+    }
+    (appends, ids)
+}
+
+// Callers of 164 entries choose their own ids. With one append for each the log, which
+// takes several hundred a second, would answer late, and the calls be refused.
+#[rstest]
+#[case::three(3, 200, 200)]
+#[case::many(164, 3, 195)]
+fn claims_share_an_append_where_entries_are_many(
+    #[case] entries: u64,
+    #[case] appends: usize,
+    #[case] ids: usize,
+) {
+    assert_eq!(claims_of_a_second(entries), (appends, ids));
+}
