--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -15,6 +15,7 @@
 use crate::admission::returning;
 use crate::api;
 use crate::claims;
+use crate::claims::pace;
 use crate::entry::flights;
 use crate::freshness;
 use crate::health;
@@ -23,6 +24,7 @@
 use crate::leading;
 use crate::learning;
 use crate::membership;
+use crate::membership::naming;
 use crate::queue;
 use crate::ramp;
 use crate::retry;
@@ -137,6 +139,7 @@
     pub(crate) ramps: ramp::Ramps,
     pub(crate) jobs: jobs::Table,
     pub(crate) claims: claims::Table,
+    pub(crate) claim_pace: pace::Pace,
     pub(crate) queue: queue::Queue,
     pub(crate) retries: retry::Retries,
     pub(crate) in_flight: flights::Flights,
@@ -183,6 +186,7 @@
             ramps: ramp::Ramps::default(),
             jobs: jobs::Table::new(now_ms),
             claims: claims::Table::new(claimer),
+            claim_pace: pace::Pace::default(),
             queue,
             retries,
             in_flight: flights::Flights::default(),
@@ -306,19 +310,21 @@
         }
         let reply = wire::HeartbeatReply {
             tickets,
-            ..self.heartbeat_reply(now_ms)
+            ..self.heartbeat_reply(now_ms, heartbeat.entries_held)
         };
         (reply, actions)
     }
 
-    fn heartbeat_reply(&self, now_ms: u64) -> wire::HeartbeatReply {
+    fn heartbeat_reply(&self, now_ms: u64, held: Option<u64>) -> wire::HeartbeatReply {
+        let named = naming::Named::new(self.me.incarnation, self.live_entries(now_ms), held);
         wire::HeartbeatReply {
             version: wire::VERSION,
             sender: self.me.clone(),
             leaving: self.is_leaving,
             revision: self.revision,
             evidence: self.freshness.evidence(now_ms),
-            entries: self.live_entries(now_ms),
+            entries: named.entries,
+            entries_digest: named.digest,
             slots: self.slots,
             tickets: None,
         }
@@ -388,6 +394,7 @@
             load: None,
             slots: self.slots,
             tickets,
+            entries_held: None,
         }
     }
 
--- a/tests/unit/answers.rs
+++ b/tests/unit/answers.rs
@@ -147,6 +147,7 @@
         load: Some(load()),
         slots: 0,
         tickets: 0,
+        entries_held: None,
     }
 }
 
@@ -345,7 +346,7 @@
             records: records.filter(|(offset, _)| *offset >= from).collect(),
         };
         let mut actions = self.entry.claims_read(self.now_ms, Some(&page));
-        actions.extend(self.entry.claims_appended());
+        actions.extend(self.entry.claims_appended(self.now_ms));
         self.act(actions)
     }
 
--- a/tests/unit/dispatching/world.rs
+++ b/tests/unit/dispatching/world.rs
@@ -512,6 +512,7 @@
                     load: Some(core.load_for(self.entries[entry].incarnation)),
                     slots: 0,
                     tickets: 0,
+                    entries_held: None,
                 };
                 self.heard(entry, &heartbeat);
             }
--- a/tests/unit/leaving.rs
+++ b/tests/unit/leaving.rs
@@ -196,6 +196,7 @@
             load: Some(self.load()),
             slots: 0,
             tickets: 0,
+            entries_held: None,
         };
         let heartbeat = Box::new(heartbeat);
         let of = (at, life);
--- a/tests/unit/main.rs
+++ b/tests/unit/main.rs
@@ -19,6 +19,7 @@
 mod learning;
 mod leaving;
 mod membership;
+mod naming;
 mod operations;
 mod order;
 mod placement;
--- a/tests/unit/stops.rs
+++ b/tests/unit/stops.rs
@@ -338,6 +338,7 @@
             load: Some(self.load()),
             slots: 0,
             tickets: 0,
+            entries_held: None,
         };
         let (_, mut actions) = self.core.heartbeat(self.now_ms, &heartbeat);
         actions.extend(self.core.tick(self.now_ms));
