Find slow backend servers while their tasks still run, and tell other entries

Tasks of kinds without declarations shared one spread with those declared exactly, so neither told much; probes with them passed. Then the other two entries, which keep submissions while slots are free, paid for the evidence again, and tasks sent before an ejection ejected a second time.

Now a sequential test weighs each task with its kind's own spread, running ones by how long they have run; the weights are summed in the order of sending. Replies to heartbeats name bad runners, and others with a free slot are preferred. A first probe goes with a task that has time to spare. What was sent before an ejection is old.

tests/unit/health.rs and placement.rs only gain the new fields and new cases; no test was eased. The attempt of each made-up end is also its job: every end was of one unnamed job before, and jobs are told apart now.

--- a/measure/src/slopes/wire.rs
+++ b/measure/src/slopes/wire.rs
@@ -61,5 +61,6 @@
             .collect(),
         slots: 88,
         tickets: None,
+        bad_runners: Vec::new(),
     }
 }
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -80,6 +80,8 @@
     pub rank_ms: u64,
     /// When it was handed over.
     pub sent_ms: u64,
+    /// Whether a slot seemed free, so that it runs since then.
+    pub had_slot: bool,
     /// When to ask about it if nothing is heard.
     pub ask_ms: u64,
     /// Whether the answer to its dispatch can't come any more.
@@ -132,6 +134,7 @@
     pub(crate) freshness: freshness::Freshness,
     pub(crate) members: membership::Members,
     pub(crate) health: health::Health,
+    pub(crate) warnings: health::warnings::Warnings,
     pub(crate) ramps: ramp::Ramps,
     pub(crate) jobs: jobs::Table,
     pub(crate) claims: claims::Table,
@@ -178,6 +181,7 @@
             freshness: freshness::Freshness::default(),
             members: membership::Members::default(),
             health: health::Health::default(),
+            warnings: health::warnings::Warnings::default(),
             ramps: ramp::Ramps::default(),
             jobs: jobs::Table::new(now_ms),
             claims: claims::Table::new(claimer),
@@ -318,6 +322,7 @@
             entries: self.live_entries(now_ms),
             slots: self.slots,
             tickets: None,
+            bad_runners: self.bad_runners(),
         }
     }
 
@@ -364,6 +369,8 @@
             slots: reply.slots,
         };
         self.members.hear_entry(now_ms, &reply.sender, news);
+        let runners = &reply.bad_runners;
+        self.warnings.hear(now_ms, &reply.sender.name, runners);
         if let Some(tickets) = reply.tickets {
             self.stock.add(now_ms, &reply.sender, tickets);
         }
--- a/src/entry/pump.rs
+++ b/src/entry/pump.rs
@@ -5,6 +5,7 @@
 use crate::codes;
 use crate::entry::core;
 use crate::health;
+use crate::ids;
 use crate::jobs;
 use crate::membership;
 use crate::placement;
@@ -15,6 +16,14 @@
 /// How many tasks that can't be placed now one round looks past.
 const MAX_PASSED_OVER: usize = 16;
 
+/// A task has time to spare for a first probe if it would start in time even so many
+/// times its expected run time later: a server four times slower then harms no job.
+const PROBE_FACTOR: u64 = 3;
+
+/// Time that a task is not taken to have run for, milliseconds: both ways of its
+/// messages and the ticks of two processes.
+const WAY_MS: u64 = 25;
+
 impl core::Core {
     /// Hands out waiting tasks while there is somewhere to send them.
     pub(crate) fn pump(&mut self, now_ms: u64) -> Vec<core::Action> {
@@ -59,6 +68,8 @@
         self.count_spread(item.task.submission, &mut view.spread);
         let draw = self.rng.next_u64();
         let policy = self.placement_policy();
+        let spare_ms = item.rank_ms.saturating_sub(now_ms);
+        view.pool.is_unhurried = spare_ms >= item.expected_ms * PROBE_FACTOR;
         let choice = view.pool.choose(&need, &view.spread, &policy, draw);
         match choice {
             placement::Choice::Send(at) => self.send_to(now_ms, item, need, view, at),
@@ -171,6 +182,9 @@
         if allowance.most == Some(0) {
             return None;
         }
+        // Where a probe is due the warnings of others, who wait for theirs, do not count.
+        let is_probed = allowance.most.is_some();
+        let is_warned = !is_probed && self.warnings.name(runner.peer.incarnation);
         let free_slots = runner.free_slots();
         let ramp = self.ramp_room(now_ms, runner, free_slots);
         let probe = allowance
@@ -182,6 +196,11 @@
             key,
             is_near: runner.peer.zone == self.me.zone,
             is_suspect: allowance.is_suspect,
+            trust: if is_warned {
+                health::Trust::PerhapsSlow
+            } else {
+                allowance.trust
+            },
             rack: runner.rack,
             free_slots,
             parked: waiting.min(runner.in_flight),
@@ -235,6 +254,35 @@
         }
     }
 
+    /// Tells the health slice what runs, by how long ago it was sent into a free slot.
+    ///
+    /// A slow server would else be found only when its tasks end, and would draw as many
+    /// as it has slots until then.
+    pub(crate) fn judge_all_running(&mut self, now_ms: u64) {
+        let policy = self.settings.policy;
+        let is_late = |flight: &core::InFlight| {
+            let age_ms = now_ms.saturating_sub(flight.sent_ms + WAY_MS);
+            flight.had_slot && age_ms > flight.expected_ms
+        };
+        let late = self.in_flight.iter().filter(|(_, flight)| is_late(flight));
+        let running = late.map(|(number, flight)| {
+            let age_ms = now_ms.saturating_sub(flight.sent_ms + WAY_MS);
+            let end = end_of(*number, flight, age_ms, codes::Code::Pending);
+            (flight.runner, end)
+        });
+        for runner in self.health.look(now_ms, running, &policy) {
+            self.eject(now_ms, runner);
+        }
+    }
+
+    /// Lives of the runners that are bad by what this entry's own tasks came to.
+    pub(crate) fn bad_runners(&self) -> Vec<ids::Incarnation> {
+        let bad = self.health.bad();
+        let known = bad.filter_map(|key| self.members.runner(key));
+        let lives = known.map(|runner| runner.peer.incarnation);
+        lives.take(health::warnings::MAX_NAMED).collect()
+    }
+
     fn eject(&mut self, now_ms: u64, runner: membership::RunnerKey) {
         let runners = self.usable(now_ms).count();
         let policy = self.settings.policy;
@@ -252,6 +300,7 @@
         let open = self.jobs.open_mut(item.task.submission)?;
         let task = open.task(item.task.index)?.clone();
         let runner = self.members.runner_mut(key)?;
+        let had_slot = runner.free_slots() > 0;
         open.dispatched(item.task.index, attempt);
         runner.sent(&need);
         let timeouts = &self.settings.timeouts;
@@ -285,6 +334,7 @@
             expected_ms: item.expected_ms,
             rank_ms: item.rank_ms,
             sent_ms: now_ms,
+            had_slot,
             ask_ms: now_ms.saturating_add(expected),
             is_lost: false,
             is_stopping: false,
@@ -365,14 +415,10 @@
     }
 }
 
-const fn end_of(
-    number: u64,
-    flight: &core::InFlight,
-    run_ms: u64,
-    code: codes::Code,
-) -> health::End {
+fn end_of(number: u64, flight: &core::InFlight, run_ms: u64, code: codes::Code) -> health::End {
     health::End {
         attempt: number,
+        job: slotmap::Key::data(&flight.task.submission).as_ffi(),
         kind: flight.kind,
         sent_ms: flight.sent_ms,
         run_ms,
--- a/src/entry/tick.rs
+++ b/src/entry/tick.rs
@@ -37,6 +37,9 @@
         let members = &self.members;
         self.health
             .retain(|runner| members.runner(runner).is_some());
+        let silent_after_ms = self.silent_after_ms();
+        self.warnings.expire(now_ms.saturating_sub(silent_after_ms));
+        self.judge_all_running(now_ms);
         actions.extend(self.pump(now_ms));
         actions
     }
--- a/src/health/evidence.rs
+++ b/src/health/evidence.rs
@@ -2,26 +2,11 @@
 
 use crate::health;
 use crate::health::kinds;
+use crate::health::slowness;
 
 /// Excess that makes a runner slow, as a natural logarithm: twice the time.
 pub const SLOW_EXCESS: f64 = 0.693;
 
-/// Weight of one end in the running mean of the excess: the last dozen count.
-const WEIGHT: f64 = 1.0 / 12.0;
-
-/// Fewest successes after which a runner can be found slow.
-const MIN_ENDS: u32 = 4;
-
-/// Ends after which the running mean is no wider than its weight makes it.
-const MAX_ENDS: u32 = 24;
-
-/// How many standard errors the excess must lie above that of the others.
-///
-/// Tasks of one job are alike, so errors of a few ends are larger than their number
-/// says. Measured at 4, 5, 6 and 8: see `docs/MEASUREMENTS-PLACEMENT.md`; 6 is the
-/// least of them that ejected nobody in runs without a fault.
-const STANDARD_ERRORS: f64 = 6.0;
-
 /// Most kinds remembered of a runner.
 const MAX_KINDS: usize = 16;
 
@@ -88,19 +73,21 @@
     last: Vec<Last>,
     failures: Streak,
     stuck: Streak,
-    ends: u32,
-    excess: f64,
+    slowness: slowness::Slowness,
 }
 
 impl Evidence {
-    /// A task ran well, longer than its kind does by this excess.
-    pub fn succeeded(&mut self, now_ms: u64, end: &health::End, excess: f64) {
+    /// A task ran well; `weight` is how much its run time speaks for a slow server.
+    pub fn succeeded(&mut self, now_ms: u64, end: &health::End, weight: f64) {
         self.note(now_ms, end.kind, true);
         self.failures.success(end.sent_ms);
         self.stuck.success(end.sent_ms);
-        self.ends = (self.ends + 1).min(MAX_ENDS);
-        let weight = WEIGHT.max(1.0 / f64::from(self.ends));
-        self.excess += weight * (excess - self.excess);
+        let sign = slowness::Sign {
+            sent_ms: end.sent_ms,
+            job: end.job,
+            weight,
+        };
+        self.slowness.ended(now_ms, sign);
     }
 
     /// A task failed.
@@ -147,20 +134,14 @@
         self.failures.is_over(bound) || self.stuck.is_over(bound)
     }
 
-    /// By how much its tasks take longer than their kinds do, once enough ended.
-    pub fn excess(&self) -> Option<f64> {
-        (self.ends >= MIN_ENDS).then_some(self.excess)
+    /// What speaks for a slow server.
+    pub const fn slowness(&self) -> &slowness::Slowness {
+        &self.slowness
     }
 
-    /// Whether it is slow beside others with a typical excess, where single tasks
-    /// spread so far.
-    pub fn is_slow(&self, typical: f64, spread: f64) -> bool {
-        let Some(excess) = self.excess() else {
-            return false;
-        };
-        let beyond = excess - typical;
-        let error = spread / f64::from(self.ends).sqrt();
-        beyond > SLOW_EXCESS && beyond > STANDARD_ERRORS * error
+    /// The same, to be changed.
+    pub const fn slowness_mut(&mut self) -> &mut slowness::Slowness {
+        &mut self.slowness
     }
 
     /// Starts over, but for how each kind fared last.
--- a/src/health/kinds.rs
+++ b/src/health/kinds.rs
@@ -17,6 +17,9 @@
 /// Weight of one end in the running means.
 const WEIGHT: f64 = 1.0 / 32.0;
 
+/// Weight of one end in the part of stragglers.
+const STRAGGLER_WEIGHT: f64 = 1.0 / 64.0;
+
 /// Least spread assumed, as a natural logarithm: run times are whole milliseconds
 /// and vary by a quarter even where they are declared well.
 const MIN_SPREAD: f64 = 0.25;
@@ -29,11 +32,48 @@
 /// logarithm, and one spread more: four times.
 const FAR_OVER: f64 = 1.386;
 
+/// Part of a kind's tasks that is taken to run far too long by chance, at least.
+const MIN_STRAGGLERS: f64 = 0.01;
+
+/// How the run times of a kind lie around the expected ones.
+#[derive(Clone, Copy, Debug)]
+pub struct Shape {
+    /// Mean excess, as a natural logarithm.
+    mean: f64,
+    variance: f64,
+    /// Part of the tasks that ran over twice as long as the mean.
+    stragglers: f64,
+}
+
+impl Shape {
+    fn learn(&mut self, ratio: f64) -> f64 {
+        let excess = ratio - self.mean;
+        self.mean += WEIGHT * excess;
+        // One slow server must not widen the spread by which it is judged.
+        let counted = excess.min(health::evidence::SLOW_EXCESS);
+        self.variance += WEIGHT * (counted * counted - self.variance);
+        let is_straggler = f64::from(u8::from(excess > health::evidence::SLOW_EXCESS));
+        self.stragglers += STRAGGLER_WEIGHT * (is_straggler - self.stragglers);
+        excess
+    }
+
+    /// How far single tasks lie from the mean, as a natural logarithm.
+    pub fn spread(&self) -> f64 {
+        self.variance.sqrt().max(MIN_SPREAD)
+    }
+
+    /// Part of the tasks that run far too long by chance.
+    pub const fn stragglers(&self) -> f64 {
+        self.stragglers.max(MIN_STRAGGLERS)
+    }
+}
+
 /// Run times of all kinds.
 #[derive(Debug)]
 pub struct Kinds {
     names: collections::HashMap<(SmolStr, SmolStr), Kind>,
-    means: Vec<Option<f64>>,
+    shapes: Vec<Option<Shape>>,
+    /// Variance over all kinds, from which a new one starts.
     variance: f64,
 }
 
@@ -41,7 +81,7 @@
     fn default() -> Self {
         Self {
             names: collections::HashMap::new(),
-            means: vec![None],
+            shapes: vec![None],
             variance: FIRST_SPREAD * FIRST_SPREAD,
         }
     }
@@ -54,11 +94,11 @@
         if let Some(known) = self.names.get(&name) {
             return *known;
         }
-        if self.means.len() > MAX_KINDS {
+        if self.shapes.len() > MAX_KINDS {
             return Kind::default();
         }
-        let key = Kind(u32::try_from(self.means.len()).unwrap_or(0));
-        self.means.push(None);
+        let key = Kind(u32::try_from(self.shapes.len()).unwrap_or(0));
+        self.shapes.push(None);
         self.names.insert(name, key);
         key
     }
@@ -67,28 +107,36 @@
     /// as a natural logarithm.
     pub fn learn(&mut self, end: &health::End) -> f64 {
         let ratio = log_ratio(end);
-        let Some(mean) = self.means.get_mut(end.kind.0 as usize) else {
+        let variance = self.variance;
+        let Some(shape) = self.shapes.get_mut(end.kind.0 as usize) else {
             return 0.0;
         };
-        let known = *mean.get_or_insert(ratio);
-        let excess = ratio - known;
-        *mean = Some(known + WEIGHT * excess);
-        // One slow server must not widen the spread by which it is judged.
-        let counted = excess.min(health::evidence::SLOW_EXCESS);
-        self.variance += WEIGHT * (counted * counted - self.variance);
+        let shape = shape.get_or_insert(Shape {
+            mean: ratio,
+            variance,
+            stragglers: 0.0,
+        });
+        let excess = shape.learn(ratio);
+        self.variance += WEIGHT * (shape.variance - self.variance);
         excess
     }
 
-    /// How far single tasks lie from their kind's mean, as a natural logarithm.
-    pub fn spread(&self) -> f64 {
-        self.variance.sqrt().max(MIN_SPREAD)
+    /// How the run times of a kind lie; absent until one ended.
+    pub fn shape(&self, kind: Kind) -> Option<&Shape> {
+        self.shapes.get(kind.0 as usize)?.as_ref()
+    }
+
+    /// By how much a task that still runs takes longer than its kind does already.
+    pub fn excess(&self, end: &health::End) -> f64 {
+        let mean = self.shape(end.kind).map_or(0.0, |shape| shape.mean);
+        log_ratio(end) - mean
     }
 
     /// Whether a task has run for far longer than its kind could explain.
     pub fn is_far_over(&self, end: &health::End) -> bool {
-        let mean = self.means.get(end.kind.0 as usize).copied().flatten();
-        let excess = log_ratio(end) - mean.unwrap_or(0.0);
-        excess > FAR_OVER + self.spread()
+        let shape = self.shape(end.kind);
+        let spread = shape.map_or(FIRST_SPREAD, Shape::spread);
+        self.excess(end) > FAR_OVER + spread
     }
 }
 
--- a/src/health/mod.rs
+++ b/src/health/mod.rs
@@ -10,11 +10,15 @@
 //!
 //! - [`evidence`]: what one runner's tasks came to.
 //! - [`kinds`]: what each team and kind takes, over all runners.
+//! - [`slowness`]: whether its tasks take longer than elsewhere, also before they end.
 //! - [`state`]: in service, ejected, probed.
+//! - [`warnings`]: what other entries say.
 
 pub mod evidence;
 pub mod kinds;
+pub mod slowness;
 pub mod state;
+pub mod warnings;
 
 use crate::codes;
 use crate::membership;
@@ -28,6 +32,8 @@
 pub struct End {
     /// The attempt's number.
     pub attempt: u64,
+    /// The job it is of.
+    pub job: u64,
     /// Team and kind of the task.
     pub kind: Kind,
     /// When it was sent, monotonic milliseconds.
@@ -40,11 +46,25 @@
     pub code: codes::Code,
 }
 
+/// How far a runner is thought to be as fast as others.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Trust {
+    /// Nothing speaks against it.
+    #[default]
+    Whole,
+    /// Others with a free slot are to be preferred.
+    PerhapsSlow,
+    /// A first probe after an ejection: only tasks with time to spare.
+    FirstProbe,
+}
+
 /// What one runner may be sent.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Allowance {
     /// Whether any other runner is to be preferred.
     pub is_suspect: bool,
+    /// What its tasks' run times allow.
+    pub trust: Trust,
     /// Most tasks of this entry there at once; absent: no bound from here.
     pub most: Option<u32>,
 }
@@ -55,6 +75,18 @@
     evidence: evidence::Evidence,
 }
 
+impl One {
+    fn trust(&self, now_ms: u64) -> Trust {
+        if self.state.is_first_probe(now_ms) {
+            Trust::FirstProbe
+        } else if self.evidence.slowness().is_suspect(now_ms) {
+            Trust::PerhapsSlow
+        } else {
+            Trust::Whole
+        }
+    }
+}
+
 /// The health of all runners that this entry sent something.
 #[derive(Debug, Default)]
 pub struct Health {
@@ -95,6 +127,13 @@
         states.filter(|one| one.state.is_out(now_ms)).count()
     }
 
+    /// The runners that are out or being probed.
+    pub fn bad(&self) -> impl Iterator<Item = membership::RunnerKey> {
+        let all = self.by_runner.iter();
+        let bad = all.filter(|(_, one)| !one.state.is_in_service());
+        bad.map(|(key, _)| key)
+    }
+
     /// How a runner stands.
     pub fn state(&self, runner: membership::RunnerKey) -> State {
         self.by_runner
@@ -113,7 +152,11 @@
             Some(most) => Some(most.min(bound.unwrap_or(most))),
             None => bound,
         };
-        Allowance { is_suspect, most }
+        Allowance {
+            is_suspect,
+            trust: one.trust(now_ms),
+            most,
+        }
     }
 
     /// A runner's life is over.
@@ -186,10 +229,19 @@
 
     fn succeeded(&mut self, now_ms: u64, runner: membership::RunnerKey, end: &End) {
         let excess = self.kinds.learn(end);
-        let spread = self.kinds.spread();
+        let shape = self.kinds.shape(end.kind);
+        let weight = shape.map_or(0.0, |shape| slowness::weight(excess, shape));
         let one = self.one(runner);
-        one.evidence.succeeded(now_ms, end, excess);
-        one.state.probed(now_ms, excess <= slow_bound(spread));
+        // What was sent before the runner was taken out has spoken already.
+        let is_old = one.state.is_sent_before(end.sent_ms);
+        let weight = if is_old { 0.0 } else { weight };
+        one.evidence.succeeded(now_ms, end, weight);
+        if is_old {
+            return;
+        }
+        if let Some(is_well) = slowness::is_probe_well(weight) {
+            one.state.probed(now_ms, is_well);
+        }
     }
 
     fn failed(&mut self, now_ms: u64, runner: membership::RunnerKey, end: &End) {
@@ -232,32 +284,65 @@
     }
 
     fn is_slow(&self, runner: membership::RunnerKey, evidence: &evidence::Evidence) -> bool {
-        // The others are looked at only where their median could decide it.
-        let may_be = |excess| excess > evidence::SLOW_EXCESS / 2.0;
-        if !evidence.excess().is_some_and(may_be) {
+        // The others are looked at only where they could excuse it.
+        if !evidence.slowness().is_slow() {
             return false;
         }
-        let typical = self.typical(runner);
-        typical.is_some_and(|typical| evidence.is_slow(typical, self.kinds.spread()))
-    }
-
-    /// The median excess of the other runners; absent until two have shown one.
-    fn typical(&self, runner: membership::RunnerKey) -> Option<f64> {
         let others = self.by_runner.iter().filter(|(key, _)| *key != runner);
-        let mut known: Vec<f64> = others
-            .filter_map(|(_, one)| one.evidence.excess())
+        let mut weights: Vec<f64> = others
+            .map(|(_, one)| one.evidence.slowness().weight())
             .collect();
-        known.sort_by(f64::total_cmp);
-        (known.len() >= MIN_ELSEWHERE).then(|| known[known.len() / 2])
+        weights.sort_by(f64::total_cmp);
+        let median = weights.get(weights.len() / 2);
+        weights.len() >= MIN_ELSEWHERE && median.is_some_and(|one| !slowness::is_common(*one))
     }
-}
 
-/// Excess, as a natural logarithm, over which a single probe counts as slow: twice
-/// the time, and one spread of its kind more.
-fn slow_bound(spread: f64) -> f64 {
-    evidence::SLOW_EXCESS + spread
+    fn signs(&self, running: impl Iterator<Item = (membership::RunnerKey, End)>) -> Signs {
+        let mut signs = Signs::new();
+        for (runner, end) in running {
+            let is_old = self.state(runner).is_sent_before(end.sent_ms);
+            let Some(shape) = self.kinds.shape(end.kind).filter(|_| !is_old) else {
+                continue;
+            };
+            let sign = slowness::Sign {
+                sent_ms: end.sent_ms,
+                job: end.job,
+                weight: slowness::weight_running(self.kinds.excess(&end), shape),
+            };
+            if let Some(entry) = signs.entry(runner) {
+                entry.or_default().push(sign);
+            }
+        }
+        signs
+    }
+
+    /// Looks anew at what runs: gives the runners that are now to be ejected.
+    pub fn look(
+        &mut self,
+        now_ms: u64,
+        running: impl Iterator<Item = (membership::RunnerKey, End)>,
+        policy: &settings::Policy,
+    ) -> Vec<membership::RunnerKey> {
+        let signs = self.signs(running);
+        for (runner, one) in &mut self.by_runner {
+            let signs = signs.get(runner).cloned().unwrap_or_default();
+            one.evidence.slowness_mut().running(now_ms, signs);
+        }
+        if policy.eject_fraction <= 0.0 {
+            return Vec::new();
+        }
+        let in_service = self
+            .by_runner
+            .iter()
+            .filter(|(_, one)| !one.state.is_out(now_ms));
+        let slow = in_service.filter(|(key, one)| self.is_slow(*key, &one.evidence));
+        slow.map(|(key, _)| key).collect()
+    }
 }
 
+/// What running tasks say, by runner.
+type Signs = slotmap::SecondaryMap<membership::RunnerKey, Vec<slowness::Sign>>;
+
 /// Most runners that may be ejected at once: the part that the policy names, at
 /// least one where there are two, and never the last.
 #[expect(
--- a/src/health/state.rs
+++ b/src/health/state.rs
@@ -6,6 +6,9 @@
 /// Tasks at once at which a probed runner is in service again: the slots of today.
 const WHOLE: u32 = 8;
 
+/// How long a first probe may wait for a task that has time to spare, milliseconds.
+const PATIENCE_MS: u64 = 1_000;
+
 /// How a runner stands with one entry.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum State {
@@ -87,6 +90,17 @@
         matches!(self, Self::Ejected(ejected) if ejected.until_ms > now_ms)
     }
 
+    /// Whether only tasks with time to spare are to be sent: the first probe is likely
+    /// to find the server as bad as it was.
+    pub const fn is_first_probe(&self, now_ms: u64) -> bool {
+        matches!(self, Self::Ejected(ejected) if ejected.until_ms + PATIENCE_MS > now_ms)
+    }
+
+    /// Whether a task sent then was sent before the runner was taken out.
+    pub const fn is_sent_before(&self, sent_ms: u64) -> bool {
+        matches!(self, Self::Ejected(ejected) if sent_ms < ejected.until_ms)
+    }
+
     /// Whether it is in service without a bound.
     pub const fn is_in_service(&self) -> bool {
         matches!(self, Self::InService { .. })
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -7,6 +7,7 @@
 //! another. A [`Pool`] is made once for all tasks that are handed out together and
 //! kept up to date by [`Pool::sent`], so that many tasks don't cost as many views.
 
+use crate::health;
 use crate::jobs;
 use crate::membership;
 use crate::settings;
@@ -21,6 +22,8 @@
     pub is_near: bool,
     /// Whether its last task failed although such tasks do well elsewhere.
     pub is_suspect: bool,
+    /// How far it is thought to be as fast as others.
+    pub trust: health::Trust,
     /// Its rack.
     pub rack: membership::Rack,
     /// Slots thought to be free; below zero: tasks wait there.
@@ -51,10 +54,10 @@
 
 /// How good a candidate is; the greatest is taken.
 ///
-/// In this order: no suspect while there is another, a free slot before a wait,
-/// most free slots, and fewest tasks of the same job in the rack, so that a rack's
+/// In this order: no suspect while there is another, a free slot before a wait, none
+/// that is perhaps slow, most free slots, and fewest tasks of the same job in the rack, so that a rack's
 /// loss costs as few jobs as may be.
-type Score = (bool, bool, i64, i64);
+type Score = (bool, bool, bool, i64, i64);
 
 /// Tasks of one submission in each rack.
 #[derive(Clone, Debug, Default)]
@@ -93,12 +96,17 @@
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
     candidates: Vec<Candidate>,
+    /// Whether the task to be placed has time to spare.
+    pub is_unhurried: bool,
 }
 
 impl Pool {
     /// Makes a pool of these.
     pub const fn new(candidates: Vec<Candidate>) -> Self {
-        Self { candidates }
+        Self {
+            candidates,
+            is_unhurried: true,
+        }
     }
 
     /// The candidate at a place that was chosen.
@@ -152,7 +160,11 @@
         policy: &settings::Policy,
     ) -> impl Iterator<Item = (usize, &Candidate)> {
         let all = self.candidates.iter().enumerate();
-        all.filter(move |(_, one)| is_usable(one, need, policy))
+        all.filter(move |(_, one)| self.may_try(one) && is_usable(one, need, policy))
+    }
+
+    fn may_try(&self, one: &Candidate) -> bool {
+        self.is_unhurried || one.trust != health::Trust::FirstProbe
     }
 
     fn why_none(&self, need: &wire::Resources) -> Choice {
@@ -190,6 +202,7 @@
     (
         !one.is_suspect,
         has_free,
+        one.trust != health::Trust::PerhapsSlow,
         one.free_slots + near,
         -job_in_rack,
     )
--- a/src/runner/hearing.rs
+++ b/src/runner/hearing.rs
@@ -31,6 +31,7 @@
             entries: self.contacts.live(since_ms).cloned().collect(),
             slots: 0,
             tickets: None,
+            bad_runners: Vec::new(),
         })
     }
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -204,6 +204,9 @@
     /// The tickets asked for.
     #[serde(default)]
     pub tickets: Option<TicketRange>,
+    /// Lives of runners that are bad by its own evidence.
+    #[serde(default)]
+    pub bad_runners: Vec<ids::Incarnation>,
 }
 
 /// Body of [`DISPATCH_PATH`].
--- a/tests/unit/health.rs
+++ b/tests/unit/health.rs
@@ -2,6 +2,7 @@
 
 use bulrushtiller::codes;
 use bulrushtiller::health;
+use bulrushtiller::ids;
 use bulrushtiller::membership;
 use bulrushtiller::settings;
 use proptest::collection;
@@ -45,6 +46,7 @@
         let (team, name) = KINDS[kind % KINDS.len()];
         let end = health::End {
             attempt: self.attempts,
+            job: self.attempts,
             kind: self.health.kind(team, name),
             sent_ms: self.now_ms.saturating_sub(5),
             run_ms,
@@ -78,6 +80,34 @@
         }
     }
 
+    /// Tasks of as many jobs, of a kind that takes 100 ms, were sent then and are found
+    /// running for so long.
+    fn runs(&mut self, runners: &[usize], tasks: u64, sent_ms: u64, run_ms: u64) {
+        self.now_ms = self.now_ms.max(sent_ms + run_ms);
+        let kind = self.health.kind(KINDS[0].0, KINDS[0].1);
+        let end = |job| health::End {
+            attempt: job,
+            job,
+            kind,
+            sent_ms,
+            run_ms,
+            expected_ms: 100,
+            code: codes::Code::Pending,
+        };
+        let keys = runners.iter().map(|runner| self.keys[*runner]);
+        let all = keys.flat_map(|key| (0..tasks).map(move |job| (key, end(1_000_000 + job))));
+        let all: Vec<_> = all.collect();
+        let slow = self.health.look(self.now_ms, all.into_iter(), &self.policy);
+        for key in slow {
+            self.health.eject(self.now_ms, key, RUNNERS, &self.policy);
+        }
+    }
+
+    fn trust(&self, runner: usize) -> health::Trust {
+        let key = self.keys[runner];
+        self.health.allowance(self.now_ms, key).trust
+    }
+
     fn most(&self, runner: usize) -> Option<u32> {
         let key = self.keys[runner];
         self.health.allowance(self.now_ms, key).most
@@ -133,6 +163,7 @@
     site.fails(3, &[0, 1], 4);
     let early = health::End {
         attempt: 0,
+        job: 0,
         kind: site.health.kind("escola", "check"),
         sent_ms: site.now_ms - 500,
         run_ms: 100,
@@ -157,6 +188,7 @@
     let allowance = site.health.allowance(site.now_ms, site.keys[3]);
     let suspect = health::Allowance {
         is_suspect: true,
+        trust: health::Trust::Whole,
         most: Some(1),
     };
     assert_eq!(allowance, suspect);
@@ -179,6 +211,106 @@
     assert_eq!(site.word(3), word);
 }
 
+/// A server turns slow; callers see every job with a task on it late. Its tasks take
+/// seconds to end, and until then it draws as many as it has slots. Tasks that are still
+/// running beyond what their kind takes show it before.
+#[rstest]
+#[case::three_jobs(3, 400, Some("ejected"))]
+#[case::two_jobs(2, 400, None)]
+#[case::in_time(8, 90, None)]
+fn tasks_that_run_on_eject_before_they_end(
+    #[case] tasks: u64,
+    #[case] run_ms: u64,
+    #[case] word: Option<&str>,
+) {
+    let mut site = site();
+    for _ in 0..20 {
+        site.all_well();
+    }
+
+    site.runs(&[3], tasks, site.now_ms, run_ms);
+
+    assert_eq!(site.word(3), word);
+}
+
+/// A few tasks of a healthy server run on by chance. What it was sent later ends well, so
+/// it is not the server; ejected, its slots would be missing to everybody.
+#[test]
+fn stragglers_before_tasks_that_ended_well_eject_nobody() {
+    let mut site = site();
+    for _ in 0..20 {
+        site.all_well();
+    }
+
+    let sent_ms = site.now_ms;
+    for _ in 0..7 {
+        site.end(3, 0, 100, codes::Code::Complete);
+    }
+    site.runs(&[3], 8, sent_ms, 400);
+
+    assert_eq!((site.word(3), site.trust(3)), (None, health::Trust::Whole));
+}
+
+/// A user sends a burst of jobs whose tasks take far longer than such tasks do. They run
+/// on wherever they are, so the cause is the tasks and not a server.
+#[test]
+fn tasks_that_run_on_everywhere_eject_nobody() {
+    let mut site = site();
+    for _ in 0..20 {
+        site.all_well();
+    }
+
+    let all: Vec<_> = (0..RUNNERS).collect();
+    site.runs(&all, 8, site.now_ms, 400);
+
+    assert_eq!(site.health.ejections(), 0);
+}
+
+#[rstest]
+#[case::one(1, health::Trust::PerhapsSlow)]
+#[case::none(0, health::Trust::Whole)]
+fn a_task_that_runs_on_has_others_preferred(#[case] tasks: u64, #[case] trust: health::Trust) {
+    let mut site = site();
+    for _ in 0..20 {
+        site.all_well();
+    }
+
+    site.runs(&[3], tasks, site.now_ms, 400);
+
+    assert_eq!((site.trust(3), site.most(3)), (trust, None));
+}
+
+#[test]
+fn the_first_probe_waits_a_while_for_a_task_with_time_to_spare() {
+    let mut site = site();
+    site.all_well();
+    site.fails(3, &[0, 1], 5);
+
+    site.now_ms += u64::from(site.policy.eject_ms);
+    let first = site.trust(3);
+    site.now_ms += 1_000;
+
+    let trust = [first, site.trust(3)];
+    assert_eq!(trust, [health::Trust::FirstProbe, health::Trust::Whole]);
+}
+
+#[test]
+fn a_warning_holds_until_it_is_taken_back_or_its_entry_is_silent() {
+    let mut warnings = health::warnings::Warnings::default();
+    let (entry, runner) = ("entry-1".into(), ids::Incarnation(7));
+
+    warnings.hear(1_000, &entry, &[runner]);
+    warnings.expire(1_000);
+    let mut is_named = vec![warnings.name(runner)];
+    warnings.expire(1_001);
+    is_named.push(warnings.name(runner));
+    warnings.hear(2_000, &entry, &[runner]);
+    warnings.hear(2_500, &entry, &[]);
+    is_named.push(warnings.name(runner));
+
+    assert_eq!(is_named, [true, false, false]);
+}
+
 #[test]
 fn an_ejected_server_is_probed_with_one_task_and_then_more() {
     let mut site = site();
--- a/tests/unit/membership.rs
+++ b/tests/unit/membership.rs
@@ -43,6 +43,7 @@
         entries,
         slots: 0,
         tickets: None,
+        bad_runners: Vec::new(),
     }
 }
 
--- a/tests/unit/placement.rs
+++ b/tests/unit/placement.rs
@@ -1,5 +1,6 @@
 //! Placement against a brute-force choice, and its guards.
 
+use bulrushtiller::health;
 use bulrushtiller::membership;
 use bulrushtiller::placement;
 use bulrushtiller::settings;
@@ -38,6 +39,7 @@
         key,
         is_near: false,
         is_suspect: false,
+        trust: health::Trust::Whole,
         rack: membership::Rack(0),
         free_slots: 8,
         parked: 0,
