Count a kind as evidence of slowness only once 32 of it ended

A unit test also showed that probes of a new kind then brought no runner back; they are judged by the spread over all kinds, as before.

Process tests not run.

--- a/src/health/kinds.rs
+++ b/src/health/kinds.rs
@@ -17,6 +17,9 @@
 /// Weight of one end in the running means.
 const WEIGHT: f64 = 1.0 / 32.0;
 
+/// Ends after which a kind tells whether a runner is slow: those that the mean covers.
+const MIN_ENDS: u32 = 32;
+
 /// Weight of one end in the part of stragglers.
 const STRAGGLER_WEIGHT: f64 = 1.0 / 64.0;
 
@@ -43,12 +46,14 @@
     variance: f64,
     /// Part of the tasks that ran over twice as long as the mean.
     stragglers: f64,
+    ends: u32,
 }
 
 impl Shape {
     fn learn(&mut self, ratio: f64) -> f64 {
         let excess = ratio - self.mean;
-        self.mean += WEIGHT * excess;
+        self.ends = self.ends.saturating_add(1);
+        self.mean += excess * WEIGHT.max(1.0 / f64::from(self.ends));
         // One slow server must not widen the spread by which it is judged.
         let counted = excess.min(health::evidence::SLOW_EXCESS);
         self.variance += WEIGHT * (counted * counted - self.variance);
@@ -115,14 +120,26 @@
             mean: ratio,
             variance,
             stragglers: 0.0,
+            ends: 0,
         });
         let excess = shape.learn(ratio);
         self.variance += WEIGHT * (shape.variance - self.variance);
         excess
     }
 
-    /// How the run times of a kind lie; absent until one ended.
-    pub fn shape(&self, kind: Kind) -> Option<&Shape> {
+    /// How far single tasks lie from their kind's mean, over all kinds.
+    pub fn spread(&self) -> f64 {
+        self.variance.sqrt().max(MIN_SPREAD)
+    }
+
+    /// How the run times of a kind lie; absent until enough ended.
+    ///
+    /// The shortest tasks of a job end first: beside these alone all others look late.
+    pub fn known(&self, kind: Kind) -> Option<&Shape> {
+        self.shape(kind).filter(|shape| shape.ends >= MIN_ENDS)
+    }
+
+    fn shape(&self, kind: Kind) -> Option<&Shape> {
         self.shapes.get(kind.0 as usize)?.as_ref()
     }
 
--- a/src/health/mod.rs
+++ b/src/health/mod.rs
@@ -229,17 +229,20 @@
 
     fn succeeded(&mut self, now_ms: u64, runner: membership::RunnerKey, end: &End) {
         let excess = self.kinds.learn(end);
-        let shape = self.kinds.shape(end.kind);
-        let weight = shape.map_or(0.0, |shape| slowness::weight(excess, shape));
+        let shape = self.kinds.known(end.kind);
+        let weight = shape.map(|shape| slowness::weight(excess, shape));
+        // A kind too new to weigh must bring a runner back all the same.
+        let is_in_time = excess <= evidence::SLOW_EXCESS + self.kinds.spread();
+        let is_well = weight.map_or(Some(is_in_time), slowness::is_probe_well);
         let one = self.one(runner);
         // What was sent before the runner was taken out has spoken already.
         let is_old = one.state.is_sent_before(end.sent_ms);
-        let weight = if is_old { 0.0 } else { weight };
-        one.evidence.succeeded(now_ms, end, weight);
+        let weight = weight.filter(|_| !is_old);
+        one.evidence.succeeded(now_ms, end, weight.unwrap_or(0.0));
         if is_old {
             return;
         }
-        if let Some(is_well) = slowness::is_probe_well(weight) {
+        if let Some(is_well) = is_well {
             one.state.probed(now_ms, is_well);
         }
     }
@@ -301,7 +304,7 @@
         let mut signs = Signs::new();
         for (runner, end) in running {
             let is_old = self.state(runner).is_sent_before(end.sent_ms);
-            let Some(shape) = self.kinds.shape(end.kind).filter(|_| !is_old) else {
+            let Some(shape) = self.kinds.known(end.kind).filter(|_| !is_old) else {
                 continue;
             };
             let sign = slowness::Sign {
--- a/tests/unit/health.rs
+++ b/tests/unit/health.rs
@@ -266,6 +266,18 @@
     assert_eq!(site.health.ejections(), 0);
 }
 
+/// A caller gives each job a kind of its own. The shortest tasks of a job end first, and
+/// beside these all others look late; runners were ejected for it without any fault.
+#[test]
+fn a_kind_of_which_little_ended_ejects_nobody() {
+    let mut site = site();
+    site.all_well();
+
+    site.runs(&[3], 8, site.now_ms, 400);
+
+    assert_eq!((site.word(3), site.trust(3)), (None, health::Trust::Whole));
+}
+
 #[rstest]
 #[case::one(1, health::Trust::PerhapsSlow)]
 #[case::none(0, health::Trust::Whole)]
