--- a/measure/src/slopes/wire.rs
+++ b/measure/src/slopes/wire.rs
@@ -64,5 +64,6 @@
         slots: 88,
         tickets: None,
         entries_digest: None,
+        bad_runners: Vec::new(),
     }
 }
--- a/src/entry/flights.rs
+++ b/src/entry/flights.rs
@@ -24,6 +24,13 @@
         self.by_number.is_empty()
     }
 
+    /// All of them, in the order of sending.
+    pub fn iter(&self) -> impl Iterator<Item = (u64, &core::InFlight)> {
+        self.by_number
+            .iter()
+            .map(|(number, flight)| (*number, flight))
+    }
+
     /// Looks at one.
     pub fn get(&self, number: u64) -> Option<&core::InFlight> {
         self.by_number.get(&number)
--- a/src/runner/hearing.rs
+++ b/src/runner/hearing.rs
@@ -35,6 +35,7 @@
             entries_digest: named.digest,
             slots: 0,
             tickets: None,
+            bad_runners: Vec::new(),
         })
     }
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -216,6 +216,9 @@
     /// The tickets asked for.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub tickets: Option<TicketRange>,
+    /// Lives of runners that are bad by its own evidence.
+    #[serde(default)]
+    pub bad_runners: Vec<ids::Incarnation>,
 }
 
 /// Body of [`DISPATCH_PATH`].
--- a/tests/unit/membership.rs
+++ b/tests/unit/membership.rs
@@ -44,6 +44,7 @@
         slots: 0,
         tickets: None,
         entries_digest: None,
+        bad_runners: Vec::new(),
     }
 }
 
--- a/tests/unit/naming.rs
+++ b/tests/unit/naming.rs
@@ -37,6 +37,7 @@
         entries_digest: digest,
         slots: 0,
         tickets: None,
+        bad_runners: Vec::new(),
     }
 }
 
--- a/tests/unit/wire.rs
+++ b/tests/unit/wire.rs
@@ -151,6 +151,7 @@
         entries_digest: Some(7),
         slots: 0,
         tickets: None,
+        bad_runners: Vec::new(),
     };
 
     let message = wire::encode(&message).expect("a message");
