--- a/measure/src/patterns/servers.rs
+++ b/measure/src/patterns/servers.rs
@@ -86,16 +86,26 @@
     settings
 }
 
+/// What callers receive while the server is bad.
+pub fn ours(site: &sim::Site, badness: Badness, load: f64, seed: u64) -> report::Figures {
+    let jobs = jobs(site, load, seed);
+    let outcome = sim::run(site, &settings(true), &jobs, &badness.faults(), seed);
+    judged(site, &jobs, &outcome)
+}
+
+/// Figures of the jobs that arrive while the server is bad.
+fn judged(site: &sim::Site, jobs: &[workload::Job], outcome: &sim::Outcome) -> report::Figures {
+    let is_judged = |job: &workload::Job| (BAD_MS * 1_000..WELL_MS * 1_000).contains(&job.at_us);
+    let window = (BAD_MS, WELL_MS);
+    report::figures(site, jobs, outcome, window, site.capacity(), is_judged)
+}
+
 /// Ours, ours without the slice, naive, and both of ours without the fault; all of
 /// the jobs that arrive while the server is bad.
 pub fn table(site: &sim::Site, badness: Badness, load: f64, seed: u64) -> Vec<patterns::Row> {
     let jobs = jobs(site, load, seed);
     let faults = badness.faults();
-    let window = (BAD_MS, WELL_MS);
-    let is_judged = |job: &workload::Job| (BAD_MS * 1_000..WELL_MS * 1_000).contains(&job.at_us);
-    let figures = |outcome: &sim::Outcome| {
-        report::figures(site, &jobs, outcome, window, site.capacity(), is_judged)
-    };
+    let figures = |outcome: &sim::Outcome| judged(site, &jobs, outcome);
     let ours = sim::run(site, &settings(true), &jobs, &faults, seed);
     let off = sim::run(site, &settings(false), &jobs, &faults, seed);
     let naive = sim::naive::run(site, &jobs, &faults, seed);
