Keep or refuse a submission that is too large for a message between entries

A larger job that was passed on, or came under another entry's ticket, was refused by the other side's HTTP status, which counted like silence: 302, ask again, for ever. Found by reading the code of passing on again; for tickets it was so before.

Ruled out: a larger bound between processes (memory), and taking every status for "not read" also after a first copy was sent and not heard of.

Before: the new process test failed with 302 in place of complete. After: the tests of passing pass.

--- a/src/entry/forwarding.rs
+++ b/src/entry/forwarding.rs
@@ -40,6 +40,12 @@
     let path = wire::FORWARD_PATH;
     let reply = outgoing::post_afresh(&peer.address, path, &message, limit).await;
     let reply: Result<wire::ForwardReply, _> = reply;
+    // It was not even read, and never will be: to ask again would not help.
+    let too_large = codes::Code::TooLarge;
+    if matches!(reply, Err(outgoing::CallError::Refused(status)) if status == too_large.http_status())
+    {
+        return Some(answer::plain(id, too_large, true));
+    }
     if let Err(e) = &reply {
         let id = id.as_ref().map(ToString::to_string).unwrap_or_default();
         let to = peer.name.as_str();
@@ -123,7 +129,11 @@
     let reply = outgoing::post(&kept, address, path, &message, TAKEN_IN_KEPT).await;
     match reply.map(|reply: wire::ForwardReply| reply.answer) {
         Ok(answer) => return passing::first_word(answer),
-        Err(outgoing::CallError::NotSent(_)) => return passing::Passed::Declined,
+        // Refused by its HTTP status it was not even read: too large for a message
+        // between processes, for one, which the settings may allow callers.
+        Err(outgoing::CallError::NotSent(_) | outgoing::CallError::Refused(_)) => {
+            return passing::Passed::Declined;
+        }
         Err(e) => {
             let (id, to) = (ticket.to_string(), to.name.as_str());
             log::warn!(event = "pass_on.silent", submission = id, to = to; "{e}");
--- a/tests/failure/passing.rs
+++ b/tests/failure/passing.rs
@@ -180,6 +180,36 @@
     check::check(&rig, &jobs.iter().collect::<Vec<_>>());
 }
 
+// Settings may allow callers larger bodies than the processes' messages may have. Such a job
+// can't be passed on; its caller must not be told for ever that its fate is not known.
+#[test]
+fn submission_too_large_to_be_passed_on_is_kept() {
+    let rig = rig::Rig::start(&rig::Plan {
+        settings: format!(
+            "{ALWAYS}[limits]\nmax_body_bytes = 33554432\nmax_payload_bytes = 1048576\n"
+        ),
+        ..rig::Plan::default()
+    });
+    wait_until_passing(&rig, 1);
+    let large = "x".repeat(1_000_000);
+    let payload = |at| format!("{{\"sleep_ms\": 1, \"output\": \"{at}\", \"of\": \"{large}\"}}");
+    let payloads: Vec<String> = (0..9).map(payload).collect();
+
+    let answer = rig.submit(1, &rig::job(&payloads)).expect("an answer");
+    let under_ticket = api::Submission {
+        submission: Some(rig.ticket(0)),
+        ..rig::job(&payloads)
+    };
+    let refused = rig.submit(1, &under_ticket).expect("an answer");
+
+    assert_eq!(answer.code, codes::Code::Complete, "{}", answer.text);
+    assert_eq!(owner(&answer).as_deref(), Some("entry-1"));
+    assert_eq!(
+        (refused.code, refused.is_final),
+        (codes::Code::TooLarge, true)
+    );
+}
+
 fn declined_payload() -> String {
     rig::sleep(20, "declined")
 }
