Make a bare heartbeat in one place for tests and the driver

Cause: ten places wrote out a heartbeat of nothing but defaults, and each new field of the message touched them all. Ruled out: a Default, since a message has a version and a sender. The processes themselves go on to name every field, so that none is left out unnoticed. Conclusion: a field is now added in one place for all tests.

--- a/measure/src/sim/world.rs
+++ b/measure/src/sim/world.rs
@@ -349,15 +349,9 @@
             let owner = self.entries[entry].me().incarnation;
             let runner = &mut self.runners[index];
             let heartbeat = wire::Heartbeat {
-                version: wire::VERSION,
-                sender: runner.me().clone(),
-                leaving: false,
                 revision: Some(self.applied[index]),
-                evidence: wire::Evidence::default(),
                 load: Some(runner.load_for(owner)),
-                slots: 0,
-                tickets: 0,
-                entries_held: None,
+                ..wire::Heartbeat::new(runner.me().clone())
             };
             self.reply(index, entry, events::ToEntry::Heartbeat(heartbeat));
         }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -177,6 +177,26 @@
     pub entries_held: Option<u64>,
 }
 
+impl Heartbeat {
+    /// That a process is there, and nothing else.
+    pub const fn new(sender: Peer) -> Self {
+        Self {
+            version: VERSION,
+            sender,
+            leaving: false,
+            revision: None,
+            evidence: Evidence {
+                log_age_ms: None,
+                foreign_age_ms: None,
+            },
+            load: None,
+            slots: 0,
+            tickets: 0,
+            entries_held: None,
+        }
+    }
+}
+
 /// Tickets set apart by the entry that minted them, under numbers in a row.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
--- a/tests/failure/input.rs
+++ b/tests/failure/input.rs
@@ -109,15 +109,8 @@
 
 fn heartbeat(name: &str) -> serde_json::Value {
     value(&wire::Heartbeat {
-        version: wire::VERSION,
-        sender: peer(wire::Role::Entry, name),
         leaving: true,
-        revision: None,
-        evidence: wire::Evidence::default(),
-        load: None,
-        slots: 0,
-        tickets: 0,
-        entries_held: None,
+        ..wire::Heartbeat::new(peer(wire::Role::Entry, name))
     })
 }
 
--- a/tests/unit/answers.rs
+++ b/tests/unit/answers.rs
@@ -139,15 +139,8 @@
 
 fn heartbeat() -> wire::Heartbeat {
     wire::Heartbeat {
-        version: wire::VERSION,
-        sender: peer(wire::Role::Runner, "runner", ids::Incarnation(1)),
-        leaving: false,
-        revision: None,
-        evidence: wire::Evidence::default(),
         load: Some(load()),
-        slots: 0,
-        tickets: 0,
-        entries_held: None,
+        ..wire::Heartbeat::new(peer(wire::Role::Runner, "runner", ids::Incarnation(1)))
     }
 }
 
--- a/tests/unit/dispatching/world.rs
+++ b/tests/unit/dispatching/world.rs
@@ -504,15 +504,8 @@
             if is_heard && self.is_awake(entry) {
                 let core = &mut self.runners[at].core;
                 let heartbeat = wire::Heartbeat {
-                    version: wire::VERSION,
-                    sender: core.me().clone(),
-                    leaving: false,
-                    revision: None,
-                    evidence: wire::Evidence::default(),
                     load: Some(core.load_for(self.entries[entry].incarnation)),
-                    slots: 0,
-                    tickets: 0,
-                    entries_held: None,
+                    ..wire::Heartbeat::new(core.me().clone())
                 };
                 self.heard(entry, &heartbeat);
             }
--- a/tests/unit/entry.rs
+++ b/tests/unit/entry.rs
@@ -31,19 +31,12 @@
 
 fn heartbeat() -> wire::Heartbeat {
     wire::Heartbeat {
-        version: wire::VERSION,
-        sender: peer(wire::Role::Runner, "runner"),
-        leaving: false,
-        revision: None,
-        evidence: wire::Evidence::default(),
         load: Some(wire::Load {
             slots: 8,
             sequence: 1,
             ..wire::Load::default()
         }),
-        slots: 0,
-        tickets: 0,
-        entries_held: None,
+        ..wire::Heartbeat::new(peer(wire::Role::Runner, "runner"))
     }
 }
 
--- a/tests/unit/leaving.rs
+++ b/tests/unit/leaving.rs
@@ -188,15 +188,9 @@
     fn beat(&mut self, at: usize) {
         let Actual { life, is_leaving } = self.actual[at];
         let heartbeat = wire::Heartbeat {
-            version: wire::VERSION,
-            sender: peer(wire::Role::Runner, name(at), life),
             leaving: is_leaving,
-            revision: None,
-            evidence: wire::Evidence::default(),
             load: Some(self.load()),
-            slots: 0,
-            tickets: 0,
-            entries_held: None,
+            ..wire::Heartbeat::new(peer(wire::Role::Runner, name(at), life))
         };
         let heartbeat = Box::new(heartbeat);
         let of = (at, life);
--- a/tests/unit/membership.rs
+++ b/tests/unit/membership.rs
@@ -151,19 +151,13 @@
 }
 
 fn heartbeat(sender: wire::Peer, sequence: u64) -> wire::Heartbeat {
+    let load = wire::Load {
+        sequence,
+        ..wire::Load::default()
+    };
     wire::Heartbeat {
-        version: wire::VERSION,
-        sender,
-        leaving: false,
-        revision: None,
-        evidence: wire::Evidence::default(),
-        load: Some(wire::Load {
-            sequence,
-            ..wire::Load::default()
-        }),
-        slots: 0,
-        tickets: 0,
-        entries_held: None,
+        load: Some(load),
+        ..wire::Heartbeat::new(sender)
     }
 }
 
--- a/tests/unit/remembering.rs
+++ b/tests/unit/remembering.rs
@@ -40,15 +40,8 @@
 
 fn heartbeat() -> wire::Heartbeat {
     wire::Heartbeat {
-        version: wire::VERSION,
-        sender: peer(wire::Role::Runner, "runner"),
-        leaving: false,
-        revision: None,
-        evidence: wire::Evidence::default(),
         load: Some(load(1)),
-        slots: 0,
-        tickets: 0,
-        entries_held: None,
+        ..wire::Heartbeat::new(peer(wire::Role::Runner, "runner"))
     }
 }
 
--- a/tests/unit/slots.rs
+++ b/tests/unit/slots.rs
@@ -23,23 +23,17 @@
 }
 
 fn heartbeat(name: &str, rack: &str, life: u64, load: wire::Load) -> wire::Heartbeat {
+    let sender = wire::Peer {
+        role: wire::Role::Runner,
+        name: SmolStr::new(name),
+        incarnation: ids::Incarnation(life),
+        zone: SmolStr::new("bento"),
+        rack: SmolStr::new(rack),
+        address: SmolStr::new("192.0.2.1:1"),
+    };
     wire::Heartbeat {
-        version: wire::VERSION,
-        sender: wire::Peer {
-            role: wire::Role::Runner,
-            name: SmolStr::new(name),
-            incarnation: ids::Incarnation(life),
-            zone: SmolStr::new("bento"),
-            rack: SmolStr::new(rack),
-            address: SmolStr::new("192.0.2.1:1"),
-        },
-        leaving: false,
-        revision: None,
-        evidence: wire::Evidence::default(),
         load: Some(load),
-        slots: 0,
-        tickets: 0,
-        entries_held: None,
+        ..wire::Heartbeat::new(sender)
     }
 }
 
--- a/tests/unit/stops/entry.rs
+++ b/tests/unit/stops/entry.rs
@@ -97,15 +97,12 @@
     fn tick(&mut self) {
         self.now_ms += stops::TICK_MS;
         let heartbeat = wire::Heartbeat {
-            version: wire::VERSION,
-            sender: stops::peer(wire::Role::Runner, "runner", stops::RUNNER_LIFE),
-            leaving: false,
-            revision: None,
-            evidence: wire::Evidence::default(),
             load: Some(self.load()),
-            slots: 0,
-            tickets: 0,
-            entries_held: None,
+            ..wire::Heartbeat::new(stops::peer(
+                wire::Role::Runner,
+                "runner",
+                stops::RUNNER_LIFE,
+            ))
         };
         let (_, mut actions) = self.core.heartbeat(self.now_ms, &heartbeat);
         actions.extend(self.core.tick(self.now_ms));
