Submit many at once in one place of the failure tests

Cause: two failure tests wrote out the same scope of threads and joining.

Change: check::submit_at_once; which calls go to which entry and every assertion stay. Conclusion: a shorter test each, the same failures caused.

--- a/tests/failure/answers.rs
+++ b/tests/failure/answers.rs
@@ -42,19 +42,8 @@
         })
         .collect();
 
-    let answers: Vec<_> = thread::scope(|scope| {
-        let calls = told.iter().enumerate();
-        let calls: Vec<_> = calls
-            .map(|(at, one)| {
-                let rig = &rig;
-                scope.spawn(move || one.submit(rig, at % 2))
-            })
-            .collect();
-        calls
-            .into_iter()
-            .map(|call| call.join().expect("a call"))
-            .collect()
-    });
+    let calls = told.iter().enumerate().map(|(at, one)| (one, at % 2));
+    let answers = check::submit_at_once(&rig, calls);
 
     for answer in answers {
         assert_eq!(answer.expect("an answer").code, codes::Code::Complete);
--- a/tests/failure/check.rs
+++ b/tests/failure/check.rs
@@ -104,6 +104,19 @@
     }
 }
 
+/// Submits all of these at once, each at its entry; the answers in the same order.
+pub fn submit_at_once<'a>(
+    rig: &rig::Rig,
+    calls: impl Iterator<Item = (&'a Told, usize)>,
+) -> Vec<Option<api::Answer>> {
+    thread::scope(|scope| {
+        let calls = calls.map(|(one, entry)| scope.spawn(move || one.submit(rig, entry)));
+        let calls: Vec<_> = calls.collect();
+        let ended = calls.into_iter().map(|call| call.join().expect("a call"));
+        ended.collect()
+    })
+}
+
 /// Waits until nothing waits or runs, and checks everything that was ever said.
 pub fn check(rig: &rig::Rig, told: &[&Told]) {
     rest(rig);
--- a/tests/failure/starts.rs
+++ b/tests/failure/starts.rs
@@ -252,21 +252,8 @@
         })
         .collect();
 
-    let answers: Vec<_> = thread::scope(|scope| {
-        let calls: Vec<_> = (0..4)
-            .flat_map(|copy| told.iter().map(move |one| (copy, one)))
-            .map(|(copy, one)| {
-                scope.spawn({
-                    let rig = &rig;
-                    move || one.submit(rig, copy % 2)
-                })
-            })
-            .collect();
-        calls
-            .into_iter()
-            .map(|call| call.join().expect("a call"))
-            .collect()
-    });
+    let copies = (0..4).flat_map(|copy| told.iter().map(move |one| (one, copy % 2)));
+    let answers = check::submit_at_once(&rig, copies);
 
     for answer in answers {
         assert_eq!(answer.expect("an answer").code, codes::Code::Complete);
