--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -18,6 +18,7 @@
 use crate::config;
 use crate::control;
 use crate::entry;
+use crate::hangup;
 use crate::heartbeats;
 use crate::ids;
 use crate::operators;
@@ -134,7 +135,7 @@
 }
 
 /// Ways to tell the control thread to stop, whatever its role.
-struct Stops {
+pub(crate) struct Stops {
     leave: actix::Recipient<control::Leave>,
     is_drained: actix::Recipient<control::IsDrained>,
     abandon: actix::Recipient<control::Abandon>,
@@ -230,18 +231,24 @@
         };
         let ways = ways(&control);
         let progress = progress::Progress::default();
-        let public = serve(listener, self.cfg.threads, None, &progress, {
-            let (shared, ways) = (shared.clone(), ways.clone());
-            move |cfg| {
-                cfg.app_data(web::Data::new(shared.clone()));
-                cfg.app_data(web::Data::new(ways.clone()));
-                entry::http::public_pages(cfg);
-            }
-        })?;
+        let public = serve(
+            listener,
+            self.cfg.threads,
+            Bounds::usual(None),
+            &progress,
+            {
+                let (shared, ways) = (shared.clone(), ways.clone());
+                move |cfg| {
+                    cfg.app_data(web::Data::new(shared.clone()));
+                    cfg.app_data(web::Data::new(ways.clone()));
+                    entry::http::public_pages(cfg);
+                }
+            },
+        )?;
         let peers = serve(
             peer_listener,
             self.cfg.threads,
-            None,
+            Bounds::usual(None),
             &progress,
             move |cfg| {
                 cfg.app_data(web::Data::new(shared.clone()));
@@ -291,8 +298,8 @@
         };
         let ways = ways(&control);
         let progress = progress::Progress::default();
-        let most = Some(*connections);
-        let server = serve(listener, self.cfg.threads, most, &progress, move |cfg| {
+        let bounds = Bounds::usual(Some(*connections));
+        let server = serve(listener, self.cfg.threads, bounds, &progress, move |cfg| {
             cfg.app_data(web::Data::new(shared.clone()));
             cfg.app_data(web::Data::new(ways.clone()));
             runner::http::pages(cfg);
@@ -313,7 +320,7 @@
 }
 
 /// Starts the control actor on a thread that runs nothing else.
-fn on_own_thread<A, F>(make: F) -> Result<actix::Addr<A>, DaemonError>
+pub(crate) fn on_own_thread<A, F>(make: F) -> Result<actix::Addr<A>, DaemonError>
 where
     A: actix::Actor<Context = actix::Context<A>>,
     F: FnOnce() -> A + Send + 'static,
@@ -347,7 +354,7 @@
     }
 }
 
-fn stops<A>(control: &actix::Addr<A>) -> Stops
+pub(crate) fn stops<A>(control: &actix::Addr<A>) -> Stops
 where
     A: actix::Actor<Context = actix::Context<A>>
         + actix::Handler<control::Leave>
@@ -361,10 +368,35 @@
     }
 }
 
-fn serve<F>(
+/// Bounds on the connections of a port.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Connections at once.
+    pub connections: Option<u32>,
+    /// Longest wait for the head of a request.
+    pub head: time::Duration,
+    /// How long an unused connection is kept.
+    pub idle: time::Duration,
+    /// Whether callers that hang up are noticed; takes a descriptor more for each.
+    pub has_hangups: bool,
+}
+
+impl Bounds {
+    const fn usual(connections: Option<u32>) -> Self {
+        Self {
+            connections,
+            head: HEAD_TIMEOUT,
+            idle: KEEP_ALIVE,
+            has_hangups: false,
+        }
+    }
+}
+
+/// Serves a port until the returned handle stops it.
+pub(crate) fn serve<F>(
     listener: net::TcpListener,
     threads: usize,
-    connections: Option<u32>,
+    bounds: Bounds,
     progress: &progress::Progress,
     pages: F,
 ) -> std::io::Result<dev::ServerHandle>
@@ -380,10 +412,13 @@
     let mut server = actix_web::HttpServer::new(factory)
         .workers(threads)
         .disable_signals()
-        .client_request_timeout(HEAD_TIMEOUT)
-        .keep_alive(KEEP_ALIVE)
+        .client_request_timeout(bounds.head)
+        .keep_alive(bounds.idle)
         .shutdown_timeout(CLOSE_SECONDS);
-    if let Some(connections) = connections {
+    if bounds.has_hangups {
+        server = server.on_connect(hangup::Hangup::attach);
+    }
+    if let Some(connections) = bounds.connections {
         server = server.max_connections((connections as usize).div_ceil(threads));
     }
     let server = server.listen(listener)?.run();
@@ -401,6 +436,21 @@
     out.flush()
 }
 
+/// Serves until the process is told to stop, and on until it is drained.
+pub(crate) async fn until_drained(
+    servers: Vec<dev::ServerHandle>,
+    ways: Stops,
+    progress: progress::Progress,
+) -> Result<(), DaemonError> {
+    let serving = Serving {
+        servers,
+        ways,
+        progress,
+        signals: Signals::listen()?,
+    };
+    serving.until_told_to_stop().await?.drain().await
+}
+
 impl Serving {
     async fn until_told_to_stop(mut self) -> Result<Draining, DaemonError> {
         self.signals.next().await;
--- /dev/null
+++ b/src/leased/dispatch/jobs.rs
@@ -0,0 +1,180 @@
+//! An open job of an entry.
+
+use std::collections;
+
+use smol_str::SmolStr;
+
+use crate::leased::dispatch::runners;
+use crate::leased::job;
+use crate::leased::messages;
+use crate::leased::queues;
+
+slotmap::new_key_type! {
+    /// A job in the arena of an entry.
+    pub struct JobKey;
+}
+
+/// Who waits for an answer, by the number that the surroundings gave it.
+pub type Waiter = u64;
+
+/// Where a task stands.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum State {
+    /// It waits for room, or for earlier steps.
+    Waiting,
+    /// It runs at a runner, or is on its way there.
+    At(runners::RunnerKey),
+    /// It is done.
+    Done,
+}
+
+/// One task.
+#[derive(Clone, Copy, Debug)]
+pub struct Task {
+    /// Its step.
+    pub step: u16,
+    /// Its place in the step.
+    pub index: u32,
+    /// How many runs were ordered.
+    pub run: u32,
+    /// How many runs failed.
+    pub failed: u32,
+    /// Where it stands.
+    pub state: State,
+}
+
+/// An open job.
+#[derive(Clone, Debug)]
+pub struct Open {
+    /// What was handed in.
+    pub job: job::Job,
+    /// Name of its queue.
+    pub queue: SmolStr,
+    /// Service whose backend servers run it.
+    pub service: SmolStr,
+    /// Which queue goes first; 0 before 1.
+    pub priority: u32,
+    /// Runs of one task that may end as failed.
+    pub max_attempts: u32,
+    /// When it came.
+    pub arrived_ms: u64,
+    /// When its caller is gone.
+    pub deadline_ms: u64,
+    /// When it should be complete.
+    pub due_ms: u64,
+    /// Time that the caller grants in all, in milliseconds.
+    pub objective_ms: u64,
+    /// Its tasks.
+    pub tasks: Vec<Task>,
+    /// Tasks of each step that are not done.
+    pub left: Vec<u32>,
+    /// Whether something of it was ordered.
+    pub has_started: bool,
+    /// Whether it was ever tried at a runner.
+    pub waiters: Vec<Waiter>,
+}
+
+impl Open {
+    /// Opens a job.
+    pub fn new(
+        now_ms: u64,
+        job: job::Job,
+        queue: &queues::Queue,
+        timeout_ms: u64,
+        waiter: Waiter,
+    ) -> Self {
+        let objective_ms = objective_ms(job.chain_ms(), queue);
+        let steps = job.steps.iter().zip(0..);
+        let tasks =
+            steps.flat_map(|(step, at)| (0..step.tasks).map(move |index| new_task(at, index)));
+        Self {
+            tasks: tasks.collect(),
+            left: job.steps.iter().map(|step| step.tasks).collect(),
+            queue: queue.name.clone(),
+            service: queue.service.clone(),
+            priority: queue.priority,
+            max_attempts: queue.max_attempts.max(1),
+            arrived_ms: now_ms,
+            deadline_ms: now_ms + timeout_ms.min(queue.timeout_ms),
+            due_ms: now_ms + objective_ms,
+            objective_ms,
+            has_started: false,
+            waiters: vec![waiter],
+            job,
+        }
+    }
+
+    /// Tasks that wait and whose earlier steps are complete.
+    pub fn ready(&self) -> impl Iterator<Item = usize> {
+        let is_open = |task: &Task| {
+            let after = &self.job.steps[usize::from(task.step)].after;
+            after.iter().all(|&step| self.left[usize::from(step)] == 0)
+        };
+        let tasks = self.tasks.iter().enumerate();
+        tasks
+            .filter(move |(_, task)| task.state == State::Waiting && is_open(task))
+            .map(|(at, _)| at)
+    }
+
+    /// Whether every task is done.
+    pub fn is_complete(&self) -> bool {
+        self.left.iter().all(|&left| left == 0)
+    }
+
+    /// Whether anything of it runs or is on its way.
+    pub fn is_running(&self) -> bool {
+        self.tasks
+            .iter()
+            .any(|task| matches!(task.state, State::At(_)))
+    }
+
+    /// Names the next run of a task.
+    pub fn next_run(&mut self, at: usize) -> messages::RunId {
+        self.has_started = true;
+        self.tasks[at].run += 1;
+        self.run_id(at)
+    }
+
+    /// Names the current run of a task.
+    pub fn run_id(&self, at: usize) -> messages::RunId {
+        let task = self.tasks[at];
+        messages::RunId {
+            job: self.job.id.clone(),
+            step: task.step,
+            index: task.index,
+            run: task.run,
+        }
+    }
+
+    /// Runs of it by runner, for taking them back.
+    pub fn runs(&self) -> collections::HashMap<runners::RunnerKey, Vec<messages::RunId>> {
+        let mut runs: collections::HashMap<_, Vec<_>> = collections::HashMap::new();
+        for at in 0..self.tasks.len() {
+            if let State::At(runner) = self.tasks[at].state {
+                runs.entry(runner).or_default().push(self.run_id(at));
+            }
+        }
+        runs
+    }
+}
+
+const fn new_task(step: u16, index: u32) -> Task {
+    Task {
+        step,
+        index,
+        run: 0,
+        failed: 0,
+        state: State::Waiting,
+    }
+}
+
+/// Time that a caller grants: its queue's multiple of the work itself, and some more.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a duration in milliseconds; negative and endless ones saturate"
+)]
+fn objective_ms(chain_ms: u64, queue: &queues::Queue) -> u64 {
+    let work_ms = chain_ms as f64 * queue.stretch.max(1.0);
+    (work_ms as u64).saturating_add(queue.target_ms)
+}
--- /dev/null
+++ b/src/leased/dispatch/mod.rs
@@ -0,0 +1,606 @@
+//! An entry's decisions about jobs under leases, without network or clock.
+
+pub mod jobs;
+pub mod placing;
+pub mod runners;
+pub mod urgency;
+
+use std::collections;
+use std::sync;
+
+use slotmap::SlotMap;
+use smol_str::SmolStr;
+
+use crate::ids;
+use crate::leased::directives;
+use crate::leased::job;
+use crate::leased::messages;
+use crate::leased::queues;
+
+/// How long a watch waits at a runner for news, in milliseconds; the entry's lease there
+/// is renewed as often.
+pub const WATCH_WAIT_MS: u64 = 150;
+
+/// Silence after which a runner without runs is forgotten unless the store still lists
+/// it, in milliseconds.
+const FORGET_RUNNER_MS: u64 = 60_000;
+
+/// A job that wants more than one part in so many of all room starts in parts; it would
+/// wait for ever for so much to be free at once.
+const WIDE_SHARE: u64 = 3;
+
+/// Shortest time after which a refused caller is asked to come back, in milliseconds.
+const MIN_RETRY_MS: u64 = 1_000;
+
+/// What the entry's surroundings must do.
+#[derive(Clone, Debug)]
+pub enum Action {
+    /// Send an order.
+    Order(runners::RunnerKey, SmolStr, messages::Order),
+    /// Keep a watch open at a runner.
+    Watch(runners::RunnerKey),
+    /// Tell a caller how its job ended.
+    Answer(jobs::Waiter, Outcome),
+}
+
+/// How a job ended for its caller.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// Every task is done.
+    Completed,
+    /// A task failed as often as its queue allows.
+    Failed,
+    /// Nothing of it ran and nothing will.
+    NotRun {
+        /// When the caller should come back, in milliseconds.
+        retry_after_ms: u64,
+    },
+    /// It was given up after something of it may have run.
+    GivenUp,
+    /// Its caller has cancelled it.
+    Cancelled,
+}
+
+/// Counts for the metrics.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counts {
+    /// Jobs taken in.
+    pub accepted: u64,
+    /// Jobs answered as completed.
+    pub completed: u64,
+    /// Of those, later than their objective.
+    pub late: u64,
+    /// Jobs answered as failed.
+    pub failed: u64,
+    /// Jobs refused without a run.
+    pub not_run: u64,
+    /// Jobs given up after something may have run.
+    pub given_up: u64,
+    /// Jobs whose callers left or cancelled.
+    pub cancelled: u64,
+    /// Runs ordered.
+    pub ordered: u64,
+    /// Runs that a runner did not take in or could not start.
+    pub not_started: u64,
+    /// Runs that were lost or stopped while their job still wanted them.
+    pub lost: u64,
+}
+
+/// The state of one entry.
+#[derive(Debug)]
+pub struct Dispatcher {
+    me: ids::Incarnation,
+    zone: SmolStr,
+    directives: directives::InForce,
+    queues: sync::Arc<queues::Queues>,
+    runners: SlotMap<runners::RunnerKey, runners::Runner>,
+    jobs: SlotMap<jobs::JobKey, jobs::Open>,
+    by_id: collections::HashMap<SmolStr, jobs::JobKey>,
+    waiting: Vec<jobs::JobKey>,
+    counts: Counts,
+}
+
+impl Dispatcher {
+    /// An entry that has heard nothing yet.
+    pub fn new(me: ids::Incarnation, zone: SmolStr) -> Self {
+        Self {
+            me,
+            zone,
+            directives: directives::InForce::default(),
+            queues: sync::Arc::default(),
+            runners: SlotMap::with_key(),
+            jobs: SlotMap::with_key(),
+            by_id: collections::HashMap::new(),
+            waiting: Vec::new(),
+            counts: Counts::default(),
+        }
+    }
+
+    /// Counts for the metrics.
+    pub const fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Jobs that are open.
+    pub fn open(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Jobs that wait for room.
+    pub const fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Runners, and how many of them take work.
+    pub fn runners(&self, now_ms: u64) -> (usize, usize) {
+        let usable = self
+            .runners
+            .values()
+            .filter(|runner| runner.is_usable(now_ms));
+        (self.runners.len(), usable.count())
+    }
+
+    /// Addresses of all runners, for another entry.
+    pub fn addresses(&self) -> Vec<SmolStr> {
+        self.runners
+            .values()
+            .map(|runner| runner.address.clone())
+            .collect()
+    }
+
+    /// The directives in force.
+    pub const fn directives(&self) -> &directives::InForce {
+        &self.directives
+    }
+
+    /// The queues in force; empty as long as there is no configuration.
+    pub const fn queues(&self) -> &sync::Arc<queues::Queues> {
+        &self.queues
+    }
+
+    /// How many accepted jobs of a queue have nothing started.
+    pub fn pending(&self, queue: &str) -> usize {
+        let jobs = self.jobs.values();
+        jobs.filter(|open| open.queue == queue && !open.has_started)
+            .count()
+    }
+
+    /// Whether a job is known and open.
+    pub fn state(&self, id: &str) -> Option<bool> {
+        let key = self.by_id.get(id)?;
+        Some(self.jobs.get(*key)?.has_started)
+    }
+
+    /// The store, or another process, told what operators ask for; whether it was news.
+    pub fn directed(&mut self, heard: directives::Directives) -> bool {
+        if !self.directives.advance(heard) {
+            return false;
+        }
+        let current = self.directives.get();
+        self.queues = sync::Arc::new(queues::Queues::new(&current.queues, current.bounds));
+        true
+    }
+
+    /// Runners that the store lists.
+    pub fn found(&mut self, now_ms: u64, addresses: &[SmolStr]) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for address in addresses {
+            if self
+                .runners
+                .values()
+                .any(|runner| runner.address == *address)
+            {
+                continue;
+            }
+            log::info!(event = "runner.found", address = address.as_str(); "found");
+            let runner = runners::Runner::new(address.clone(), now_ms);
+            actions.push(Action::Watch(self.runners.insert(runner)));
+        }
+        actions
+    }
+
+    /// A caller hands a job in; `timeout_ms` is how long it waits at most.
+    pub fn submit(
+        &mut self,
+        now_ms: u64,
+        job: job::Job,
+        queue: &queues::Queue,
+        timeout_ms: u64,
+        waiter: jobs::Waiter,
+    ) -> Vec<Action> {
+        if let Some(open) = self
+            .by_id
+            .get(&job.id)
+            .and_then(|key| self.jobs.get_mut(*key))
+        {
+            // The caller lost its connection and asks again: one life goes on, no second begins.
+            log::info!(event = "job.joined", job = job.id.as_str(), age_ms = now_ms - open.arrived_ms; "already open here");
+            open.waiters.push(waiter);
+            return Vec::new();
+        }
+        let open = jobs::Open::new(now_ms, job, queue, timeout_ms, waiter);
+        log::info!(event = "job.accept", job = open.job.id.as_str(), queue = open.queue.as_str(), tasks = open.tasks.len(), estimate_ms = open.job.chain_ms(), objective_ms = open.objective_ms, waiting = self.waiting.len(), configuration = self.directives.get().version; "accepted");
+        self.counts.accepted += 1;
+        let id = open.job.id.clone();
+        let key = self.jobs.insert(open);
+        self.by_id.insert(id, key);
+        self.waiting.push(key);
+        self.fill(now_ms)
+    }
+
+    /// A caller that waited is gone, or cancels its own wait.
+    pub fn gone(&mut self, now_ms: u64, id: &str, waiter: jobs::Waiter) -> Vec<Action> {
+        let Some(&key) = self.by_id.get(id) else {
+            return Vec::new();
+        };
+        let Some(open) = self.jobs.get_mut(key) else {
+            return Vec::new();
+        };
+        open.waiters.retain(|other| *other != waiter);
+        if !open.waiters.is_empty() {
+            return Vec::new();
+        }
+        self.counts.cancelled += 1;
+        self.end(now_ms, key, None, "caller gone")
+    }
+
+    /// A caller cancels a job; none: it isn't known.
+    pub fn cancel(&mut self, now_ms: u64, id: &str) -> Option<Vec<Action>> {
+        let key = *self.by_id.get(id)?;
+        self.counts.cancelled += 1;
+        Some(self.end(now_ms, key, Some(Outcome::Cancelled), "cancelled"))
+    }
+
+    /// An order was answered.
+    pub fn ordered(
+        &mut self,
+        now_ms: u64,
+        key: runners::RunnerKey,
+        order: &messages::Order,
+        reply: messages::OrderReply,
+    ) -> Vec<Action> {
+        let Some(runner) = self.runners.get_mut(key) else {
+            return Vec::new();
+        };
+        for (id, why) in &reply.refused {
+            log::info!(event = "order.refused", job = id.job.as_str(), run:% = id, runner = runner.address.as_str(), why:? = why, free_milli = reply.load.size.minus(&reply.load.used).cpu_milli; "not taken in");
+        }
+        let over = runner.ordered(now_ms, order, reply);
+        self.take_over(now_ms, over)
+    }
+
+    /// An order was not answered; `is_unsent` tells that it was surely not sent.
+    pub fn order_lost(
+        &mut self,
+        now_ms: u64,
+        key: runners::RunnerKey,
+        order: &messages::Order,
+        is_unsent: bool,
+    ) -> Vec<Action> {
+        let Some(runner) = self.runners.get_mut(key) else {
+            return Vec::new();
+        };
+        log::warn!(event = "order.lost", runner = runner.address.as_str(), number = order.number, runs = order.starts.len(), unsent = is_unsent; "no answer");
+        if !is_unsent {
+            return Vec::new();
+        }
+        let over = runner.unsent(order);
+        self.take_over(now_ms, over)
+    }
+
+    /// The next watch for a runner; none: it is forgotten.
+    pub fn next_watch(
+        &mut self,
+        now_ms: u64,
+        key: runners::RunnerKey,
+    ) -> Option<(SmolStr, messages::Watch)> {
+        let wants_room = !self.waiting.is_empty();
+        let runner = self.runners.get_mut(key)?;
+        let jobs = &self.jobs;
+        let mut watch = runner.watch(now_ms, self.me, |placed| {
+            let open = jobs.get(placed.job);
+            open.is_some_and(|open| open.tasks[placed.task].state == jobs::State::At(key))
+        });
+        watch.wants_room = wants_room;
+        watch.wait_ms = WATCH_WAIT_MS;
+        watch.directives_position = self.directives.position();
+        watch.directives = self.directives.news_since(runner.directives_position);
+        Some((runner.address.clone(), watch))
+    }
+
+    /// A watch was answered.
+    pub fn reported(
+        &mut self,
+        now_ms: u64,
+        key: runners::RunnerKey,
+        report: messages::Report,
+    ) -> Vec<Action> {
+        let Some(runner) = self.runners.get_mut(key) else {
+            return Vec::new();
+        };
+        let was_usable = runner.is_usable(now_ms);
+        let silence_ms = runner.silence_ms(now_ms);
+        let mut report = report;
+        let directives = report.directives.take();
+        let over = runner.reported(now_ms, report);
+        if was_usable != runner.is_usable(now_ms) {
+            log::info!(event = "runner.changed", runner = runner.address.as_str(), readiness:? = runner.load.readiness, zone = runner.load.zone.as_str(), silence_ms = silence_ms; "heard");
+        }
+        if let Some(directives) = directives {
+            self.directed(directives);
+        }
+        self.take_over(now_ms, over)
+    }
+
+    fn take_over(&mut self, now_ms: u64, over: Vec<runners::Over>) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for over in over {
+            actions.extend(self.take_end(now_ms, &over));
+        }
+        actions.extend(self.fill(now_ms));
+        actions
+    }
+
+    fn take_end(&mut self, now_ms: u64, over: &runners::Over) -> Vec<Action> {
+        let Some(open) = self.jobs.get_mut(over.placed.job) else {
+            return Vec::new();
+        };
+        let at = over.placed.task;
+        if open.run_id(at) != over.id || !matches!(open.tasks[at].state, jobs::State::At(_)) {
+            return Vec::new();
+        }
+        let key = over.placed.job;
+        if over.how == messages::How::Done {
+            open.tasks[at].state = jobs::State::Done;
+            open.left[usize::from(open.tasks[at].step)] -= 1;
+            if open.is_complete() {
+                return self.complete(now_ms, key);
+            }
+            self.wait(key);
+            return Vec::new();
+        }
+        open.tasks[at].state = jobs::State::Waiting;
+        match over.how {
+            messages::How::Failed => {
+                open.tasks[at].failed += 1;
+                log::info!(event = "task.failed", job = open.job.id.as_str(), run:% = over.id, failed = open.tasks[at].failed, most = open.max_attempts, ran_ms = over.ran_ms; "failed");
+                if open.tasks[at].failed >= open.max_attempts {
+                    self.counts.failed += 1;
+                    return self.end(now_ms, key, Some(Outcome::Failed), "task failed too often");
+                }
+            }
+            messages::How::NotStarted => self.counts.not_started += 1,
+            _ => {
+                log::info!(event = "task.lost", job = open.job.id.as_str(), run:% = over.id, age_ms = now_ms - over.placed.ordered_ms; "run is over without a result");
+                self.counts.lost += 1;
+            }
+        }
+        self.wait(key);
+        Vec::new()
+    }
+
+    fn complete(&mut self, now_ms: u64, key: jobs::JobKey) -> Vec<Action> {
+        self.counts.completed += 1;
+        if self.jobs.get(key).is_some_and(|open| now_ms > open.due_ms) {
+            self.counts.late += 1;
+        }
+        self.end(now_ms, key, Some(Outcome::Completed), "complete")
+    }
+
+    fn wait(&mut self, key: jobs::JobKey) {
+        if !self.waiting.contains(&key) {
+            self.waiting.push(key);
+        }
+    }
+
+    /// Ends a job: who waits is told, and what still runs of it is taken back.
+    fn end(
+        &mut self,
+        now_ms: u64,
+        key: jobs::JobKey,
+        outcome: Option<Outcome>,
+        why: &'static str,
+    ) -> Vec<Action> {
+        let Some(open) = self.jobs.remove(key) else {
+            return Vec::new();
+        };
+        self.by_id.remove(&open.job.id);
+        self.waiting.retain(|other| *other != key);
+        let runs = open.runs();
+        log::info!(event = "job.end", job = open.job.id.as_str(), queue = open.queue.as_str(), outcome:? = outcome, why = why, took_ms = now_ms - open.arrived_ms, objective_ms = open.objective_ms, taken_back = runs.len(); "ended");
+        let mut actions = Vec::new();
+        for (runner, ids) in runs {
+            actions.extend(self.order(now_ms, runner, Vec::new(), ids));
+        }
+        if let Some(outcome) = outcome {
+            let answers = open
+                .waiters
+                .iter()
+                .map(|waiter| Action::Answer(*waiter, outcome));
+            actions.extend(answers);
+        }
+        actions
+    }
+
+    fn order(
+        &mut self,
+        now_ms: u64,
+        key: runners::RunnerKey,
+        starts: Vec<(messages::Start, jobs::JobKey, usize)>,
+        stops: Vec<messages::RunId>,
+    ) -> Option<Action> {
+        let runner = self.runners.get_mut(key)?;
+        let order = runner.order(now_ms, self.me, starts, stops)?;
+        Some(Action::Order(key, runner.address.clone(), order))
+    }
+
+    /// Time passes.
+    pub fn tick(&mut self, now_ms: u64) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for key in self.runners.keys().collect::<Vec<_>>() {
+            let over = self.runners[key].lapse(now_ms);
+            for over in over {
+                actions.extend(self.take_end(now_ms, &over));
+            }
+        }
+        self.runners.retain(|_, runner| {
+            runner.silence_ms(now_ms) < FORGET_RUNNER_MS || runner.placed() > 0
+        });
+        actions.extend(self.end_overdue(now_ms));
+        actions.extend(self.fill(now_ms));
+        actions
+    }
+
+    fn end_overdue(&mut self, now_ms: u64) -> Vec<Action> {
+        let is_over = |open: &jobs::Open| {
+            now_ms >= open.deadline_ms
+                || (!open.has_started && urgency::is_hopeless(&view(open), now_ms))
+        };
+        let overdue = self.jobs.iter().filter(|(_, open)| is_over(open));
+        let overdue: Vec<_> = overdue.map(|(key, open)| (key, open.has_started)).collect();
+        let mut actions = Vec::new();
+        for (key, has_started) in overdue {
+            actions.extend(self.give_up(now_ms, key, has_started));
+        }
+        actions
+    }
+
+    fn give_up(&mut self, now_ms: u64, key: jobs::JobKey, has_started: bool) -> Vec<Action> {
+        if has_started {
+            self.counts.given_up += 1;
+            return self.end(now_ms, key, Some(Outcome::GivenUp), "deadline passed");
+        }
+        self.counts.not_run += 1;
+        let retry_after_ms = self.drain_ms(now_ms).max(MIN_RETRY_MS);
+        self.end(
+            now_ms,
+            key,
+            Some(Outcome::NotRun { retry_after_ms }),
+            "no room in time",
+        )
+    }
+
+    /// How long the work that waits takes on the runners that are in sight, in milliseconds.
+    fn drain_ms(&self, now_ms: u64) -> u64 {
+        let usable = self
+            .runners
+            .values()
+            .filter(|runner| runner.is_usable(now_ms));
+        let cpu: u64 = usable
+            .map(|runner| u64::from(runner.load.size.cpu_milli))
+            .sum();
+        let waiting = self.waiting.iter().filter_map(|key| self.jobs.get(*key));
+        let work: u64 = waiting.map(|open| open.job.work()).sum();
+        work.checked_div(cpu).unwrap_or(MIN_RETRY_MS)
+    }
+
+    /// Places what waits, the most urgent first.
+    fn fill(&mut self, now_ms: u64) -> Vec<Action> {
+        if self.waiting.is_empty() {
+            return Vec::new();
+        }
+        let mut line: Vec<_> = std::mem::take(&mut self.waiting);
+        line.retain(|key| {
+            self.jobs
+                .get(*key)
+                .is_some_and(|open| open.ready().next().is_some())
+        });
+        line.sort_by_cached_key(|key| urgency::rank(&view(&self.jobs[*key]), now_ms));
+        let mut starts: collections::HashMap<runners::RunnerKey, Vec<_>> =
+            collections::HashMap::new();
+        let mut candidates: collections::HashMap<SmolStr, Vec<placing::Candidate>> =
+            collections::HashMap::new();
+        for key in line {
+            let service = self.jobs[key].service.clone();
+            let candidates = candidates
+                .entry(service.clone())
+                .or_insert_with(|| self.candidates(now_ms, &service));
+            let is_all = self.place(key, candidates, &mut starts);
+            if !is_all {
+                self.waiting.push(key);
+            }
+        }
+        let mut actions = Vec::new();
+        for (runner, starts) in starts {
+            actions.extend(self.order(now_ms, runner, starts, Vec::new()));
+        }
+        actions
+    }
+
+    fn candidates(&self, now_ms: u64, service: &str) -> Vec<placing::Candidate> {
+        let directives = self.directives.get();
+        let may_take = |runner: &runners::Runner| {
+            let load = &runner.load;
+            runner.is_usable(now_ms) && load.service == service && !directives.is_out(&load.zone)
+        };
+        let usable = self.runners.iter().filter(|(_, runner)| may_take(runner));
+        let candidates = usable.map(|(key, runner)| placing::Candidate {
+            key,
+            free: runner.free(),
+            size: runner.load.size,
+            is_near: runner.load.zone == self.zone,
+            labels: runner.load.labels.clone(),
+        });
+        candidates.collect()
+    }
+
+    /// Places the tasks of a job that can run now; whether none is left waiting.
+    fn place(
+        &mut self,
+        key: jobs::JobKey,
+        candidates: &mut Vec<placing::Candidate>,
+        starts: &mut collections::HashMap<
+            runners::RunnerKey,
+            Vec<(messages::Start, jobs::JobKey, usize)>,
+        >,
+    ) -> bool {
+        let open = &mut self.jobs[key];
+        let asks: Vec<_> = open.ready().map(|at| ask(open, at)).collect();
+        let before = candidates.clone();
+        let placed = placing::place(&asks, candidates);
+        let is_all = placed.len() == asks.len();
+        let wants: u64 = asks.iter().map(|ask| u64::from(ask.need.cpu_milli)).sum();
+        let size: u64 = before.iter().map(|one| u64::from(one.size.cpu_milli)).sum();
+        let is_wide = wants * WIDE_SHARE > size;
+        if !is_all && !open.has_started && !is_wide {
+            *candidates = before;
+            return false;
+        }
+        for (at, runner) in placed {
+            let id = open.next_run(at);
+            open.tasks[at].state = jobs::State::At(runner);
+            let start = messages::Start {
+                id,
+                spec: sync::Arc::clone(&open.job.spec),
+                need: open.job.steps[usize::from(open.tasks[at].step)].need,
+            };
+            starts.entry(runner).or_default().push((start, key, at));
+            self.counts.ordered += 1;
+        }
+        is_all
+    }
+}
+
+fn ask(open: &jobs::Open, at: usize) -> placing::Ask<'_> {
+    let step = &open.job.steps[usize::from(open.tasks[at].step)];
+    placing::Ask {
+        task: at,
+        step: open.tasks[at].step,
+        need: step.need,
+        label: step.label.as_ref(),
+        rack: step.rack.as_ref(),
+        per_server: step.per_server,
+    }
+}
+
+fn view(open: &jobs::Open) -> urgency::View {
+    urgency::View {
+        has_started: open.has_started,
+        priority: open.priority,
+        arrived_ms: open.arrived_ms,
+        due_ms: open.due_ms,
+        objective_ms: open.objective_ms,
+        deadline_ms: open.deadline_ms,
+        left_ms: open.job.chain_ms(),
+    }
+}
--- /dev/null
+++ b/src/leased/entry.rs
@@ -0,0 +1,496 @@
+//! The control thread of an entry that dispatches runs under leases.
+
+use std::collections;
+use std::sync;
+use std::time;
+
+use actix::AsyncContext as _;
+use smol_str::SmolStr;
+use tokio::sync::oneshot;
+
+use crate::clock;
+use crate::control;
+use crate::ids;
+use crate::leased::dispatch;
+use crate::leased::dispatch::jobs;
+use crate::leased::dispatch::runners;
+use crate::leased::job;
+use crate::leased::messages;
+use crate::leased::ports;
+use crate::leased::queues;
+use crate::metrics;
+use crate::outgoing;
+
+/// How often time is looked at.
+const TICK: time::Duration = time::Duration::from_millis(10);
+
+/// Time for a watch beyond its wait, and for an order: a lost packet is sent again within
+/// 200 ms.
+const REPLY_LIMIT: time::Duration = time::Duration::from_millis(250);
+
+/// Pause before a runner that didn't answer is asked again.
+const RETRY_PAUSE: time::Duration = time::Duration::from_millis(50);
+
+/// Pause for one that was silent for long.
+const LONG_RETRY_PAUSE: time::Duration = time::Duration::from_millis(500);
+
+/// Watches without an answer after which the pauses are long.
+const FEW_FAILURES: u32 = 10;
+
+/// How long a stopping entry serves on for callers whose connections are open, in
+/// milliseconds: the balancer takes two misses of a second each to look elsewhere.
+const LINGER_MS: u64 = 2_500;
+
+/// What is in force, for the threads that serve callers.
+pub type Queues = sync::Arc<sync::RwLock<View>>;
+
+/// What the threads that serve callers have to know without asking.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// The queues; absent: no configuration was heard yet.
+    pub queues: Option<sync::Arc<queues::Queues>>,
+    /// Whether the balancer should send new callers.
+    pub is_ready: bool,
+}
+
+/// What the control thread is made of.
+#[derive(Debug)]
+pub struct Parts {
+    /// The entry's life.
+    pub me: ids::Incarnation,
+    /// Its availability zone.
+    pub zone: SmolStr,
+    /// The clock.
+    pub clock: clock::Clock,
+    /// The threads that make calls.
+    pub pool: sync::Arc<outgoing::Pool>,
+    /// For the threads that serve callers.
+    pub view: Queues,
+    /// Longest time for a graceful stop.
+    pub grace: time::Duration,
+}
+
+/// The control thread's state.
+#[derive(Debug)]
+pub struct Control {
+    parts: Parts,
+    dispatcher: dispatch::Dispatcher,
+    answers: collections::HashMap<jobs::Waiter, oneshot::Sender<dispatch::Outcome>>,
+    last_waiter: jobs::Waiter,
+    leaving_ms: Option<u64>,
+}
+
+impl Control {
+    /// An entry that has heard nothing yet.
+    pub fn new(parts: Parts) -> Self {
+        Self {
+            dispatcher: dispatch::Dispatcher::new(parts.me, parts.zone.clone()),
+            parts,
+            answers: collections::HashMap::new(),
+            last_waiter: 0,
+            leaving_ms: None,
+        }
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.parts.clock.now_ms()
+    }
+
+    fn act(&mut self, cx: &actix::Context<Self>, actions: Vec<dispatch::Action>) {
+        for action in actions {
+            match action {
+                dispatch::Action::Order(key, address, order) => self.send(cx, key, address, order),
+                dispatch::Action::Watch(key) => self.keep_watching(cx, key),
+                dispatch::Action::Answer(waiter, outcome) => self.answer(waiter, outcome),
+            }
+        }
+        self.show();
+    }
+
+    /// Shows the threads that serve callers what has changed.
+    fn show(&self) {
+        let is_configured = self.dispatcher.directives().get().is_configured();
+        let queues = is_configured.then(|| sync::Arc::clone(self.dispatcher.queues()));
+        let is_ready = is_configured && self.leaving_ms.is_none();
+        let is_same = |view: &View| {
+            let are_same = match (&view.queues, &queues) {
+                (Some(held), Some(new)) => sync::Arc::ptr_eq(held, new),
+                (None, None) => true,
+                _ => false,
+            };
+            are_same && view.is_ready == is_ready
+        };
+        if self.parts.view.read().is_ok_and(|view| is_same(&view)) {
+            return;
+        }
+        match self.parts.view.write() {
+            Ok(mut view) => *view = View { queues, is_ready },
+            Err(e) => log::error!(event = "view.poisoned"; "{e}"),
+        }
+    }
+
+    fn answer(&mut self, waiter: jobs::Waiter, outcome: dispatch::Outcome) {
+        let Some(tx) = self.answers.remove(&waiter) else {
+            return;
+        };
+        if tx.send(outcome).is_err() {
+            log::info!(event = "answer.unheard", waiter = waiter, outcome:? = outcome; "caller gone");
+        }
+    }
+
+    fn send(
+        &self,
+        cx: &actix::Context<Self>,
+        key: runners::RunnerKey,
+        address: SmolStr,
+        order: messages::Order,
+    ) {
+        let control = cx.address();
+        self.parts.pool.run(move |client| async move {
+            let path = messages::ORDER_PATH;
+            let sent = outgoing::post(&client, &address, path, &order, REPLY_LIMIT).await;
+            control.do_send(OrderAnswered { key, order, sent });
+        });
+    }
+
+    fn keep_watching(&self, cx: &actix::Context<Self>, key: runners::RunnerKey) {
+        let control = cx.address();
+        self.parts
+            .pool
+            .run(move |client| watch(client, control, key));
+    }
+}
+
+/// Keeps a watch open at a runner until it is forgotten.
+async fn watch(client: awc::Client, control: actix::Addr<Control>, key: runners::RunnerKey) {
+    let mut failures = 0;
+    while let Ok(Some((address, watch))) = control.send(NextWatch(key)).await {
+        let limit = time::Duration::from_millis(watch.wait_ms) + REPLY_LIMIT;
+        let path = messages::WATCH_PATH;
+        let is_fresh = failures > 0;
+        let sent = if is_fresh {
+            outgoing::post_afresh(&address, path, &watch, limit).await
+        } else {
+            outgoing::post(&client, &address, path, &watch, limit).await
+        };
+        match sent {
+            Ok(report) => {
+                failures = 0;
+                control.do_send(Reported(key, report));
+            }
+            Err(e) => {
+                failures += 1;
+                if failures == 1 {
+                    log::warn!(event = "watch.lost", runner = address.as_str(); "{e}");
+                }
+                let is_long = failures > FEW_FAILURES;
+                tokio::time::sleep(if is_long {
+                    LONG_RETRY_PAUSE
+                } else {
+                    RETRY_PAUSE
+                })
+                .await;
+            }
+        }
+    }
+}
+
+impl actix::Actor for Control {
+    type Context = actix::Context<Self>;
+
+    fn started(&mut self, cx: &mut Self::Context) {
+        cx.set_mailbox_capacity(MAILBOX);
+        cx.run_interval(TICK, |actor, cx| {
+            let now_ms = actor.now_ms();
+            let actions = actor.dispatcher.tick(now_ms);
+            actor.act(cx, actions);
+        });
+    }
+}
+
+/// Messages that may wait for the control thread.
+const MAILBOX: usize = 4_096;
+
+/// A caller hands a job in.
+#[derive(Debug)]
+#[derive(actix::Message)]
+#[rtype(result = "Submitted")]
+pub struct Submit {
+    /// The job.
+    pub job: job::Job,
+    /// Its queue.
+    pub queue: queues::Queue,
+    /// How long the caller waits at most, in milliseconds.
+    pub timeout_ms: u64,
+}
+
+/// Where a caller's answer will come.
+#[derive(Debug)]
+pub struct Submitted {
+    /// The number of the wait.
+    pub waiter: jobs::Waiter,
+    /// The answer.
+    pub answer: oneshot::Receiver<dispatch::Outcome>,
+}
+
+impl actix::Handler<Submit> for Control {
+    type Result = actix::MessageResult<Submit>;
+
+    fn handle(&mut self, submit: Submit, cx: &mut Self::Context) -> Self::Result {
+        let now_ms = self.now_ms();
+        self.last_waiter += 1;
+        let waiter = self.last_waiter;
+        let (tx, answer) = oneshot::channel();
+        self.answers.insert(waiter, tx);
+        let Submit {
+            job,
+            queue,
+            timeout_ms,
+        } = submit;
+        let actions = self
+            .dispatcher
+            .submit(now_ms, job, &queue, timeout_ms, waiter);
+        self.act(cx, actions);
+        actix::MessageResult(Submitted { waiter, answer })
+    }
+}
+
+/// A caller that waited is gone.
+#[derive(Debug)]
+#[derive(actix::Message)]
+#[rtype(result = "()")]
+pub struct Gone {
+    /// The job.
+    pub id: SmolStr,
+    /// The number of the wait.
+    pub waiter: jobs::Waiter,
+}
+
+impl actix::Handler<Gone> for Control {
+    type Result = ();
+
+    fn handle(&mut self, gone: Gone, cx: &mut Self::Context) {
+        self.answers.remove(&gone.waiter);
+        let now_ms = self.now_ms();
+        let actions = self.dispatcher.gone(now_ms, &gone.id, gone.waiter);
+        self.act(cx, actions);
+    }
+}
+
+/// A caller cancels a job; whether it was known.
+#[derive(Debug)]
+#[derive(actix::Message)]
+#[rtype(result = "bool")]
+pub struct Cancel(pub SmolStr);
+
+impl actix::Handler<Cancel> for Control {
+    type Result = bool;
+
+    fn handle(&mut self, Cancel(id): Cancel, cx: &mut Self::Context) -> bool {
+        let now_ms = self.now_ms();
+        let actions = self.dispatcher.cancel(now_ms, &id);
+        let is_known = actions.is_some();
+        self.act(cx, actions.unwrap_or_default());
+        is_known
+    }
+}
+
+/// A caller asks about a job; whether something of it has started, if it is open.
+#[derive(Debug)]
+#[derive(actix::Message)]
+#[rtype(result = "Option<bool>")]
+pub struct WantState(pub SmolStr);
+
+impl actix::Handler<WantState> for Control {
+    type Result = Option<bool>;
+
+    fn handle(&mut self, WantState(id): WantState, _cx: &mut Self::Context) -> Option<bool> {
+        self.dispatcher.state(&id)
+    }
+}
+
+/// A caller asks how many jobs of a queue have nothing started.
+#[derive(Debug)]
+#[derive(actix::Message)]
+#[rtype(result = "usize")]
+pub struct WantPending(pub SmolStr);
+
+impl actix::Handler<WantPending> for Control {
+    type Result = usize;
+
+    fn handle(&mut self, WantPending(queue): WantPending, _cx: &mut Self::Context) -> usize {
+        self.dispatcher.pending(&queue)
+    }
+}
+
+#[derive(Debug)]
+#[derive(actix::Message)]
+#[rtype(result = "Option<(SmolStr, messages::Watch)>")]
+struct NextWatch(runners::RunnerKey);
+
+impl actix::Handler<NextWatch> for Control {
+    type Result = Option<(SmolStr, messages::Watch)>;
+
+    fn handle(&mut self, NextWatch(key): NextWatch, _cx: &mut Self::Context) -> Self::Result {
+        let now_ms = self.now_ms();
+        self.dispatcher.next_watch(now_ms, key)
+    }
+}
+
+#[derive(Debug)]
+#[derive(actix::Message)]
+#[rtype(result = "()")]
+struct Reported(runners::RunnerKey, messages::Report);
+
+impl actix::Handler<Reported> for Control {
+    type Result = ();
+
+    fn handle(&mut self, Reported(key, report): Reported, cx: &mut Self::Context) {
+        let now_ms = self.now_ms();
+        let actions = self.dispatcher.reported(now_ms, key, report);
+        self.act(cx, actions);
+    }
+}
+
+#[derive(Debug)]
+#[derive(actix::Message)]
+#[rtype(result = "()")]
+struct OrderAnswered {
+    key: runners::RunnerKey,
+    order: messages::Order,
+    sent: Result<messages::OrderReply, outgoing::CallError>,
+}
+
+impl actix::Handler<OrderAnswered> for Control {
+    type Result = ();
+
+    fn handle(&mut self, heard: OrderAnswered, cx: &mut Self::Context) {
+        let now_ms = self.now_ms();
+        let actions = match heard.sent {
+            Ok(reply) => self
+                .dispatcher
+                .ordered(now_ms, heard.key, &heard.order, reply),
+            Err(e) => {
+                let is_unsent = matches!(e, outgoing::CallError::NotSent(_));
+                self.dispatcher
+                    .order_lost(now_ms, heard.key, &heard.order, is_unsent)
+            }
+        };
+        self.act(cx, actions);
+    }
+}
+
+impl actix::Handler<ports::Found> for Control {
+    type Result = ();
+
+    fn handle(&mut self, found: ports::Found, cx: &mut Self::Context) {
+        let now_ms = self.now_ms();
+        let actions = self.dispatcher.found(now_ms, &found.runners);
+        self.act(cx, actions);
+    }
+}
+
+impl actix::Handler<ports::Directed> for Control {
+    type Result = ();
+
+    fn handle(&mut self, ports::Directed(heard): ports::Directed, _cx: &mut Self::Context) {
+        self.dispatcher.directed(heard);
+        self.show();
+    }
+}
+
+/// Another entry asks for what this one knows.
+#[derive(Clone, Copy, Debug)]
+#[derive(actix::Message)]
+#[rtype(result = "messages::Known")]
+pub struct WantKnown;
+
+impl actix::Handler<WantKnown> for Control {
+    type Result = actix::MessageResult<WantKnown>;
+
+    fn handle(&mut self, _want: WantKnown, _cx: &mut Self::Context) -> Self::Result {
+        actix::MessageResult(messages::Known {
+            version: crate::wire::VERSION,
+            runners: self.dispatcher.addresses(),
+            directives: self.dispatcher.directives().news_since(0),
+        })
+    }
+}
+
+impl actix::Handler<control::Leave> for Control {
+    type Result = actix::MessageResult<control::Leave>;
+
+    fn handle(&mut self, _leave: control::Leave, _cx: &mut Self::Context) -> Self::Result {
+        self.leaving_ms = Some(self.now_ms());
+        self.show();
+        actix::MessageResult(self.parts.grace)
+    }
+}
+
+impl actix::Handler<control::IsDrained> for Control {
+    type Result = bool;
+
+    fn handle(&mut self, _ask: control::IsDrained, _cx: &mut Self::Context) -> bool {
+        let since_ms = self.leaving_ms.unwrap_or(0);
+        self.dispatcher.open() == 0 && self.now_ms() >= since_ms + LINGER_MS
+    }
+}
+
+impl actix::Handler<control::Abandon> for Control {
+    type Result = ();
+
+    fn handle(&mut self, _abandon: control::Abandon, _cx: &mut Self::Context) {
+        log::warn!(event = "entry.abandon", open = self.dispatcher.open(); "out of time with jobs open");
+    }
+}
+
+impl actix::Handler<control::WantMetrics> for Control {
+    type Result = actix::MessageResult<control::WantMetrics>;
+
+    fn handle(&mut self, _want: control::WantMetrics, _cx: &mut Self::Context) -> Self::Result {
+        let counts = self.dispatcher.counts();
+        let (known, usable) = self.dispatcher.runners(self.now_ms());
+        let counter = metrics::Sample::counter;
+        let gauge = metrics::Sample::gauge;
+        actix::MessageResult(vec![
+            counter("jobs_accepted", "Jobs taken in", counts.accepted),
+            counter("jobs_completed", "Jobs completed", counts.completed),
+            counter(
+                "jobs_late",
+                "Jobs completed after their objective",
+                counts.late,
+            ),
+            counter(
+                "jobs_failed",
+                "Jobs with a task that failed too often",
+                counts.failed,
+            ),
+            counter("jobs_not_run", "Jobs refused without a run", counts.not_run),
+            counter(
+                "jobs_given_up",
+                "Jobs given up after a run",
+                counts.given_up,
+            ),
+            counter(
+                "jobs_cancelled",
+                "Jobs whose callers left",
+                counts.cancelled,
+            ),
+            counter("runs_ordered", "Runs ordered at runners", counts.ordered),
+            counter(
+                "runs_not_started",
+                "Runs that a runner didn't start",
+                counts.not_started,
+            ),
+            counter("runs_lost", "Runs that ended without a result", counts.lost),
+            gauge("jobs_open", "Jobs open", self.dispatcher.open() as u64),
+            gauge(
+                "jobs_waiting",
+                "Jobs that wait for room",
+                self.dispatcher.waiting() as u64,
+            ),
+            gauge("runners", "Runners known", known as u64),
+            gauge("runners_usable", "Runners that take work", usable as u64),
+        ])
+    }
+}
--- /dev/null
+++ b/src/leased/peers.rs
@@ -0,0 +1,60 @@
+//! The pages that other processes of the system call.
+
+use actix_web::web;
+use tokio::sync::oneshot;
+
+use crate::codes;
+use crate::incoming;
+use crate::leased::entry;
+use crate::leased::messages;
+use crate::leased::runner;
+
+/// Adds a runner's pages for entries.
+pub fn runner_pages(cfg: &mut web::ServiceConfig) {
+    cfg.route(messages::WATCH_PATH, web::post().to(watch));
+    cfg.route(messages::ORDER_PATH, web::post().to(order));
+}
+
+/// Adds an entry's pages for other entries.
+pub fn entry_pages(cfg: &mut web::ServiceConfig) {
+    cfg.route(messages::KNOWN_PATH, web::get().to(known));
+}
+
+async fn watch(
+    control: web::Data<actix::Addr<runner::Control>>,
+    payload: web::Payload,
+) -> actix_web::HttpResponse {
+    let watch = match incoming::read_message(payload).await {
+        Ok(watch) => watch,
+        Err(refusal) => return refusal,
+    };
+    let report: Result<oneshot::Receiver<_>, _> = control.send(runner::Watched(watch)).await;
+    let Ok(report) = report else {
+        return incoming::refuse(codes::Code::Leaving);
+    };
+    match report.await {
+        Ok(report) => incoming::message(&report),
+        Err(_replaced) => incoming::refuse(codes::Code::Leaving),
+    }
+}
+
+async fn order(
+    control: web::Data<actix::Addr<runner::Control>>,
+    payload: web::Payload,
+) -> actix_web::HttpResponse {
+    let order = match incoming::read_message(payload).await {
+        Ok(order) => order,
+        Err(refusal) => return refusal,
+    };
+    match control.send(runner::Ordered(order)).await {
+        Ok(reply) => incoming::message(&reply),
+        Err(_ended) => incoming::refuse(codes::Code::Leaving),
+    }
+}
+
+async fn known(control: web::Data<actix::Addr<entry::Control>>) -> actix_web::HttpResponse {
+    match control.send(entry::WantKnown).await {
+        Ok(known) => incoming::message(&known),
+        Err(_ended) => incoming::refuse(codes::Code::Leaving),
+    }
+}
--- /dev/null
+++ b/src/leased/process.rs
@@ -0,0 +1,97 @@
+//! A process that serves jobs under leases: its control thread, its ports, its end.
+
+use std::fmt;
+use std::net;
+use std::sync;
+
+use actix_web::web;
+
+use crate::codes;
+use crate::control;
+use crate::daemon;
+use crate::incoming;
+use crate::metrics;
+use crate::progress;
+
+type Pages = sync::Arc<dyn Fn(&mut web::ServiceConfig) + Send + Sync>;
+
+/// A port with its pages.
+pub struct Port {
+    address: net::SocketAddr,
+    bounds: daemon::Bounds,
+    pages: Pages,
+}
+
+impl fmt::Debug for Port {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut port = f.debug_struct("Port");
+        port.field("address", &self.address).finish_non_exhaustive()
+    }
+}
+
+impl Port {
+    /// A port that will be opened.
+    pub fn new<F>(address: net::SocketAddr, bounds: daemon::Bounds, pages: F) -> Self
+    where
+        F: Fn(&mut web::ServiceConfig) + Send + Sync + 'static,
+    {
+        Self {
+            address,
+            bounds,
+            pages: sync::Arc::new(pages),
+        }
+    }
+}
+
+/// Starts a control actor on a thread of its own.
+pub fn control<A, F>(make: F) -> Result<actix::Addr<A>, daemon::DaemonError>
+where
+    A: actix::Actor<Context = actix::Context<A>>,
+    F: FnOnce() -> A + Send + 'static,
+{
+    daemon::on_own_thread(make)
+}
+
+/// The port where metrics are served.
+pub fn metrics<A>(
+    address: net::SocketAddr,
+    bounds: daemon::Bounds,
+    control: &actix::Addr<A>,
+) -> Port
+where
+    A: actix::Actor<Context = actix::Context<A>> + actix::Handler<control::WantMetrics>,
+{
+    let want: actix::Recipient<control::WantMetrics> = control.clone().recipient();
+    Port::new(address, bounds, move |cfg| {
+        cfg.app_data(web::Data::new(want.clone()));
+        cfg.route("/metrics", web::get().to(scrape));
+    })
+}
+
+async fn scrape(
+    want: web::Data<actix::Recipient<control::WantMetrics>>,
+) -> actix_web::HttpResponse {
+    let Ok(samples) = want.send(control::WantMetrics).await else {
+        return incoming::refuse(codes::Code::Leaving);
+    };
+    metrics::page(samples)
+}
+
+/// Opens the ports and serves until the process is told to stop and is drained.
+pub async fn serve<A>(control: &actix::Addr<A>, ports: Vec<Port>) -> Result<(), daemon::DaemonError>
+where
+    A: actix::Actor<Context = actix::Context<A>>
+        + actix::Handler<control::Leave>
+        + actix::Handler<control::IsDrained>
+        + actix::Handler<control::Abandon>,
+{
+    let progress = progress::Progress::default();
+    let mut servers = Vec::with_capacity(ports.len());
+    for port in ports {
+        let listener = net::TcpListener::bind(port.address)?;
+        let pages = port.pages;
+        let pages = move |cfg: &mut web::ServiceConfig| pages(cfg);
+        servers.push(daemon::serve(listener, 1, port.bounds, &progress, pages)?);
+    }
+    daemon::until_drained(servers, daemon::stops(control), progress).await
+}
--- /dev/null
+++ b/src/leased/queues.rs
@@ -0,0 +1,86 @@
+//! The queues that operators configure: who is served, by which backend servers, how fast.
+
+use std::collections;
+
+use serde::Deserialize;
+use serde::Serialize;
+use smol_str::SmolStr;
+
+/// One queue.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Queue {
+    /// Its name.
+    pub name: SmolStr,
+    /// The host that callers name.
+    pub host: SmolStr,
+    /// What the path begins with; the job's id follows.
+    pub prefix: SmolStr,
+    /// Which backend servers run its tasks.
+    pub service: SmolStr,
+    /// Longest time for an answer, in milliseconds.
+    pub timeout_ms: u64,
+    /// Time that a caller grants beyond the work itself, in milliseconds.
+    pub target_ms: u64,
+    /// How many times the work's own time a caller grants.
+    pub stretch: f64,
+    /// Runs of one task that may end as failed.
+    pub max_attempts: u32,
+    /// Which queue goes first; 0 before 1.
+    pub priority: u32,
+    /// Whether another service has to name the backend servers allowed for each step.
+    pub needs_advice: bool,
+}
+
+/// Bounds on what a caller sends.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Bounds {
+    /// Largest body, in bytes.
+    pub body_bytes: usize,
+}
+
+/// Bodies of at most 256 KiB, as long as operators say nothing else.
+const DEFAULT_BODY_BYTES: usize = 256 << 10;
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Self {
+            body_bytes: DEFAULT_BODY_BYTES,
+        }
+    }
+}
+
+/// All queues of one configuration, ready for looking up.
+#[derive(Clone, Debug, Default)]
+pub struct Queues {
+    by_host: collections::HashMap<SmolStr, Vec<Queue>>,
+    /// Bounds on what a caller sends.
+    pub bounds: Bounds,
+}
+
+impl Queues {
+    /// Sorts the queues for looking up.
+    pub fn new(queues: &[Queue], bounds: Bounds) -> Self {
+        let mut by_host: collections::HashMap<SmolStr, Vec<Queue>> = collections::HashMap::new();
+        for queue in queues {
+            by_host
+                .entry(queue.host.clone())
+                .or_default()
+                .push(queue.clone());
+        }
+        for queues in by_host.values_mut() {
+            queues.sort_by_key(|queue| std::cmp::Reverse(queue.prefix.len()));
+        }
+        Self { by_host, bounds }
+    }
+
+    /// The queue with the longest prefix of the path, and the rest of the path.
+    pub fn find<'a>(&self, host: &str, path: &'a str) -> Option<(&Queue, &'a str)> {
+        let queues = self.by_host.get(host)?;
+        let found = queues
+            .iter()
+            .find(|queue| path.starts_with(queue.prefix.as_str()))?;
+        Some((found, &path[found.prefix.len()..]))
+    }
+}
--- /dev/null
+++ b/src/leased/room/mod.rs
@@ -0,0 +1,625 @@
+//! A runner's decisions about runs under leases, without network or clock.
+//!
+//! The backend server starts whatever it is told to, so this is the one keeper of its
+//! room: a run takes room from the moment it is ordered until the backend server lists
+//! its end, or until it is certain that it never started.
+
+pub mod lease;
+pub mod owners;
+
+use std::collections;
+
+use smol_str::SmolStr;
+
+use crate::ids;
+use crate::leased::directives;
+use crate::leased::messages;
+use crate::leased::ports;
+use crate::wire;
+
+/// How long an entry may give no sign of life before its runs are stopped, in
+/// milliseconds. Three watches of 150 ms may be lost on the way.
+pub const OWNER_SILENCE_MS: u64 = 500;
+
+/// Lease of the backend server's runs, in milliseconds: three renewals may be lost.
+pub const LEASE_MS: u64 = 700;
+
+/// No lease lasts longer than this from the last sign of life of an entry that has runs,
+/// in milliseconds. A caller that lost its entry sends the job again after 1,300 ms; with
+/// a clock that is 2 % slow, a stop of 50 ms and the ways, 1,100 ms end before that.
+pub const OWNER_LEASE_MS: u64 = 1_100;
+
+/// Longest wait of the question what runs; a lease is renewed as often, in milliseconds.
+const LIST_WAIT_MS: u64 = 200;
+
+/// Pause before a stop that wasn't heard is sent again, in milliseconds.
+const STOP_AGAIN_MS: u64 = 100;
+
+/// Silence after which a backend server takes no more work, in milliseconds: a question
+/// of 200 ms and its answer, twice.
+const UNREACHABLE_MS: u64 = 450;
+
+/// Time after which an entry without runs and signs of life is forgotten, in milliseconds.
+const FORGET_OWNER_MS: u64 = 10_000;
+
+/// Load changes are told to each entry at most this often for each entry that listens,
+/// in milliseconds: with four entries every 40 ms, so the cost doesn't grow with them.
+const LOAD_NEWS_MS_PER_ENTRY: u64 = 10;
+
+/// What is added to a fence that was refused; above any backward jump of the time of day
+/// from which the first one is taken, in milliseconds.
+const FENCE_STEP: u64 = 60_000;
+
+/// What the runner's surroundings must do.
+#[derive(Clone, Debug)]
+pub enum Action {
+    /// Start a run at the backend server.
+    Start(ports::StartCall),
+    /// Stop a run at the backend server.
+    Stop(ports::StopCall),
+}
+
+#[derive(Clone, Debug)]
+struct Run {
+    owner: ids::Incarnation,
+    order: u64,
+    need: wire::Resources,
+    ordered_ms: u64,
+    /// A list that was asked for later than this and lacks the run proves that it is over.
+    settled_ms: Option<u64>,
+    stop: Option<Stop>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Stop {
+    called_ms: u64,
+    is_noted: bool,
+}
+
+/// The state of one runner.
+#[derive(Debug)]
+pub struct Room {
+    me: ids::Incarnation,
+    fence: u64,
+    backend: Option<ports::Announcement>,
+    clock: lease::BackendClock,
+    owners: collections::HashMap<ids::Incarnation, owners::Owner>,
+    runs: collections::HashMap<messages::RunId, Run>,
+    used: wire::Resources,
+    directives: directives::InForce,
+    acked: u64,
+    listed_asked_ms: u64,
+    heard_ms: Option<u64>,
+    is_clean: bool,
+    is_leaving: bool,
+    sequence: u64,
+    told_readiness: messages::Readiness,
+}
+
+impl Room {
+    /// A runner that has heard nothing yet; `fence` should grow from life to life.
+    pub fn new(me: ids::Incarnation, fence: u64) -> Self {
+        Self {
+            me,
+            fence,
+            backend: None,
+            clock: lease::BackendClock::default(),
+            owners: collections::HashMap::new(),
+            runs: collections::HashMap::new(),
+            used: wire::Resources::default(),
+            directives: directives::InForce::default(),
+            acked: 0,
+            listed_asked_ms: 0,
+            heard_ms: None,
+            is_clean: false,
+            is_leaving: false,
+            sequence: 0,
+            told_readiness: messages::Readiness::Starting,
+        }
+    }
+
+    /// How many runs are held.
+    pub fn runs(&self) -> usize {
+        self.runs.len()
+    }
+
+    /// The runner is to stop: it takes nothing more.
+    pub fn leave(&mut self, now_ms: u64) {
+        self.is_leaving = true;
+        self.note_readiness(now_ms);
+    }
+
+    /// Whether the runner, or its backend server, takes work.
+    pub fn readiness(&self, now_ms: u64) -> messages::Readiness {
+        let Some(backend) = &self.backend else {
+            return messages::Readiness::Starting;
+        };
+        if self.is_leaving || backend.is_leaving {
+            return messages::Readiness::Leaving;
+        }
+        if !self.is_clean {
+            return messages::Readiness::Starting;
+        }
+        let heard_ms = self.heard_ms.unwrap_or(0);
+        if now_ms.saturating_sub(heard_ms) > UNREACHABLE_MS {
+            return messages::Readiness::Unreachable;
+        }
+        messages::Readiness::Ready
+    }
+
+    /// Tells every entry at once when the readiness has changed.
+    fn note_readiness(&mut self, now_ms: u64) {
+        let readiness = self.readiness(now_ms);
+        if readiness == self.told_readiness {
+            return;
+        }
+        log::info!(event = "runner.readiness", before:? = self.told_readiness, after:? = readiness; "changed");
+        self.told_readiness = readiness;
+        for owner in self.owners.values_mut() {
+            owner.has_news = true;
+        }
+    }
+
+    /// The backend server's heartbeat came in; whether it is taken note of.
+    ///
+    /// One that was held up on the way may come after its sender crashed and a later life
+    /// announced itself; the earlier life must not take the later one's place.
+    pub fn announced(&mut self, now_ms: u64, heard: ports::Announcement) -> bool {
+        if let Some(known) = &self.backend {
+            let is_older = heard.life.born_ms < known.life.born_ms;
+            let is_same = heard.life == known.life;
+            if is_older || (is_same && heard.sequence <= known.sequence) {
+                log::info!(event = "backend.heartbeat_late", born_ms = heard.life.born_ms, sequence = heard.sequence; "passed over");
+                return false;
+            }
+            if !is_same {
+                self.end_life(now_ms, "a later life announced itself");
+            }
+        } else {
+            log::info!(event = "backend.found", name = heard.life.name.as_str(), born_ms = heard.life.born_ms, cpu_milli = heard.size.cpu_milli; "announced");
+        }
+        self.backend = Some(heard);
+        self.note_readiness(now_ms);
+        true
+    }
+
+    /// The backend server says that it is gone.
+    pub fn backend_left(&mut self, now_ms: u64, name: &str) {
+        if self
+            .backend
+            .as_ref()
+            .is_some_and(|known| known.life.name == name)
+        {
+            self.end_life(now_ms, "it left");
+            self.backend = None;
+            self.note_readiness(now_ms);
+        }
+    }
+
+    /// Nothing of the life that was known so far runs any more.
+    fn end_life(&mut self, now_ms: u64, why: &'static str) {
+        log::warn!(event = "backend.life_over", runs = self.runs.len(), why = why; "its runs are over");
+        let ids: Vec<_> = self.runs.keys().cloned().collect();
+        for id in ids {
+            self.end(now_ms, &id, messages::How::Stopped);
+        }
+        self.clock = lease::BackendClock::default();
+        self.acked = 0;
+        self.is_clean = false;
+        self.listed_asked_ms = now_ms;
+    }
+
+    /// An entry asks; its lease is renewed, and what it no longer wants is stopped.
+    pub fn watch(&mut self, now_ms: u64, watch: &messages::Watch) -> Vec<Action> {
+        let mut actions = self.tick(now_ms);
+        if let Some(heard) = &watch.directives {
+            self.directives.advance(heard.clone());
+        }
+        let owner = self.owners.entry(watch.entry).or_default();
+        let is_meant = watch.runner == Some(self.me);
+        if !is_meant {
+            owner.has_news = true;
+            return actions;
+        }
+        owner.hear(now_ms, watch);
+        let is_unwanted = |(id, run): &(&messages::RunId, &Run)| {
+            run.owner == watch.entry && run.stop.is_none() && owner.is_unwanted(run.order, id)
+        };
+        let unwanted = self.runs.iter().filter(is_unwanted);
+        let unwanted: Vec<_> = unwanted.map(|(id, _)| id.clone()).collect();
+        for id in unwanted {
+            actions.extend(self.stop(now_ms, &id, "unwanted"));
+        }
+        actions
+    }
+
+    /// Whether an entry that waits has something to be told.
+    pub fn has_news(&self, now_ms: u64, entry: ids::Incarnation) -> bool {
+        let Some(owner) = self.owners.get(&entry) else {
+            return true;
+        };
+        let pause_ms = LOAD_NEWS_MS_PER_ENTRY * self.owners.len() as u64;
+        owner.has_news
+            || self.directives.position() > owner.directives_position
+            || (owner.has_load_news && now_ms.saturating_sub(owner.told_ms) >= pause_ms)
+    }
+
+    /// What an entry is told.
+    pub fn report(&mut self, now_ms: u64, entry: ids::Incarnation) -> messages::Report {
+        self.sequence += 1;
+        let load = self.load(now_ms);
+        let runs = self.runs.iter().filter(|(_, run)| run.owner == entry);
+        let runs = runs.map(|(id, _)| id.clone()).collect();
+        let owner = self.owners.entry(entry).or_default();
+        owner.has_news = false;
+        owner.has_load_news = false;
+        owner.told_ms = now_ms;
+        messages::Report {
+            version: wire::VERSION,
+            runner: self.me,
+            clock_ms: now_ms,
+            sequence: self.sequence,
+            load,
+            runs,
+            ends: owner.ends(),
+            directives_position: self.directives.position(),
+            directives: self.directives.news_since(owner.directives_position),
+        }
+    }
+
+    /// The room and who the backend server is.
+    pub fn load(&self, now_ms: u64) -> messages::Load {
+        let Some(backend) = &self.backend else {
+            return messages::Load::default();
+        };
+        messages::Load {
+            readiness: self.readiness(now_ms),
+            size: backend.size,
+            used: self.used,
+            service: backend.service.clone(),
+            zone: backend.zone.clone(),
+            labels: backend.labels.clone(),
+        }
+    }
+
+    /// An entry orders runs.
+    pub fn order(
+        &mut self,
+        now_ms: u64,
+        order: messages::Order,
+    ) -> (messages::OrderReply, Vec<Action>) {
+        let mut actions = self.tick(now_ms);
+        let mut refused = Vec::new();
+        let is_late = order.runner != self.me || order.valid_until_ms < now_ms;
+        let owner = self.owners.entry(order.entry).or_default();
+        if !is_late {
+            owner.hear_order(now_ms, order.alive_at_ms);
+        }
+        for start in order.starts {
+            let id = start.id.clone();
+            let refusal = if is_late {
+                Some(messages::Refusal::Late)
+            } else {
+                self.refusal(now_ms, order.entry, order.number, &start)
+            };
+            match refusal {
+                Some(why) => refused.push((id, why)),
+                None => actions.extend(self.admit(now_ms, order.entry, order.number, start)),
+            }
+        }
+        for id in &order.stops {
+            let is_owned = self
+                .runs
+                .get(id)
+                .is_some_and(|run| run.owner == order.entry);
+            if is_owned {
+                actions.extend(self.stop(now_ms, id, "taken back"));
+            }
+        }
+        self.sequence += 1;
+        let reply = messages::OrderReply {
+            version: wire::VERSION,
+            runner: self.me,
+            clock_ms: now_ms,
+            sequence: self.sequence,
+            load: self.load(now_ms),
+            refused,
+        };
+        (reply, actions)
+    }
+
+    fn refusal(
+        &self,
+        now_ms: u64,
+        entry: ids::Incarnation,
+        number: u64,
+        start: &messages::Start,
+    ) -> Option<messages::Refusal> {
+        let owner = self.owners.get(&entry)?;
+        if owner.alive_at_ms() + OWNER_SILENCE_MS < now_ms {
+            return Some(messages::Refusal::Late);
+        }
+        if owner.is_unwanted(number, &start.id) {
+            return Some(messages::Refusal::Unwanted);
+        }
+        if self.readiness(now_ms) != messages::Readiness::Ready {
+            return Some(messages::Refusal::NotReady);
+        }
+        let backend = self.backend.as_ref()?;
+        if self.directives.get().is_out(&backend.zone) {
+            return Some(messages::Refusal::ZoneOut);
+        }
+        // A task has one run at a time, also while the caller's repeat came by another entry.
+        if self.runs.keys().any(|held| held.is_same_task(&start.id)) {
+            return Some(messages::Refusal::Unwanted);
+        }
+        let free = backend.size.minus(&self.used);
+        (!start.need.fits_in(&free)).then_some(messages::Refusal::Room)
+    }
+
+    fn admit(
+        &mut self,
+        now_ms: u64,
+        owner: ids::Incarnation,
+        order: u64,
+        start: messages::Start,
+    ) -> Option<Action> {
+        let life = self.backend.as_ref()?.life.clone();
+        self.used = self.used.plus(&start.need);
+        let run = Run {
+            owner,
+            order,
+            need: start.need,
+            ordered_ms: now_ms,
+            settled_ms: None,
+            stop: None,
+        };
+        self.runs.insert(start.id.clone(), run);
+        let lease_until_ms = self.clock.grant(now_ms, self.lease_ms(now_ms));
+        log::info!(event = "run.start", run:% = start.id, owner:% = owner, cpu_milli = start.need.cpu_milli, used_milli = self.used.cpu_milli; "starting");
+        Some(Action::Start(ports::StartCall {
+            start,
+            life,
+            fence: self.fence,
+            lease_until_ms,
+        }))
+    }
+
+    /// How long a lease may last: until the entry heard longest ago must be given up.
+    fn lease_ms(&self, now_ms: u64) -> u64 {
+        let alive = self
+            .runs
+            .values()
+            .filter_map(|run| self.owners.get(&run.owner));
+        let oldest_ms = alive
+            .map(owners::Owner::alive_at_ms)
+            .min()
+            .unwrap_or(now_ms);
+        (oldest_ms + OWNER_LEASE_MS)
+            .saturating_sub(now_ms)
+            .min(LEASE_MS)
+    }
+
+    /// The backend server answered a start, or didn't.
+    pub fn start_answered(
+        &mut self,
+        now_ms: u64,
+        id: &messages::RunId,
+        answer: ports::StartAnswer,
+    ) -> Vec<Action> {
+        let mut actions = self.tick(now_ms);
+        let Some(run) = self.runs.get_mut(id) else {
+            return actions;
+        };
+        match answer {
+            ports::StartAnswer::Started => run.settled_ms = Some(now_ms),
+            ports::StartAnswer::Refused(why) => {
+                log::warn!(event = "run.refused", run:% = id, why:? = why; "not started");
+                self.end(now_ms, id, messages::How::NotStarted);
+            }
+            // It may start any time until its lease is over; a stop that is noted keeps
+            // it from starting.
+            ports::StartAnswer::Lost => actions.extend(self.stop(now_ms, id, "start unanswered")),
+        }
+        actions
+    }
+
+    fn stop(&mut self, now_ms: u64, id: &messages::RunId, why: &'static str) -> Option<Action> {
+        let life = self.backend.as_ref()?.life.clone();
+        let run = self.runs.get_mut(id)?;
+        if run
+            .stop
+            .is_some_and(|stop| now_ms < stop.called_ms + STOP_AGAIN_MS)
+        {
+            return None;
+        }
+        if run.stop.is_none() {
+            let age_ms = now_ms.saturating_sub(run.ordered_ms);
+            log::info!(event = "run.stop", run:% = id, owner:% = run.owner, why = why, age_ms = age_ms; "stopping");
+        }
+        run.stop = Some(Stop {
+            called_ms: now_ms,
+            is_noted: false,
+        });
+        Some(Action::Stop(ports::StopCall {
+            id: id.clone(),
+            life,
+            fence: self.fence,
+        }))
+    }
+
+    /// The backend server noted a stop, or wasn't heard.
+    pub fn stop_answered(&mut self, now_ms: u64, id: &messages::RunId, is_noted: bool) {
+        let Some(run) = self.runs.get_mut(id) else {
+            return;
+        };
+        if let Some(stop) = &mut run.stop
+            && is_noted
+        {
+            stop.is_noted = true;
+            run.settled_ms = Some(run.settled_ms.unwrap_or(now_ms).max(now_ms));
+        }
+    }
+
+    /// The next question what runs.
+    pub fn next_list(&mut self, now_ms: u64) -> ports::ListCall {
+        let is_renewed = self.clock.is_known() && !self.runs.is_empty();
+        let lease_ms = self.lease_ms(now_ms);
+        ports::ListCall {
+            life: self.backend.as_ref().map(|backend| backend.life.clone()),
+            fence: self.fence,
+            lease_until_ms: is_renewed.then(|| self.clock.grant(now_ms, lease_ms)),
+            acked: self.acked,
+            wait_ms: if self.is_clean { LIST_WAIT_MS } else { 0 },
+        }
+    }
+
+    /// The backend server said what runs, or nothing was heard.
+    pub fn listed(&mut self, now_ms: u64, asked_ms: u64, answer: ports::ListAnswer) -> Vec<Action> {
+        let mut actions = match answer {
+            ports::ListAnswer::Listed(listing) => self.take_list(now_ms, asked_ms, &listing),
+            ports::ListAnswer::Fenced => {
+                self.fence += FENCE_STEP;
+                log::warn!(event = "backend.fenced", fence = self.fence; "a greater fence was there");
+                Vec::new()
+            }
+            ports::ListAnswer::OtherLife => {
+                self.end_life(now_ms, "another life answered");
+                self.backend = None;
+                Vec::new()
+            }
+            ports::ListAnswer::NoConnection | ports::ListAnswer::Lost => Vec::new(),
+        };
+        actions.extend(self.tick(now_ms));
+        actions
+    }
+
+    fn take_list(&mut self, now_ms: u64, asked_ms: u64, listing: &ports::Listing) -> Vec<Action> {
+        let Some(backend) = &self.backend else {
+            return Vec::new();
+        };
+        if listing.born_ms != backend.life.born_ms || asked_ms < self.listed_asked_ms {
+            return Vec::new();
+        }
+        self.listed_asked_ms = asked_ms;
+        self.heard_ms = Some(now_ms);
+        self.clock.hear(listing.clock_ms, now_ms);
+        for ended in &listing.ended {
+            if ended.number > self.acked {
+                self.end(now_ms, &ended.id, ended.how);
+            }
+        }
+        let last = listing.ended.iter().map(|ended| ended.number).max();
+        self.acked = self.acked.max(last.unwrap_or(0));
+        self.end_missing(now_ms, asked_ms, listing);
+        self.stop_unknown(listing)
+    }
+
+    /// Runs that should be in the list and are in no part of it are over.
+    fn end_missing(&mut self, now_ms: u64, asked_ms: u64, listing: &ports::Listing) {
+        let listed: collections::HashSet<_> =
+            listing.running.iter().map(|running| &running.id).collect();
+        let is_missing = |(id, run): &(&messages::RunId, &Run)| {
+            run.settled_ms.is_some_and(|at| at < asked_ms) && !listed.contains(id)
+        };
+        let missing = self.runs.iter().filter(is_missing);
+        let missing: Vec<_> = missing.map(|(id, _)| id.clone()).collect();
+        for id in missing {
+            self.end(now_ms, &id, messages::How::Stopped);
+        }
+    }
+
+    /// Stops what a former life of the runner started; until it is gone, its room and the
+    /// second runs that it would allow are unknown, and nothing new is taken.
+    fn stop_unknown(&mut self, listing: &ports::Listing) -> Vec<Action> {
+        let Some(backend) = &self.backend else {
+            return Vec::new();
+        };
+        let is_unknown = |running: &&ports::Running| !self.runs.contains_key(&running.id);
+        let unknown: Vec<_> = listing.running.iter().filter(is_unknown).collect();
+        let calls = unknown.iter().map(|running| {
+            log::info!(event = "run.stop", run:% = running.id, why = "left by a former life"; "stopping");
+            Action::Stop(ports::StopCall {
+                id: running.id.clone(),
+                life: backend.life.clone(),
+                fence: self.fence,
+            })
+        });
+        let calls: Vec<_> = calls.collect();
+        self.is_clean = calls.is_empty();
+        calls
+    }
+
+    fn end(&mut self, now_ms: u64, id: &messages::RunId, how: messages::How) {
+        let Some(run) = self.runs.remove(id) else {
+            return;
+        };
+        self.used = self.used.minus(&run.need);
+        let ran_ms = now_ms.saturating_sub(run.ordered_ms);
+        log::info!(event = "run.end", run:% = id, owner:% = run.owner, how:? = how, ran_ms = ran_ms, used_milli = self.used.cpu_milli; "ended");
+        if let Some(owner) = self.owners.get_mut(&run.owner) {
+            owner.push_end(id.clone(), how, ran_ms);
+        }
+        for owner in self.owners.values_mut() {
+            owner.has_load_news = true;
+            owner.has_news |= owner.wants_room;
+        }
+    }
+
+    /// Time passes: silent entries lose their runs, unheard stops are sent again, and
+    /// leases lapse.
+    pub fn tick(&mut self, now_ms: u64) -> Vec<Action> {
+        self.forget_owners(now_ms);
+        if !self.runs.is_empty() && self.clock.has_lapsed(now_ms) {
+            self.end_life(now_ms, "every lease has lapsed");
+        }
+        let mut actions = Vec::new();
+        let due: Vec<_> = self
+            .runs
+            .iter()
+            .filter_map(|(id, run)| self.due(now_ms, id, run))
+            .collect();
+        for (id, why) in due {
+            actions.extend(self.stop(now_ms, &id, why));
+        }
+        self.note_readiness(now_ms);
+        actions
+    }
+
+    /// Whether a run has to be stopped now.
+    ///
+    /// An entry that is dead, frozen or cut off renews nothing; its callers send their
+    /// jobs again elsewhere, and what it started must be gone by then.
+    fn due(
+        &self,
+        now_ms: u64,
+        id: &messages::RunId,
+        run: &Run,
+    ) -> Option<(messages::RunId, &'static str)> {
+        if let Some(stop) = run.stop {
+            let is_due = !stop.is_noted && now_ms >= stop.called_ms + STOP_AGAIN_MS;
+            return is_due.then(|| (id.clone(), "not noted yet"));
+        }
+        let alive_at_ms = self
+            .owners
+            .get(&run.owner)
+            .map_or(0, owners::Owner::alive_at_ms);
+        let is_silent = now_ms > alive_at_ms + OWNER_SILENCE_MS;
+        is_silent.then(|| (id.clone(), "entry silent"))
+    }
+
+    fn forget_owners(&mut self, now_ms: u64) {
+        let busy: collections::HashSet<_> = self.runs.values().map(|run| run.owner).collect();
+        self.owners.retain(|entry, owner| {
+            let last_ms = owner.alive_at_ms().max(owner.told_ms);
+            busy.contains(entry) || now_ms < last_ms + FORGET_OWNER_MS
+        });
+    }
+
+    /// Name of the backend server, for logs.
+    pub fn backend_name(&self) -> SmolStr {
+        self.backend
+            .as_ref()
+            .map_or_else(SmolStr::default, |known| known.life.name.clone())
+    }
+}
--- /dev/null
+++ b/src/leased/room/owners.rs
@@ -0,0 +1,77 @@
+//! What a runner knows of each entry: its lease, what it still wants, what it is owed.
+
+use std::collections;
+
+use crate::leased::messages;
+
+/// One entry that has runs here, or had.
+#[derive(Clone, Debug, Default)]
+pub struct Owner {
+    alive_at_ms: u64,
+    ordered: u64,
+    wanted: collections::HashSet<messages::RunId>,
+    ends: collections::VecDeque<messages::End>,
+    last_end: u64,
+    /// Whether the entry waits for room.
+    pub wants_room: bool,
+    /// Position of the directives in force at the entry when it last asked.
+    pub directives_position: u64,
+    /// Whether there is something to tell at once.
+    pub has_news: bool,
+    /// Whether the load has changed since it was last told.
+    pub has_load_news: bool,
+    /// When a report last went out.
+    pub told_ms: u64,
+}
+
+impl Owner {
+    /// The entry has asked.
+    ///
+    /// The moment at which it lived is the one it worked out, and not the one at which
+    /// the message came in: a watch that lay in a cut link or in the buffer of a frozen
+    /// process says nothing of the present. A moment ahead of this clock (which stood
+    /// still in between) is worth no more than now.
+    pub fn hear(&mut self, now_ms: u64, watch: &messages::Watch) {
+        let alive_at_ms = watch.alive_at_ms.unwrap_or(0).min(now_ms);
+        self.alive_at_ms = self.alive_at_ms.max(alive_at_ms);
+        self.wants_room = watch.wants_room;
+        self.directives_position = watch.directives_position;
+        self.ends.retain(|end| end.number > watch.acked);
+        if watch.ordered >= self.ordered {
+            self.ordered = watch.ordered;
+            self.wanted = watch.wanted.iter().cloned().collect();
+        }
+    }
+
+    /// An order is a sign of life as well.
+    pub fn hear_order(&mut self, now_ms: u64, alive_at_ms: u64) {
+        self.alive_at_ms = self.alive_at_ms.max(alive_at_ms.min(now_ms));
+    }
+
+    /// The last moment at which the entry is known to have lived.
+    pub const fn alive_at_ms(&self) -> u64 {
+        self.alive_at_ms
+    }
+
+    /// Whether the entry has taken a run back, which came with the order so numbered.
+    pub fn is_unwanted(&self, order: u64, id: &messages::RunId) -> bool {
+        order <= self.ordered && !self.wanted.contains(id)
+    }
+
+    /// Notes the end of a run, to be told.
+    pub fn push_end(&mut self, id: messages::RunId, how: messages::How, ran_ms: u64) {
+        self.last_end += 1;
+        self.ends.push_back(messages::End {
+            number: self.last_end,
+            id,
+            how,
+            ran_ms,
+        });
+        self.has_news = true;
+    }
+
+    /// Ends that the entry has not acknowledged.
+    pub fn ends(&self) -> Vec<messages::End> {
+        self.ends.iter().cloned().collect()
+    }
+}
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -93,3 +93,16 @@
     encoding::text::encode(&mut text, &registry)?;
     Ok(text)
 }
+
+/// The answer to `GET /metrics`.
+pub fn page(samples: Vec<Sample>) -> actix_web::HttpResponse {
+    match render(samples) {
+        Ok(text) => actix_web::HttpResponse::Ok()
+            .content_type("application/openmetrics-text; version=1.0.0; charset=utf-8")
+            .body(text),
+        Err(e) => {
+            log::error!(event = "metrics.unwritable"; "{e}");
+            actix_web::HttpResponse::InternalServerError().finish()
+        }
+    }
+}
--- a/src/operators.rs
+++ b/src/operators.rs
@@ -54,12 +54,7 @@
     let Ok(samples) = ways.metrics.send(control::WantMetrics).await else {
         return incoming::refuse(codes::Code::Leaving);
     };
-    match metrics::render(samples) {
-        Ok(text) => actix_web::HttpResponse::Ok()
-            .content_type("application/openmetrics-text; version=1.0.0; charset=utf-8")
-            .body(text),
-        Err(_full) => actix_web::HttpResponse::InternalServerError().finish(),
-    }
+    metrics::page(samples)
 }
 
 /// The process answers; nothing more is claimed.
--- a/src/outgoing.rs
+++ b/src/outgoing.rs
@@ -46,12 +46,21 @@
     }
 }
 
+/// How long an unused connection is kept; the library's own default.
+const KEEP_UNUSED: time::Duration = time::Duration::from_secs(15);
+
 /// A client that keeps connections, for the many calls.
 pub fn client() -> awc::Client {
+    client_keeping(KEEP_UNUSED)
+}
+
+/// A client that keeps unused connections for so long.
+pub fn client_keeping(unused: time::Duration) -> awc::Client {
     let lifetime = time::Duration::from_millis(CONNECTION_LIFETIME_MS);
     let connector = awc::Connector::new()
         .timeout(CONNECT_TIMEOUT)
         .conn_lifetime(lifetime)
+        .conn_keep_alive(unused)
         .limit(0);
     awc::Client::builder()
         .connector(connector)
@@ -69,11 +78,28 @@
 ) -> Result<R, CallError> {
     let body = wire::encode(message)?;
     let request = client.post(format!("http://{address}{path}"));
-    // Answers are never compressed, and saying so costs 29 bytes of each call.
-    let request = request.no_decompress();
     let request = request.insert_header((http::header::CONTENT_TYPE, CONTENT_TYPE));
+    // Answers are never compressed, and saying so costs 29 bytes of each call.
+    exchange(request.no_decompress().send_body(body), limit).await
+}
+
+/// Fetches a message, all within `limit`.
+pub async fn get<R: de::DeserializeOwned>(
+    client: &awc::Client,
+    address: &str,
+    path: &str,
+    limit: time::Duration,
+) -> Result<R, CallError> {
+    let request = client.get(format!("http://{address}{path}"));
+    exchange(request.no_decompress().send(), limit).await
+}
+
+async fn exchange<R: de::DeserializeOwned>(
+    sent: awc::SendClientRequest,
+    limit: time::Duration,
+) -> Result<R, CallError> {
     let exchange = async {
-        let mut response = request.send_body(body).await.map_err(|e| classify(&e))?;
+        let mut response = sent.await.map_err(|e| classify(&e))?;
         if !response.status().is_success() {
             return Err(CallError::Refused(response.status().as_u16()));
         }
--- /dev/null
+++ b/src/telemetry/bounded.rs
@@ -0,0 +1,149 @@
+//! Lines to the standard output that never make the writer wait.
+//!
+//! A reader that stalls, or a burst of decisions, must not slow requests down: lines go
+//! to a queue that a thread of its own empties, and what is over the bounds is counted
+//! and told in a line.
+
+use std::io::Write as _;
+use std::sync;
+use std::sync::atomic;
+use std::sync::mpsc;
+use std::thread;
+use std::time;
+
+use log4rs::append;
+use log4rs::encode;
+use log4rs::encode::json;
+
+/// Lines that may wait to be written: some seconds of a busy process, 1 MiB in all.
+const MOST_WAITING: usize = 4_096;
+
+/// Lines in each second; a busy entry writes four for each of 60 jobs.
+const MOST_PER_SECOND: u32 = 600;
+
+/// Pause of the writing thread, so that a burst costs one write.
+const GATHER: time::Duration = time::Duration::from_millis(100);
+
+/// Longest wait for the writing thread at the process's end.
+const FLUSH: time::Duration = time::Duration::from_millis(500);
+
+/// The appender.
+#[derive(Debug)]
+pub struct Appender {
+    encoder: json::JsonEncoder,
+    tx: mpsc::SyncSender<Message>,
+    dropped: sync::Arc<atomic::AtomicU64>,
+    budget: sync::Mutex<Budget>,
+}
+
+#[derive(Debug)]
+enum Message {
+    Line(Vec<u8>),
+    Flush(mpsc::SyncSender<()>),
+}
+
+/// Counts the lines of the second that runs.
+#[derive(Debug)]
+struct Budget {
+    since: time::Instant,
+    lines: u32,
+}
+
+impl Budget {
+    fn take(&mut self, now: time::Instant) -> bool {
+        if now.duration_since(self.since) >= time::Duration::from_secs(1) {
+            self.since = now;
+            self.lines = 0;
+        }
+        self.lines += 1;
+        self.lines <= MOST_PER_SECOND
+    }
+}
+
+impl Appender {
+    /// Starts the writing thread.
+    pub fn start() -> std::io::Result<Self> {
+        let (tx, rx) = mpsc::sync_channel(MOST_WAITING);
+        let dropped = sync::Arc::new(atomic::AtomicU64::new(0));
+        let counted = sync::Arc::clone(&dropped);
+        thread::Builder::new()
+            .name("log".to_owned())
+            .spawn(move || write_all(&rx, &counted))?;
+        Ok(Self {
+            encoder: json::JsonEncoder::new(),
+            tx,
+            dropped,
+            budget: sync::Mutex::new(Budget {
+                since: time::Instant::now(),
+                lines: 0,
+            }),
+        })
+    }
+
+    fn is_over_budget(&self, level: log::Level) -> bool {
+        // Errors are rare and are what an operator looks for first.
+        if level == log::Level::Error {
+            return false;
+        }
+        let budget = self.budget.lock();
+        budget.is_ok_and(|mut budget| !budget.take(time::Instant::now()))
+    }
+}
+
+impl append::Append for Appender {
+    fn append(&self, record: &log::Record<'_>) -> anyhow::Result<()> {
+        if self.is_over_budget(record.level()) {
+            self.dropped.fetch_add(1, atomic::Ordering::Relaxed);
+            return Ok(());
+        }
+        let mut writer = encode::writer::simple::SimpleWriter(Vec::with_capacity(256));
+        encode::Encode::encode(&self.encoder, &mut writer, record)?;
+        if self.tx.try_send(Message::Line(writer.0)).is_err() {
+            self.dropped.fetch_add(1, atomic::Ordering::Relaxed);
+        }
+        Ok(())
+    }
+
+    fn flush(&self) {
+        let (tx, rx) = mpsc::sync_channel(1);
+        if self.tx.try_send(Message::Flush(tx)).is_ok() {
+            // Nothing is lost but the wait if the writing thread hangs.
+            rx.recv_timeout(FLUSH).ok();
+        }
+    }
+}
+
+/// Writes what waits, as much as there is at once.
+fn write_all(rx: &mpsc::Receiver<Message>, dropped: &atomic::AtomicU64) {
+    let mut buf = Vec::new();
+    while let Ok(message) = rx.recv() {
+        let mut flushes = Vec::new();
+        gather(message, &mut buf, &mut flushes);
+        if flushes.is_empty() {
+            thread::sleep(GATHER);
+        }
+        while let Ok(message) = rx.try_recv() {
+            gather(message, &mut buf, &mut flushes);
+        }
+        let lost = dropped.swap(0, atomic::Ordering::Relaxed);
+        if lost > 0 {
+            buf.extend_from_slice(
+                format!("{{\"level\":\"WARN\",\"event\":\"log.dropped\",\"lines\":{lost}}}\n")
+                    .as_bytes(),
+            );
+        }
+        // There is nowhere to report that the standard output is gone.
+        std::io::stdout().lock().write_all(&buf).ok();
+        buf.clear();
+        for flush in flushes {
+            flush.send(()).ok();
+        }
+    }
+}
+
+fn gather(message: Message, buf: &mut Vec<u8>, flushes: &mut Vec<mpsc::SyncSender<()>>) {
+    match message {
+        Message::Line(line) => buf.extend_from_slice(&line),
+        Message::Flush(tx) => flushes.push(tx),
+    }
+}
--- a/src/telemetry.rs
+++ b/src/telemetry/mod.rs
@@ -1,5 +1,7 @@
 //! Structured logs: JSON lines with stable event names, through log4rs.
 
+pub mod bounded;
+
 use std::panic;
 use std::process;
 
@@ -26,6 +28,12 @@
     }
 }
 
+/// This program's own lines.
+const OWN: &str = env!("CARGO_CRATE_NAME");
+
+/// Those of adapters to where it runs.
+const ADAPTER: &str = "bulrushtiller_platform";
+
 /// Level from which on the libraries' own lines are written: below it they would bury
 /// this program's, and they carry no event names.
 const LIBRARIES: log::LevelFilter = log::LevelFilter::Warn;
@@ -61,14 +69,29 @@
                 .build(),
         ),
     };
+    install(appender, cfg.log_level)
+}
+
+/// Starts the JSON lines on the standard output, in bounded volume and without waiting.
+pub fn start_stdout() -> Result<(), TelemetryError> {
+    let appender = bounded::Appender::start().map_err(TelemetryError::File)?;
+    install(Box::new(appender), log::LevelFilter::Info)
+}
+
+fn install(
+    appender: Box<dyn append::Append>,
+    level: log::LevelFilter,
+) -> Result<(), TelemetryError> {
     let appender = log_config::Appender::builder().build("lines", appender);
-    let own = log_config::Logger::builder().build(env!("CARGO_CRATE_NAME"), cfg.log_level);
+    let own = log_config::Logger::builder().build(OWN, level);
+    let adapter = log_config::Logger::builder().build(ADAPTER, level);
     let root = log_config::Root::builder()
         .appender("lines")
-        .build(cfg.log_level.min(LIBRARIES));
+        .build(level.min(LIBRARIES));
     let built = log_config::Config::builder()
         .appender(appender)
         .logger(own)
+        .logger(adapter)
         .build(root);
     let built = built.map_err(|e| TelemetryError::Setup(e.to_string()))?;
     log4rs::init_config(built).map_err(|e| TelemetryError::Setup(e.to_string()))?;
