Wait as long as the caller says, not as long as the queue's limit

Cause: a job's Deadline-Ms grows with its work, the queue's timeout_ms does not; every job whose longest task took over 1.5 s was given up after its work was paid for.

--- a/src/leased/dispatch/jobs.rs
+++ b/src/leased/dispatch/jobs.rs
@@ -80,7 +80,7 @@
         now_ms: u64,
         job: job::Job,
         queue: &queues::Queue,
-        timeout_ms: u64,
+        timeout_ms: Option<u64>,
         waiter: Waiter,
     ) -> Self {
         let objective_ms = objective_ms(job.chain_ms(), queue);
@@ -95,7 +95,8 @@
             priority: queue.priority,
             max_attempts: queue.max_attempts.max(1),
             arrived_ms: now_ms,
-            deadline_ms: now_ms + timeout_ms.min(queue.timeout_ms),
+            // A caller knows how much work its job is; the queue's limit is for whoever says nothing.
+            deadline_ms: now_ms + timeout_ms.unwrap_or(queue.timeout_ms),
             due_ms: now_ms + objective_ms,
             objective_ms,
             has_started: false,
--- a/src/leased/dispatch/mod.rs
+++ b/src/leased/dispatch/mod.rs
@@ -199,13 +199,13 @@
         actions
     }
 
-    /// A caller hands a job in; `timeout_ms` is how long it waits at most.
+    /// A caller hands a job in; `timeout_ms` is how long it waits at most, if it says so.
     pub fn submit(
         &mut self,
         now_ms: u64,
         job: job::Job,
         queue: &queues::Queue,
-        timeout_ms: u64,
+        timeout_ms: Option<u64>,
         waiter: jobs::Waiter,
     ) -> Vec<Action> {
         if let Some(open) = self
@@ -219,7 +219,7 @@
             return Vec::new();
         }
         let open = jobs::Open::new(now_ms, job, queue, timeout_ms, waiter);
-        log::info!(event = "job.accept", job = open.job.id.as_str(), queue = open.queue.as_str(), tasks = open.tasks.len(), estimate_ms = open.job.chain_ms(), objective_ms = open.objective_ms, waiting = self.waiting.len(), configuration = self.directives.get().version; "accepted");
+        log::info!(event = "job.accept", job = open.job.id.as_str(), queue = open.queue.as_str(), tasks = open.tasks.len(), estimate_ms = open.job.chain_ms(), objective_ms = open.objective_ms, timeout_ms = open.deadline_ms - now_ms, waiting = self.waiting.len(), configuration = self.directives.get().version; "accepted");
         self.counts.accepted += 1;
         let id = open.job.id.clone();
         let key = self.jobs.insert(open);
--- a/src/leased/entry.rs
+++ b/src/leased/entry.rs
@@ -220,8 +220,8 @@
     pub job: job::Job,
     /// Its queue.
     pub queue: queues::Queue,
-    /// How long the caller waits at most, in milliseconds.
-    pub timeout_ms: u64,
+    /// How long the caller waits at most, in milliseconds, if it says so.
+    pub timeout_ms: Option<u64>,
 }
 
 /// Where a caller's answer will come.
--- a/src/leased/queues.rs
+++ b/src/leased/queues.rs
@@ -18,7 +18,7 @@
     pub prefix: SmolStr,
     /// Which backend servers run its tasks.
     pub service: SmolStr,
-    /// Longest time for an answer, in milliseconds.
+    /// Longest time for an answer where the caller names none, in milliseconds.
     pub timeout_ms: u64,
     /// Time that a caller grants beyond the work itself, in milliseconds.
     pub target_ms: u64,
