--- /dev/null
+++ b/tests/unit/leased.rs
@@ -0,0 +1,8 @@
+//! Runs under leases: the runner's room, the entry's decisions, and what passes between.
+
+mod dispatch;
+mod fixtures;
+mod jobs;
+mod placing;
+mod room;
+mod urgency;
--- /dev/null
+++ b/tests/unit/leased/dispatch.rs
@@ -0,0 +1,249 @@
+//! An entry's decisions about jobs under leases.
+
+use bulrushtiller::leased::dispatch;
+use bulrushtiller::leased::dispatch::runners;
+use bulrushtiller::leased::messages;
+
+use super::fixtures;
+use super::fixtures::ENTRY;
+use super::fixtures::START_MS;
+
+/// An entry that knows one empty runner of 16 cores.
+fn entry() -> (dispatch::Dispatcher, runners::RunnerKey) {
+    let mut entry = dispatch::Dispatcher::new(ENTRY, "bento".into());
+    entry.directed(fixtures::directives(3));
+    let found = entry.found(START_MS - 10, &["10.0.0.1:7720".into()]);
+    let [dispatch::Action::Watch(key)] = found[..] else {
+        panic!("one watch: {found:?}");
+    };
+    entry.next_watch(START_MS - 10, key);
+    entry.reported(START_MS, key, fixtures::report(1, 0, &[]));
+    (entry, key)
+}
+
+fn orders(actions: &[dispatch::Action]) -> Vec<messages::Order> {
+    let order = |action: &dispatch::Action| match action {
+        dispatch::Action::Order(_, _, order) => Some(order.clone()),
+        _ => None,
+    };
+    actions.iter().filter_map(order).collect()
+}
+
+fn answers(actions: &[dispatch::Action]) -> Vec<dispatch::Outcome> {
+    let answer = |action: &dispatch::Action| match action {
+        dispatch::Action::Answer(_, outcome) => Some(*outcome),
+        _ => None,
+    };
+    actions.iter().filter_map(answer).collect()
+}
+
+fn end(number: u64, id: &messages::RunId, how: messages::How) -> messages::End {
+    messages::End {
+        number,
+        id: id.clone(),
+        how,
+        ran_ms: 60,
+    }
+}
+
+fn report_ends(sequence: u64, ends: Vec<messages::End>) -> messages::Report {
+    messages::Report {
+        ends,
+        ..fixtures::report(sequence, 0, &[])
+    }
+}
+
+/// Submits a job of so many tasks of 60 ms and 1.6 cores.
+fn submit(
+    entry: &mut dispatch::Dispatcher,
+    now_ms: u64,
+    id: u64,
+    tasks: u32,
+) -> Vec<dispatch::Action> {
+    let job = fixtures::job(id, tasks, 1_600, 60);
+    entry.submit(now_ms, job, &fixtures::queue(), Some(1_500), id)
+}
+
+#[test]
+fn a_job_is_answered_when_its_last_task_is_done() {
+    let (mut entry, key) = entry();
+    let order = orders(&submit(&mut entry, START_MS, 1, 2)).remove(0);
+    entry.ordered(START_MS + 2, key, &order, fixtures::reply(2, 3_200));
+    let first = end(1, &order.starts[0].id, messages::How::Done);
+    let second = end(2, &order.starts[1].id, messages::How::Done);
+    let still_runs = std::slice::from_ref(&order.starts[1].id);
+
+    let early = messages::Report {
+        ends: vec![first.clone()],
+        ..fixtures::report(3, 1_600, still_runs)
+    };
+    let early = entry.reported(START_MS + 60, key, early);
+    let done = entry.reported(START_MS + 70, key, report_ends(4, vec![first, second]));
+
+    assert!(answers(&early).is_empty());
+    assert_eq!(answers(&done), [dispatch::Outcome::Completed]);
+    assert_eq!(entry.open(), 0);
+}
+
+/// A job can never be done. Its tasks fail as often as the queue allows, its caller is told,
+/// and what still runs of it is taken back.
+#[test]
+fn a_hopeless_job_fails_after_the_allowed_runs() {
+    let (mut entry, key) = entry();
+    let order = orders(&submit(&mut entry, START_MS, 1, 2)).remove(0);
+    entry.ordered(START_MS + 2, key, &order, fixtures::reply(2, 3_200));
+    let other = order.starts[1].id.clone();
+    let failed = |number, run| end(number, &fixtures::run_id(1, 0, run), messages::How::Failed);
+
+    let report = messages::Report {
+        ends: vec![failed(1, 1)],
+        ..fixtures::report(3, 1_600, std::slice::from_ref(&other))
+    };
+    let again = entry.reported(START_MS + 30, key, report);
+    let report = messages::Report {
+        ends: vec![failed(2, 2)],
+        ..fixtures::report(4, 1_600, std::slice::from_ref(&other))
+    };
+    let over = entry.reported(START_MS + 60, key, report);
+
+    assert_eq!(orders(&again)[0].starts[0].id, fixtures::run_id(1, 0, 2));
+    assert_eq!(answers(&over), [dispatch::Outcome::Failed]);
+    assert_eq!(orders(&over)[0].stops, [other]);
+}
+
+/// A caller hangs up. Its tasks are stopped at once, and the next watch leaves them out,
+/// should the stop be lost on the way.
+#[test]
+fn what_a_caller_left_is_taken_back() {
+    let (mut entry, key) = entry();
+    let order = orders(&submit(&mut entry, START_MS, 1, 1)).remove(0);
+    entry.ordered(START_MS + 2, key, &order, fixtures::reply(2, 1_600));
+
+    let actions = entry.gone(START_MS + 20, &fixtures::run_id(1, 0, 1).job, 1);
+    let watch = entry.next_watch(START_MS + 21, key);
+
+    assert_eq!(orders(&actions)[0].stops, [order.starts[0].id.clone()]);
+    assert!(watch.is_some_and(|(_, watch)| watch.wanted.is_empty() && watch.ordered == 2));
+}
+
+/// A caller lost its connection and sends its job again to the same entry while the first
+/// try is still open there. One life goes on and answers both; no second one begins.
+#[test]
+fn a_second_try_joins_the_first() {
+    let (mut entry, key) = entry();
+    let order = orders(&submit(&mut entry, START_MS, 1, 1)).remove(0);
+    entry.ordered(START_MS + 2, key, &order, fixtures::reply(2, 1_600));
+
+    let job = fixtures::job(1, 1, 1_600, 60);
+    let joined = entry.submit(START_MS + 30, job, &fixtures::queue(), Some(1_500), 77);
+    entry.gone(START_MS + 31, &order.starts[0].id.job, 1);
+    let ends = vec![end(1, &order.starts[0].id, messages::How::Done)];
+    let done = entry.reported(START_MS + 60, key, report_ends(3, ends));
+
+    assert!(orders(&joined).is_empty());
+    assert_eq!(answers(&done), [dispatch::Outcome::Completed]);
+}
+
+/// The answer to an order is lost. The run is not started elsewhere before the runner has
+/// said that it doesn't hold it, after the order's time: it may still be on its way.
+#[test]
+fn a_run_whose_order_was_lost_is_not_started_again_at_once() {
+    let (mut entry, key) = entry();
+    let order = orders(&submit(&mut entry, START_MS, 1, 1)).remove(0);
+    entry.order_lost(START_MS + 250, key, &order, false);
+
+    let early = entry.reported(START_MS + 260, key, fixtures::report(2, 0, &[]));
+    let late = entry.reported(
+        START_MS + 2 * runners::ORDER_VALID_MS + 1,
+        key,
+        fixtures::report(3, 0, &[]),
+    );
+
+    assert!(orders(&early).is_empty());
+    assert_eq!(orders(&late)[0].starts[0].id, fixtures::run_id(1, 0, 2));
+}
+
+/// A runner's report was written before it took an order in and arrives after the order's
+/// answer. It doesn't hold the run, which is no proof that the run is lost.
+#[test]
+fn a_report_from_before_the_order_ends_nothing() {
+    let (mut entry, key) = entry();
+    let order = orders(&submit(&mut entry, START_MS, 1, 1)).remove(0);
+    entry.ordered(START_MS + 3, key, &order, fixtures::reply(5, 1_600));
+
+    let actions = entry.reported(START_MS + 4, key, fixtures::report(4, 0, &[]));
+
+    assert!(orders(&actions).is_empty());
+}
+
+/// Only the way back from a runner is cut: it hears the entry and would renew its runs for
+/// ever. The entry stops giving signs of life, waits until every lease is over, and only
+/// then starts the task elsewhere.
+#[test]
+fn a_runner_that_is_not_heard_gets_no_signs_of_life() {
+    let (mut entry, key) = entry();
+    let job = fixtures::job(1, 1, 1_600, 60);
+    let actions = entry.submit(START_MS, job, &fixtures::queue(), Some(5_000), 1);
+    let order = orders(&actions).remove(0);
+    entry.ordered(START_MS + 2, key, &order, fixtures::reply(2, 1_600));
+    let second = entry.found(START_MS + 2, &["10.0.0.2:7720".into()]);
+    let [dispatch::Action::Watch(other)] = second[..] else {
+        panic!("one watch: {second:?}");
+    };
+    let alive = entry.next_watch(START_MS + 400, key);
+    let silent = entry.next_watch(START_MS + 500, key);
+
+    let gone_ms = START_MS + 400 + runners::GONE_MS;
+    entry.reported(gone_ms - 5, other, fixtures::report(1, 0, &[]));
+    let before = entry.tick(gone_ms);
+    let after = entry.tick(gone_ms + 1);
+
+    assert!(alive.is_some_and(|(_, watch)| watch.alive_at_ms.is_some()));
+    assert!(silent.is_some_and(|(_, watch)| watch.alive_at_ms.is_none()));
+    assert!(orders(&before).is_empty());
+    assert_eq!(orders(&after)[0].starts[0].id, fixtures::run_id(1, 0, 2));
+}
+
+/// Eight tasks would fit on no runner together with what is there. They wait together: seven
+/// of them placed would hold room that others could use, for an answer that is late.
+#[test]
+fn a_job_starts_whole_or_waits() {
+    let (mut entry, key) = entry();
+    entry.reported(START_MS + 1, key, fixtures::report(2, 12_000, &[]));
+
+    let waiting = submit(&mut entry, START_MS + 2, 1, 3);
+    let placed = entry.reported(START_MS + 20, key, fixtures::report(3, 11_000, &[]));
+
+    assert!(orders(&waiting).is_empty());
+    assert_eq!(orders(&placed)[0].starts.len(), 3);
+}
+
+/// No room comes in time. The caller is told that nothing ran, and when to come back.
+#[test]
+fn a_job_without_room_is_refused_truthfully() {
+    let (mut entry, key) = entry();
+    entry.reported(START_MS + 1, key, fixtures::report(2, 16_000, &[]));
+    submit(&mut entry, START_MS + 2, 1, 2);
+
+    let actions = entry.tick(START_MS + 1_600);
+
+    let [dispatch::Outcome::NotRun { retry_after_ms }] = answers(&actions)[..] else {
+        panic!("refused: {actions:?}");
+    };
+    assert!(retry_after_ms >= 1_000);
+    assert!(orders(&actions).is_empty());
+}
+
+/// Operators take the only availability zone with room out of service: nothing goes there.
+#[test]
+fn nothing_is_placed_in_a_zone_that_is_out() {
+    let (mut entry, _key) = entry();
+    let mut directives = fixtures::directives(4);
+    directives.zones_out.push("bento".into());
+    entry.directed(directives);
+
+    let actions = submit(&mut entry, START_MS + 2, 1, 1);
+
+    assert!(orders(&actions).is_empty());
+    assert_eq!(entry.pending("checks"), 1);
+}
--- /dev/null
+++ b/tests/unit/leased/fixtures.rs
@@ -0,0 +1,215 @@
+//! Jobs, queues, backend servers and messages for the tests.
+
+use smol_str::SmolStr;
+
+use bulrushtiller::ids;
+use bulrushtiller::leased::directives;
+use bulrushtiller::leased::job;
+use bulrushtiller::leased::messages;
+use bulrushtiller::leased::ports;
+use bulrushtiller::leased::queues;
+use bulrushtiller::leased::room;
+use bulrushtiller::wire;
+
+/// A moment well after every clock's beginning.
+pub const START_MS: u64 = 1_000_000;
+
+/// The runner under test.
+pub const RUNNER: ids::Incarnation = ids::Incarnation(7);
+
+/// The entry that orders.
+pub const ENTRY: ids::Incarnation = ids::Incarnation(1);
+
+/// Another entry.
+pub const OTHER: ids::Incarnation = ids::Incarnation(2);
+
+pub fn cores(cpu_milli: u32) -> wire::Resources {
+    wire::Resources {
+        cpu_milli,
+        memory_mib: 0,
+        accelerators: 0,
+    }
+}
+
+pub fn queue() -> queues::Queue {
+    queues::Queue {
+        name: SmolStr::new("checks"),
+        host: SmolStr::new("school.example"),
+        prefix: SmolStr::new("/checks/"),
+        service: SmolStr::new("taipa"),
+        timeout_ms: 1_500,
+        target_ms: 60,
+        stretch: 1.6,
+        max_attempts: 2,
+        priority: 0,
+        needs_advice: false,
+    }
+}
+
+pub fn directives(position: u64) -> directives::Directives {
+    directives::Directives {
+        position,
+        version: position,
+        queues: vec![queue()],
+        ..directives::Directives::default()
+    }
+}
+
+/// A job of one step.
+pub fn job(id: u64, tasks: u32, cpu_milli: u32, estimate_ms: u64) -> job::Job {
+    let raw = job::RawJob {
+        id: smol_str::format_smolstr!("{id:016x}"),
+        spec: "check".to_owned(),
+        steps: vec![job::RawStep {
+            tasks,
+            need: cores(cpu_milli),
+            estimate_ms,
+            ..job::RawStep::default()
+        }],
+        not_offered: None,
+    };
+    job::Job::try_from(raw).expect("a good job")
+}
+
+pub fn run_id(job: u64, index: u32, run: u32) -> messages::RunId {
+    messages::RunId {
+        job: smol_str::format_smolstr!("{job:016x}"),
+        step: 0,
+        index,
+        run,
+    }
+}
+
+pub fn announcement(born_ms: u64, sequence: u64) -> ports::Announcement {
+    ports::Announcement {
+        life: ports::Life {
+            name: SmolStr::new("backend-1"),
+            born_ms,
+        },
+        sequence,
+        is_leaving: false,
+        size: cores(16_000),
+        service: SmolStr::new("taipa"),
+        zone: SmolStr::new("bento"),
+        labels: vec![SmolStr::new("a"), SmolStr::new("r1-1")],
+    }
+}
+
+pub fn listing(clock_ms: u64, running: &[messages::RunId]) -> ports::ListAnswer {
+    ports::ListAnswer::Listed(ports::Listing {
+        born_ms: 100,
+        clock_ms,
+        running: running
+            .iter()
+            .map(|id| ports::Running {
+                id: id.clone(),
+                percent: 10,
+            })
+            .collect(),
+        ended: Vec::new(),
+    })
+}
+
+pub fn listing_with_end(
+    clock_ms: u64,
+    number: u64,
+    id: messages::RunId,
+    how: messages::How,
+) -> ports::ListAnswer {
+    ports::ListAnswer::Listed(ports::Listing {
+        born_ms: 100,
+        clock_ms,
+        running: Vec::new(),
+        ended: vec![ports::Ended { number, id, how }],
+    })
+}
+
+/// A runner that takes work at [`START_MS`], with a backend server of 16 cores whose clock
+/// shows 5,000 ms then.
+pub fn ready_room() -> room::Room {
+    let mut room = room::Room::new(RUNNER, 10);
+    room.announced(START_MS, announcement(100, 1));
+    room.next_list(START_MS);
+    room.listed(START_MS, START_MS, listing(5_000, &[]));
+    room
+}
+
+pub fn watch(
+    entry: ids::Incarnation,
+    alive_at_ms: u64,
+    ordered: u64,
+    wanted: &[messages::RunId],
+) -> messages::Watch {
+    messages::Watch {
+        version: wire::VERSION,
+        entry,
+        runner: Some(RUNNER),
+        alive_at_ms: Some(alive_at_ms),
+        acked: 0,
+        ordered,
+        wanted: wanted.to_vec(),
+        wants_room: false,
+        wait_ms: 150,
+        directives_position: 0,
+        directives: None,
+    }
+}
+
+pub fn order(
+    entry: ids::Incarnation,
+    number: u64,
+    now_ms: u64,
+    starts: &[(messages::RunId, u32)],
+) -> messages::Order {
+    let start = |(id, cpu_milli): &(messages::RunId, u32)| messages::Start {
+        id: id.clone(),
+        spec: "check".into(),
+        need: cores(*cpu_milli),
+    };
+    messages::Order {
+        version: wire::VERSION,
+        entry,
+        runner: RUNNER,
+        number,
+        alive_at_ms: now_ms,
+        valid_until_ms: now_ms + 300,
+        starts: starts.iter().map(start).collect(),
+        stops: Vec::new(),
+    }
+}
+
+pub fn load(used_milli: u32) -> messages::Load {
+    messages::Load {
+        readiness: messages::Readiness::Ready,
+        size: cores(16_000),
+        used: cores(used_milli),
+        service: SmolStr::new("taipa"),
+        zone: SmolStr::new("bento"),
+        labels: vec![SmolStr::new("r1-1")],
+    }
+}
+
+pub fn report(sequence: u64, used_milli: u32, runs: &[messages::RunId]) -> messages::Report {
+    messages::Report {
+        version: wire::VERSION,
+        runner: RUNNER,
+        clock_ms: 9_000 + sequence,
+        sequence,
+        load: load(used_milli),
+        runs: runs.to_vec(),
+        ends: Vec::new(),
+        directives_position: 0,
+        directives: None,
+    }
+}
+
+pub fn reply(sequence: u64, used_milli: u32) -> messages::OrderReply {
+    messages::OrderReply {
+        version: wire::VERSION,
+        runner: RUNNER,
+        clock_ms: 9_000 + sequence,
+        sequence,
+        load: load(used_milli),
+        refused: Vec::new(),
+    }
+}
--- /dev/null
+++ b/tests/unit/leased/jobs.rs
@@ -0,0 +1,93 @@
+//! Jobs, queues and directives before anything is decided about them.
+
+use bulrushtiller::leased::directives;
+use bulrushtiller::leased::job;
+use bulrushtiller::leased::queues;
+
+use super::fixtures;
+
+fn raw(steps: Vec<job::RawStep>) -> job::RawJob {
+    job::RawJob {
+        id: "5c0e7a21d94b36f8".into(),
+        spec: "check".to_owned(),
+        steps,
+        not_offered: None,
+    }
+}
+
+fn step(tasks: u32, after: &[u16]) -> job::RawStep {
+    job::RawStep {
+        tasks,
+        estimate_ms: 100,
+        after: after.to_vec(),
+        ..job::RawStep::default()
+    }
+}
+
+#[rstest::rstest]
+#[case::no_step(vec![], job::JobError::Size)]
+#[case::empty_step(vec![step(0, &[])], job::JobError::Size)]
+#[case::too_many_tasks(vec![step(400, &[]), step(400, &[])], job::JobError::Size)]
+#[case::more_tasks_than_a_number_holds(vec![step(u32::MAX, &[]), step(2, &[])], job::JobError::Size)]
+#[case::waits_for_itself(vec![step(1, &[0])], job::JobError::Order)]
+#[case::waits_for_a_later_one(vec![step(1, &[1]), step(1, &[])], job::JobError::Order)]
+fn a_job_that_makes_no_sense_is_refused(
+    #[case] steps: Vec<job::RawStep>,
+    #[case] why: job::JobError,
+) {
+    let checked = job::Job::try_from(raw(steps));
+
+    assert_eq!(checked.err(), Some(why));
+}
+
+#[rstest::rstest]
+#[case::short("5c0e")]
+#[case::not_hexadecimal("5c0e7a21d94b36fz")]
+#[case::long("5c0e7a21d94b36f85c0e7a21d94b36f8")]
+fn an_id_that_is_none_is_refused(#[case] id: &str) {
+    let job = job::RawJob {
+        id: id.into(),
+        ..raw(vec![step(1, &[])])
+    };
+
+    assert_eq!(job::Job::try_from(job).err(), Some(job::JobError::Id));
+}
+
+#[test]
+fn the_longest_chain_counts() {
+    let job = job::Job::try_from(raw(vec![step(1, &[]), step(4, &[0]), step(1, &[])]));
+
+    assert_eq!(job.expect("a good job").chain_ms(), 200);
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let long = queues::Queue {
+        name: "long".into(),
+        prefix: "/checks/urgent/".into(),
+        ..fixtures::queue()
+    };
+    let queues = queues::Queues::new(&[fixtures::queue(), long], queues::Bounds::default());
+
+    let found = queues
+        .find("school.example", "/checks/urgent/ab")
+        .map(|(queue, rest)| (queue.name.as_str(), rest));
+
+    assert_eq!(found, Some(("long", "ab")));
+    assert!(queues.find("other.example", "/checks/ab").is_none());
+    assert!(queues.find("school.example", "/else/ab").is_none());
+}
+
+/// A copy of the configuration comes from a process that was cut off for long, after a later
+/// one is in force. Taking it would serve a queue that was removed.
+#[test]
+fn directives_never_go_back() {
+    let mut in_force = directives::InForce::default();
+    in_force.advance(fixtures::directives(9));
+
+    let is_taken = in_force.advance(fixtures::directives(8));
+
+    assert!(!is_taken);
+    assert_eq!(in_force.position(), 9);
+    assert!(in_force.news_since(9).is_none());
+}
--- /dev/null
+++ b/tests/unit/leased/placing.rs
@@ -0,0 +1,74 @@
+//! Which runners a job's tasks go to.
+
+use bulrushtiller::leased::dispatch::placing;
+use bulrushtiller::leased::dispatch::runners;
+use slotmap::SlotMap;
+use smol_str::SmolStr;
+
+use super::fixtures;
+
+fn candidates(free: &[(u32, bool, &str)]) -> Vec<placing::Candidate> {
+    let mut keys: SlotMap<runners::RunnerKey, ()> = SlotMap::with_key();
+    let candidate = |&(cpu_milli, is_near, rack): &(u32, bool, &str)| placing::Candidate {
+        key: keys.insert(()),
+        free: fixtures::cores(cpu_milli),
+        size: fixtures::cores(16_000),
+        is_near,
+        labels: vec![SmolStr::new(rack)],
+    };
+    free.iter().map(candidate).collect()
+}
+
+fn asks(count: usize, cpu_milli: u32) -> Vec<placing::Ask<'static>> {
+    let ask = |task| placing::Ask {
+        task,
+        step: 0,
+        need: fixtures::cores(cpu_milli),
+        label: None,
+        rack: None,
+        per_server: u32::MAX,
+    };
+    (0..count).map(ask).collect()
+}
+
+#[test]
+fn the_nearest_and_then_the_fullest_that_fits_is_taken() {
+    let mut free = candidates(&[
+        (9_000, false, "r1"),
+        (8_000, true, "r2"),
+        (2_000, true, "r3"),
+    ]);
+
+    let placed = placing::place(&asks(2, 1_600), &mut free);
+
+    let keys: Vec<_> = placed.iter().map(|(_, key)| *key).collect();
+    assert_eq!(keys, [free[2].key, free[1].key]);
+}
+
+#[test]
+fn a_rack_near_the_data_goes_before_a_near_zone() {
+    let rack = SmolStr::new("r1");
+    let mut free = candidates(&[(9_000, false, "r1"), (8_000, true, "r2")]);
+    let mut asks = asks(1, 1_600);
+    asks[0].rack = Some(&rack);
+
+    let placed = placing::place(&asks, &mut free);
+
+    assert_eq!(placed, [(0, free[0].key)]);
+}
+
+#[test]
+fn a_label_and_the_most_on_one_server_are_kept() {
+    let label = SmolStr::new("gpu");
+    let mut free = candidates(&[(9_000, true, "gpu"), (9_000, true, "r2")]);
+    let mut asks = asks(3, 1_000);
+    for ask in &mut asks {
+        ask.label = Some(&label);
+        ask.per_server = 2;
+    }
+
+    let placed = placing::place(&asks, &mut free);
+
+    assert_eq!(placed.len(), 2);
+    assert!(placed.iter().all(|(_, key)| *key == free[0].key));
+}
--- /dev/null
+++ b/tests/unit/leased/urgency.rs
@@ -0,0 +1,42 @@
+//! Order and refusal among waiting jobs.
+
+use bulrushtiller::leased::dispatch::urgency;
+
+fn view(arrived_ms: u64, left_ms: u64) -> urgency::View {
+    let objective_ms = left_ms * 16 / 10 + 60;
+    urgency::View {
+        has_started: false,
+        priority: 0,
+        arrived_ms,
+        due_ms: arrived_ms + objective_ms,
+        objective_ms,
+        deadline_ms: arrived_ms + 5_000,
+        left_ms,
+    }
+}
+
+#[test]
+fn the_one_that_must_start_soonest_goes_first() {
+    let long = urgency::rank(&view(1_000, 900), 1_010);
+    let short = urgency::rank(&view(1_005, 60), 1_010);
+
+    assert!(short < long);
+}
+
+#[test]
+fn one_that_will_be_late_anyway_goes_after_those_in_time() {
+    let late = urgency::rank(&view(1_000, 60), 1_200);
+    let in_time = urgency::rank(&view(1_150, 900), 1_200);
+
+    assert!(in_time < late);
+}
+
+#[test]
+fn one_that_has_started_goes_first() {
+    let started = urgency::View {
+        has_started: true,
+        ..view(1_000, 900)
+    };
+
+    assert!(urgency::rank(&started, 1_400) < urgency::rank(&view(1_395, 60), 1_400));
+}
--- a/tests/unit/main.rs
+++ b/tests/unit/main.rs
@@ -17,6 +17,7 @@
 mod keeper;
 mod leading;
 mod learning;
+mod leased;
 mod leaving;
 mod membership;
 mod naming;
