Recall the backend server after a runner's restart, and end in time

Cause: a restarted runner waited up to 1.5 s for a heartbeat before it took work, and a stop could last 4.5 s of draining plus 2 s for each port, one after another, over the 6 s granted. Ruled out: slow discovery (entries connect within 100 ms of a runner's start).

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -24,7 +24,7 @@
     }
 
     /// Milliseconds, never fewer than before.
-    pub fn now_ms(&self) -> u64 {
+    pub fn now_ms(self) -> u64 {
         boot_ms()
             .saturating_sub(self.origin_ms)
             .saturating_add(HEAD_START_MS)
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -494,9 +494,9 @@
             let told = self.ways.abandon.send(control::Abandon).await;
             told.map_err(|_ended| DaemonError::Thread("control"))?;
         }
-        for server in &self.servers {
-            server.stop(true).await;
-        }
+        // All at once: each may take as long as its kept connections last.
+        let stops = self.servers.iter().map(|server| server.stop(true));
+        futures_util::future::join_all(stops).await;
         log::info!(event = "daemon.end"; "{ended}");
         log::logger().flush();
         Ok(())
--- a/src/leased/ports.rs
+++ b/src/leased/ports.rs
@@ -195,12 +195,18 @@
     pub answer: Option<ListAnswer>,
 }
 
-/// A backend server announced itself.
+/// A backend server announced itself; whether it was the latest word of the latest life.
 #[derive(Clone, Debug)]
 #[derive(actix::Message)]
-#[rtype(result = "()")]
+#[rtype(result = "bool")]
 pub struct Announced(pub Announcement);
 
+/// What a former life of the runner knew of its backend server.
+#[derive(Clone, Debug)]
+#[derive(actix::Message)]
+#[rtype(result = "()")]
+pub struct Recalled(pub Announcement);
+
 /// A backend server is gone for good.
 #[derive(Clone, Debug)]
 #[derive(actix::Message)]
--- a/src/leased/room/mod.rs
+++ b/src/leased/room/mod.rs
@@ -183,6 +183,22 @@
         true
     }
 
+    /// Takes up what a former life of the runner knew of the backend server.
+    ///
+    /// Heartbeats come every 1.5 s, and as long a restarted runner would leave its backend
+    /// server idle. What was known is used once the backend server's list shows that the
+    /// same life still runs; if another does, the next heartbeat tells of it.
+    pub fn recall(&mut self, known: ports::Announcement) {
+        if self.backend.is_some() {
+            return;
+        }
+        log::info!(event = "backend.recalled", name = known.life.name.as_str(), born_ms = known.life.born_ms, cpu_milli = known.size.cpu_milli; "known from a former life");
+        self.backend = Some(ports::Announcement {
+            sequence: 0,
+            ..known
+        });
+    }
+
     /// The backend server says that it is gone.
     pub fn backend_left(&mut self, now_ms: u64, name: &str) {
         if self
--- a/src/leased/runner.rs
+++ b/src/leased/runner.rs
@@ -190,11 +190,20 @@
 }
 
 impl actix::Handler<ports::Announced> for Control {
-    type Result = ();
+    type Result = bool;
 
-    fn handle(&mut self, ports::Announced(heard): ports::Announced, _cx: &mut Self::Context) {
-        self.room.announced(self.clock.now_ms(), heard);
+    fn handle(&mut self, heard: ports::Announced, _cx: &mut Self::Context) -> bool {
+        let is_latest = self.room.announced(self.clock.now_ms(), heard.0);
         self.answer_watches();
+        is_latest
+    }
+}
+
+impl actix::Handler<ports::Recalled> for Control {
+    type Result = ();
+
+    fn handle(&mut self, ports::Recalled(known): ports::Recalled, _cx: &mut Self::Context) {
+        self.room.recall(known);
     }
 }
 
--- a/src/telemetry/bounded.rs
+++ b/src/telemetry/bounded.rs
@@ -106,9 +106,10 @@
 
     fn flush(&self) {
         let (tx, rx) = mpsc::sync_channel(1);
-        if self.tx.try_send(Message::Flush(tx)).is_ok() {
-            // Nothing is lost but the wait if the writing thread hangs.
-            rx.recv_timeout(FLUSH).ok();
+        let is_asked = self.tx.try_send(Message::Flush(tx)).is_ok();
+        if is_asked && rx.recv_timeout(FLUSH).is_err() {
+            // The writing thread hangs; the process must end all the same.
+            self.dropped.fetch_add(1, atomic::Ordering::Relaxed);
         }
     }
 }
@@ -132,11 +133,15 @@
                     .as_bytes(),
             );
         }
-        // There is nowhere to report that the standard output is gone.
-        std::io::stdout().lock().write_all(&buf).ok();
+        if std::io::stdout().lock().write_all(&buf).is_err() {
+            // Told in the next line that can be written.
+            dropped.fetch_add(1, atomic::Ordering::Relaxed);
+        }
         buf.clear();
         for flush in flushes {
-            flush.send(()).ok();
+            if flush.send(()).is_err() {
+                dropped.fetch_add(1, atomic::Ordering::Relaxed);
+            }
         }
     }
 }
--- a/tests/unit/leased/room.rs
+++ b/tests/unit/leased/room.rs
@@ -153,7 +153,7 @@
         fixtures::listing(5_400, &[]),
     );
 
-    assert_eq!(stopped(&first), [id.clone()]);
+    assert_eq!(stopped(&first), std::slice::from_ref(&id));
     assert_eq!(stopped(&again), [id]);
     assert_eq!(before, 1_600);
     assert_eq!(room.runs(), 0);
@@ -314,3 +314,33 @@
     assert_eq!(reply.refused, [(id, messages::Refusal::ZoneOut)]);
     assert_eq!(report.directives, Some(directives));
 }
+
+/// All instances lose power and come back while the backend servers run on. Their heartbeats
+/// come every 1.5 s, and as long no caller would be served: a runner takes up what its
+/// former life wrote to the store, once the backend server's list shows the same life.
+#[test]
+fn a_restarted_runner_needs_no_heartbeat_of_a_life_that_it_knew() {
+    let mut room = room::Room::new(fixtures::RUNNER, 10);
+    room.recall(fixtures::announcement(100, 40));
+    let before = room.readiness(START_MS);
+
+    room.listed(START_MS + 2, START_MS + 1, fixtures::listing(5_000, &[]));
+    let after = room.readiness(START_MS + 2);
+    let is_news = room.announced(START_MS + 900, fixtures::announcement(100, 41));
+
+    assert_eq!(before, messages::Readiness::Starting);
+    assert_eq!(after, messages::Readiness::Ready);
+    assert!(is_news);
+}
+
+/// What was known is of a life that has ended since, under the same name. The list of the
+/// present life is not taken for its own.
+#[test]
+fn what_was_known_of_another_life_is_not_used() {
+    let mut room = room::Room::new(fixtures::RUNNER, 10);
+    room.recall(fixtures::announcement(50, 40));
+
+    room.listed(START_MS + 2, START_MS + 1, fixtures::listing(5_000, &[]));
+
+    assert_eq!(room.readiness(START_MS + 2), messages::Readiness::Starting);
+}
