--- a/src/leased/dispatch/mod.rs
+++ b/src/leased/dispatch/mod.rs
@@ -25,10 +25,6 @@
 /// it, in milliseconds.
 const FORGET_RUNNER_MS: u64 = 60_000;
 
-/// A job that wants more than one part in so many of all room starts in parts; it would
-/// wait for ever for so much to be free at once.
-const WIDE_SHARE: u64 = 3;
-
 /// Shortest time after which a refused caller is asked to come back, in milliseconds.
 const MIN_RETRY_MS: u64 = 1_000;
 
@@ -537,7 +533,6 @@
         let candidates = usable.map(|(key, runner)| placing::Candidate {
             key,
             free: runner.free(),
-            size: runner.load.size,
             is_near: runner.load.zone == self.zone,
             labels: runner.load.labels.clone(),
         });
@@ -548,7 +543,7 @@
     fn place(
         &mut self,
         key: jobs::JobKey,
-        candidates: &mut Vec<placing::Candidate>,
+        candidates: &mut [placing::Candidate],
         starts: &mut collections::HashMap<
             runners::RunnerKey,
             Vec<(messages::Start, jobs::JobKey, usize)>,
@@ -556,16 +551,8 @@
     ) -> bool {
         let open = &mut self.jobs[key];
         let asks: Vec<_> = open.ready().map(|at| ask(open, at)).collect();
-        let before = candidates.clone();
         let placed = placing::place(&asks, candidates);
         let is_all = placed.len() == asks.len();
-        let wants: u64 = asks.iter().map(|ask| u64::from(ask.need.cpu_milli)).sum();
-        let size: u64 = before.iter().map(|one| u64::from(one.size.cpu_milli)).sum();
-        let is_wide = wants * WIDE_SHARE > size;
-        if !is_all && !open.has_started && !is_wide {
-            *candidates = before;
-            return false;
-        }
         for (at, runner) in placed {
             let id = open.next_run(at);
             open.tasks[at].state = jobs::State::At(runner);
--- a/src/leased/dispatch/placing.rs
+++ b/src/leased/dispatch/placing.rs
@@ -1,9 +1,11 @@
 //! Which runners a job's tasks go to.
 //!
-//! A job's answer is its last task, so its tasks go out together or wait together: a job
-//! of eight with seven placed holds room for as long as the eighth is missing. Near
-//! runners go first (bytes between availability zones cost, and a way is longer), and of
-//! those the one with the least room that is enough, so that room for large tasks stays.
+//! Each task goes out as soon as there is room for it, the most urgent job's first, and
+//! a job that has begun goes before all others. Tasks give their room back as they end, so
+//! a job of eight that starts three loses nothing by it; waiting for eight places at once
+//! let smaller jobs behind it take each place that came free. Near runners go first (bytes
+//! between availability zones cost, and a way is longer), and of those the one with the
+//! least room that is enough, so that room for large tasks stays.
 
 use std::collections;
 
@@ -19,8 +21,6 @@
     pub key: runners::RunnerKey,
     /// What is free there.
     pub free: wire::Resources,
-    /// What it has in all.
-    pub size: wire::Resources,
     /// Whether it is in the entry's own availability zone.
     pub is_near: bool,
     /// Its labels.
