--- /dev/null
+++ b/src/leased/dispatch/filling.rs
@@ -0,0 +1,119 @@
+//! Bringing waiting jobs to runners with room.
+
+use std::collections;
+use std::sync;
+
+use smol_str::SmolStr;
+
+use crate::health;
+use crate::leased::dispatch;
+use crate::leased::dispatch::jobs;
+use crate::leased::dispatch::placing;
+use crate::leased::dispatch::runners;
+use crate::leased::dispatch::urgency;
+use crate::leased::messages;
+
+/// Runs to be ordered, by runner.
+type Starts = collections::HashMap<runners::RunnerKey, Vec<runners::Planned>>;
+
+impl dispatch::Dispatcher {
+    /// Places what waits, the most urgent first.
+    pub(super) fn fill(&mut self, now_ms: u64) -> Vec<dispatch::Action> {
+        if self.waiting.is_empty() {
+            return Vec::new();
+        }
+        let mut line: Vec<_> = std::mem::take(&mut self.waiting);
+        line.retain(|key| {
+            self.jobs
+                .get(*key)
+                .is_some_and(|open| open.ready().next().is_some())
+        });
+        line.sort_by_cached_key(|key| urgency::rank(&dispatch::view(&self.jobs[*key]), now_ms));
+        let mut starts = Starts::new();
+        let mut candidates: collections::HashMap<SmolStr, Vec<placing::Candidate>> =
+            collections::HashMap::new();
+        for key in line {
+            let service = self.jobs[key].service.clone();
+            let candidates = candidates
+                .entry(service.clone())
+                .or_insert_with(|| self.candidates(now_ms, &service));
+            let is_all = self.place(key, candidates, &mut starts);
+            if !is_all {
+                self.waiting.push(key);
+            }
+        }
+        let mut actions = Vec::new();
+        for (runner, starts) in starts {
+            actions.extend(self.order(now_ms, runner, starts, Vec::new()));
+        }
+        actions
+    }
+
+    fn candidates(&self, now_ms: u64, service: &str) -> Vec<placing::Candidate> {
+        let directives = self.directives.get();
+        let may_take = |runner: &runners::Runner| {
+            let load = &runner.load;
+            runner.is_usable(now_ms) && load.service == service && !directives.is_out(&load.zone)
+        };
+        let usable = self.runners.iter().filter(|(_, runner)| may_take(runner));
+        let candidates = usable.map(|(key, runner)| {
+            let allowance = self.health.allowance(now_ms, key);
+            let most = allowance.most.unwrap_or(u32::MAX);
+            let held = u32::try_from(runner.placed()).unwrap_or(u32::MAX);
+            placing::Candidate {
+                key,
+                free: runner.free(),
+                is_suspect: allowance.is_suspect || allowance.trust != health::Trust::Whole,
+                places: most.saturating_sub(held),
+                is_near: runner.load.zone == self.zone,
+                labels: runner.load.labels.clone(),
+            }
+        });
+        candidates.collect()
+    }
+
+    /// Places the tasks of a job that can run now; whether none is left waiting.
+    fn place(
+        &mut self,
+        key: jobs::JobKey,
+        candidates: &mut [placing::Candidate],
+        starts: &mut Starts,
+    ) -> bool {
+        let open = &mut self.jobs[key];
+        let asks: Vec<_> = open.ready().map(|at| ask(open, at)).collect();
+        let placed = placing::place(&asks, candidates);
+        let is_all = placed.len() == asks.len();
+        for (at, runner) in placed {
+            let id = open.next_run(at);
+            open.tasks[at].state = jobs::State::At(runner);
+            let step = &open.job.steps[usize::from(open.tasks[at].step)];
+            self.counts.ordered += 1;
+            let planned = runners::Planned {
+                start: messages::Start {
+                    id,
+                    spec: sync::Arc::clone(&open.job.spec),
+                    need: step.need,
+                },
+                job: key,
+                task: at,
+                expected_ms: step.estimate_ms,
+                kind: open.kind,
+                number: self.counts.ordered,
+            };
+            starts.entry(runner).or_default().push(planned);
+        }
+        is_all
+    }
+}
+
+fn ask(open: &jobs::Open, at: usize) -> placing::Ask<'_> {
+    let step = &open.job.steps[usize::from(open.tasks[at].step)];
+    placing::Ask {
+        task: at,
+        step: open.tasks[at].step,
+        need: step.need,
+        label: step.label.as_ref(),
+        rack: step.rack.as_ref(),
+        per_server: step.per_server,
+    }
+}
--- a/src/leased/dispatch/jobs.rs
+++ b/src/leased/dispatch/jobs.rs
@@ -55,8 +55,6 @@
     pub service: SmolStr,
     /// What runs like its tasks, for comparing runners.
     pub kind: health::Kind,
-    /// Which queue goes first; 0 before 1.
-    pub priority: u32,
     /// Runs of one task that may end as failed.
     pub max_attempts: u32,
     /// When it came.
@@ -73,7 +71,7 @@
     pub left: Vec<u32>,
     /// Whether something of it was ordered.
     pub has_started: bool,
-    /// Whether it was ever tried at a runner.
+    /// Who waits for its answer.
     pub waiters: Vec<Waiter>,
 }
 
@@ -97,7 +95,6 @@
             queue: queue.name.clone(),
             service: queue.service.clone(),
             kind,
-            priority: queue.priority,
             max_attempts: queue.max_attempts.max(1),
             arrived_ms: now_ms,
             // A caller knows how much work its job is; the queue's limit is for whoever says nothing.
--- a/src/leased/dispatch/urgency.rs
+++ b/src/leased/dispatch/urgency.rs
@@ -9,10 +9,6 @@
 pub struct View {
     /// Whether something of it was ordered.
     pub has_started: bool,
-    /// Which queue goes first; 0 before 1.
-    pub priority: u32,
-    /// When it came.
-    pub arrived_ms: u64,
     /// When it should be complete.
     pub due_ms: u64,
     /// Time that the caller grants in all, in milliseconds.
--- /dev/null
+++ b/src/leased/room/lists.rs
@@ -0,0 +1,115 @@
+//! What a runner makes of its backend server's lists of what runs and what ended.
+
+use std::collections;
+
+use crate::leased::messages;
+use crate::leased::ports;
+use crate::leased::room;
+
+/// Longest wait of the question what runs; a lease is renewed as often, in milliseconds.
+const LIST_WAIT_MS: u64 = 200;
+
+/// What is added to a fence that was refused; above any backward jump of the time of day
+/// from which the first one is taken, in milliseconds.
+const FENCE_STEP: u64 = 60_000;
+
+impl room::Room {
+    /// The next question what runs.
+    pub fn next_list(&mut self, now_ms: u64) -> ports::ListCall {
+        let is_renewed = self.clock.is_known() && !self.runs.is_empty();
+        let lease_ms = self.lease_ms(now_ms);
+        ports::ListCall {
+            life: self.backend.as_ref().map(|backend| backend.life.clone()),
+            fence: self.fence,
+            lease_until_ms: is_renewed.then(|| self.clock.grant(now_ms, lease_ms)),
+            acked: self.acked,
+            wait_ms: if self.is_clean { LIST_WAIT_MS } else { 0 },
+        }
+    }
+
+    /// The backend server said what runs, or nothing was heard.
+    pub fn listed(
+        &mut self,
+        now_ms: u64,
+        asked_ms: u64,
+        answer: ports::ListAnswer,
+    ) -> Vec<room::Action> {
+        let mut actions = match answer {
+            ports::ListAnswer::Listed(listing) => self.take_list(now_ms, asked_ms, &listing),
+            ports::ListAnswer::Fenced => {
+                self.fence += FENCE_STEP;
+                log::warn!(event = "backend.fenced", fence = self.fence; "a greater fence was there");
+                Vec::new()
+            }
+            ports::ListAnswer::OtherLife => {
+                self.end_life(now_ms, "another life answered");
+                self.backend = None;
+                Vec::new()
+            }
+            ports::ListAnswer::NoConnection | ports::ListAnswer::Lost => Vec::new(),
+        };
+        actions.extend(self.tick(now_ms));
+        actions
+    }
+
+    fn take_list(
+        &mut self,
+        now_ms: u64,
+        asked_ms: u64,
+        listing: &ports::Listing,
+    ) -> Vec<room::Action> {
+        let Some(backend) = &self.backend else {
+            return Vec::new();
+        };
+        if listing.born_ms != backend.life.born_ms || asked_ms < self.listed_asked_ms {
+            return Vec::new();
+        }
+        self.listed_asked_ms = asked_ms;
+        self.heard_ms = Some(now_ms);
+        self.clock.hear(listing.clock_ms, now_ms);
+        for ended in &listing.ended {
+            if ended.number > self.acked {
+                self.end(now_ms, &ended.id, ended.how);
+            }
+        }
+        let last = listing.ended.iter().map(|ended| ended.number).max();
+        self.acked = self.acked.max(last.unwrap_or(0));
+        self.end_missing(now_ms, asked_ms, listing);
+        self.stop_unknown(listing)
+    }
+
+    /// Runs that should be in the list and are in no part of it are over.
+    fn end_missing(&mut self, now_ms: u64, asked_ms: u64, listing: &ports::Listing) {
+        let listed: collections::HashSet<_> =
+            listing.running.iter().map(|running| &running.id).collect();
+        let is_missing = |(id, run): &(&messages::RunId, &room::Run)| {
+            run.settled_ms.is_some_and(|at| at < asked_ms) && !listed.contains(id)
+        };
+        let missing = self.runs.iter().filter(is_missing);
+        let missing: Vec<_> = missing.map(|(id, _)| id.clone()).collect();
+        for id in missing {
+            self.end(now_ms, &id, messages::How::Stopped);
+        }
+    }
+
+    /// Stops what a former life of the runner started; until it is gone, its room and the
+    /// second runs that it would allow are unknown, and nothing new is taken.
+    fn stop_unknown(&mut self, listing: &ports::Listing) -> Vec<room::Action> {
+        let Some(backend) = &self.backend else {
+            return Vec::new();
+        };
+        let is_unknown = |running: &&ports::Running| !self.runs.contains_key(&running.id);
+        let unknown: Vec<_> = listing.running.iter().filter(is_unknown).collect();
+        let calls = unknown.iter().map(|running| {
+            log::info!(event = "run.stop", run:% = running.id, why = "left by a former life"; "stopping");
+            room::Action::Stop(ports::StopCall {
+                id: running.id.clone(),
+                life: backend.life.clone(),
+                fence: self.fence,
+            })
+        });
+        let calls: Vec<_> = calls.collect();
+        self.is_clean = calls.is_empty();
+        calls
+    }
+}
--- a/tests/unit/leased/urgency.rs
+++ b/tests/unit/leased/urgency.rs
@@ -6,8 +6,6 @@
     let objective_ms = left_ms * 16 / 10 + 60;
     urgency::View {
         has_started: false,
-        priority: 0,
-        arrived_ms,
         due_ms: arrived_ms + objective_ms,
         objective_ms,
         deadline_ms: arrived_ms + 5_000,
