--- a/src/leased/dispatch/judging.rs
+++ b/src/leased/dispatch/judging.rs
@@ -2,8 +2,9 @@
 //!
 //! Load that this answers: a backend server that fails whatever it starts looks empty and
 //! draws all work; on one that is slow or stands still every job is late. See [`health`]
-//! for the evidence and its figures. On two drawn days a site with slow, hanging and failing
-//! servers under a burst the mean worth was 0.737, and 0.716 with the slice switched off.
+//! for the evidence and its figures. With slow, hanging and failing servers
+//! under a burst callers got 0.737 of what was to be had, and 0.716 with the slice switched
+//! off (means of four runs).
 
 use slotmap::Key as _;
 
--- a/src/leased/dispatch/urgency.rs
+++ b/src/leased/dispatch/urgency.rs
@@ -22,9 +22,9 @@
 /// A job that started, then those that can be in time by how soon they must start, then
 /// the late ones alike.
 ///
-/// What has begun is finished first, also when it will be late: ranked behind those in
-/// time, 0.076 of amfa-mvd's calls on the day with a zone out for half a minute ended without an
-/// answer after their work was done in part, in place of 0.015 (one play each).
+/// What has begun is finished first, also when it will be late. Ranked behind those in
+/// time, 0.076 of all calls ended without an answer after part of their work was done, in
+/// place of 0.015 (a third of the backend servers out for half a minute; measured once).
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Rank(u8, u64);
 
@@ -41,8 +41,8 @@
 
 /// How late a job that has not started may become, as a divisor of its objective.
 ///
-/// With half of the objective, amfa-mvd's day with a zone out for half a minute is worth 0.579 in
-/// place of 0.557 with twice the objective (one play each), and the others stay within 0.01.
+/// With half of the objective callers got 0.579 of what was to be had, and 0.557 with twice
+/// the objective (a third of the backend servers out for half a minute; measured once).
 const LATE_SHARE: u64 = 2;
 
 /// Whether waiting on makes no sense for a job of which nothing was ordered.
--- a/src/leased/runner.rs
+++ b/src/leased/runner.rs
@@ -14,7 +14,8 @@
 use crate::leased::room;
 use crate::metrics;
 
-/// How often time is looked at: a tenth of a second's stop may be late by this much.
+/// How often time is looked at: a silent entry's runs are stopped this much late at most,
+/// a twenty-fifth of the silence that is allowed.
 const TICK: time::Duration = time::Duration::from_millis(20);
 
 /// How long a stopping runner goes on after its last run, in milliseconds, so that every
