--- a/src/hangup.rs
+++ b/src/hangup.rs
@@ -31,6 +31,21 @@
         }
     }
 
+    /// Whether the caller has closed its end, or the connection broke, as of now.
+    ///
+    /// A connection that breaks while its request is on the way delivers both at once. The
+    /// caller, which never saw its request leave, sends it again on a new connection without
+    /// a pause: tasks that the first one started would run beside those of the second. Such
+    /// a request must not start anything, so this asks the system and doesn't wait for news.
+    pub fn is_closed(&self) -> bool {
+        let mut next = [0_u8; 1];
+        let flags = rustix::net::RecvFlags::PEEK | rustix::net::RecvFlags::DONTWAIT;
+        match rustix::net::recv(&*self.0, &mut next, flags) {
+            Ok((_, at_hand)) => at_hand == 0,
+            Err(e) => e != rustix::io::Errno::WOULDBLOCK && e != rustix::io::Errno::INTR,
+        }
+    }
+
     /// Returns once the caller has closed its end, or the connection broke.
     pub async fn closed(&self) {
         loop {
--- a/src/leased/entry.rs
+++ b/src/leased/entry.rs
@@ -147,8 +147,7 @@
     ) {
         let control = cx.address();
         self.parts.pool.run(move |client| async move {
-            let path = messages::ORDER_PATH;
-            let sent = outgoing::post(&client, &address, path, &order, REPLY_LIMIT).await;
+            let sent = deliver(&client, &address, &order).await;
             control.do_send(OrderAnswered { key, order, sent });
         });
     }
@@ -161,6 +160,27 @@
     }
 }
 
+/// Sends an order, and once more on a new connection if nothing was heard.
+///
+/// A reset or silent connection may have swallowed the order or only its answer. Left at
+/// that, its runs are known to be over only once the order has expired, 600 ms later, which
+/// makes every job of them late; the runner takes an order that it has already as the same.
+async fn deliver(
+    client: &awc::Client,
+    address: &str,
+    order: &messages::Order,
+) -> Result<messages::OrderReply, outgoing::CallError> {
+    let path = messages::ORDER_PATH;
+    let why = match outgoing::post(client, address, path, order, REPLY_LIMIT).await {
+        Err(outgoing::CallError::Lost(why)) => why,
+        sent => return sent,
+    };
+    log::info!(event = "order.again", runner = address, number = order.number, runs = order.starts.len(), why = why.as_str(); "no answer; sent again");
+    let again = outgoing::post_afresh(address, path, order, REPLY_LIMIT).await;
+    // That no second connection was made says nothing of the first.
+    again.map_err(|e| outgoing::CallError::Lost(format!("{why}; again: {e}")))
+}
+
 /// Keeps a watch open at a runner until it is forgotten.
 async fn watch(client: awc::Client, control: actix::Addr<Control>, key: runners::RunnerKey) {
     let mut failures = 0;
--- a/src/leased/room/mod.rs
+++ b/src/leased/room/mod.rs
@@ -304,6 +304,9 @@
             owner.hear_order(now_ms, order.alive_at_ms);
         }
         for start in order.starts {
+            if self.has_taken_in(order.entry, &start.id) {
+                continue;
+            }
             let id = start.id.clone();
             let refusal = if is_late {
                 Some(messages::Refusal::Late)
@@ -336,6 +339,17 @@
         (reply, actions)
     }
 
+    /// Whether a run came with an order that is here for the second time.
+    ///
+    /// An entry that had no answer sends its order again. A run that went on or ended in
+    /// between must not start twice; until the entry has acknowledged the end it is listed,
+    /// and the watch that acknowledges it no longer wants the run.
+    fn has_taken_in(&self, entry: ids::Incarnation, id: &messages::RunId) -> bool {
+        let is_held = self.runs.get(id).is_some_and(|run| run.owner == entry);
+        let owner = self.owners.get(&entry);
+        is_held || owner.is_some_and(|owner| owner.has_end(id))
+    }
+
     fn refusal(
         &self,
         now_ms: u64,
--- a/src/leased/room/owners.rs
+++ b/src/leased/room/owners.rs
@@ -70,6 +70,11 @@
         self.has_news = true;
     }
 
+    /// Whether a run's end has not been acknowledged yet.
+    pub fn has_end(&self, id: &messages::RunId) -> bool {
+        self.ends.iter().any(|end| end.id == *id)
+    }
+
     /// Ends that the entry has not acknowledged.
     pub fn ends(&self) -> Vec<messages::End> {
         self.ends.iter().cloned().collect()
--- a/tests/unit/leased/room.rs
+++ b/tests/unit/leased/room.rs
@@ -3,6 +3,7 @@
 use bulrushtiller::leased::messages;
 use bulrushtiller::leased::ports;
 use bulrushtiller::leased::room;
+use rstest::rstest;
 
 use super::fixtures;
 use super::fixtures::ENTRY;
@@ -344,3 +345,44 @@
 
     assert_eq!(room.readiness(START_MS + 2), messages::Readiness::Starting);
 }
+
+/// The connection breaks after an order went out, and the entry sends it again on a new one.
+/// The first had arrived: its run goes on, or has ended already. Taken as new, the task would
+/// be refused as its own double, or run a second time.
+#[rstest]
+#[case::runs_on(false)]
+#[case::ended_in_between(true)]
+fn an_order_that_comes_twice_starts_its_runs_once(#[case] has_ended: bool) {
+    let (mut room, id) = room_with_run();
+    if has_ended {
+        let listed = fixtures::listing_with_end(5_020, 1, id.clone(), messages::How::Done);
+        room.listed(START_MS + 20, START_MS + 5, listed);
+    }
+
+    let again = fixtures::order(ENTRY, 1, START_MS + 30, &[(id.clone(), 1_600)]);
+    let (reply, actions) = room.order(START_MS + 30, again);
+    let report = room.report(START_MS + 31, ENTRY);
+
+    assert!(reply.refused.is_empty(), "{:?}", reply.refused);
+    assert!(started(&actions).is_empty());
+    assert_eq!(report.ends.len(), usize::from(has_ended));
+}
+
+/// An order comes a second time after the entry has acknowledged the end of its run. The
+/// watch that acknowledged it no longer wants the run, so the order starts nothing.
+#[test]
+fn an_order_that_comes_again_after_its_end_was_acknowledged_starts_nothing() {
+    let (mut room, id) = room_with_run();
+    let listed = fixtures::listing_with_end(5_020, 1, id.clone(), messages::How::Done);
+    room.listed(START_MS + 20, START_MS + 5, listed);
+    room.report(START_MS + 21, ENTRY);
+    let mut watch = fixtures::watch(ENTRY, START_MS + 25, 1, &[]);
+    watch.acked = 1;
+    room.watch(START_MS + 25, &watch);
+
+    let again = fixtures::order(ENTRY, 1, START_MS + 30, &[(id.clone(), 1_600)]);
+    let (reply, actions) = room.order(START_MS + 30, again);
+
+    assert_eq!(reply.refused, [(id, messages::Refusal::Unwanted)]);
+    assert!(started(&actions).is_empty());
+}
--- a/tests/unit/main.rs
+++ b/tests/unit/main.rs
@@ -11,6 +11,7 @@
 mod entry;
 mod fixed;
 mod freshness;
+mod hangup;
 mod health;
 mod ids;
 mod jobs;
