Let runs wait in a short line at their runner

Cause: a job without room waited at its entry until that had heard of room, up to a watch later; others' orders were there first, and room stood empty meanwhile. Now up to a quarter of a backend server's size waits at its runner, the most urgent run first whichever entry sent it, and starts as another ends. What waited for too long, or may not start any more, goes back as not started.

--- a/src/leased/dispatch/filling.rs
+++ b/src/leased/dispatch/filling.rs
@@ -37,7 +37,7 @@
             let candidates = candidates
                 .entry(service.clone())
                 .or_insert_with(|| self.candidates(now_ms, &service));
-            let is_all = self.place(key, candidates, &mut starts);
+            let is_all = self.place(now_ms, key, candidates, &mut starts);
             if !is_all {
                 self.waiting.push(key);
             }
@@ -63,6 +63,7 @@
             placing::Candidate {
                 key,
                 free: runner.free(),
+                line_milli: runner.line_milli(),
                 is_suspect: allowance.is_suspect || allowance.trust != health::Trust::Whole,
                 places: most.saturating_sub(held),
                 is_near: runner.load.zone == self.zone,
@@ -76,15 +77,18 @@
     /// Places the tasks of a job that can run now; whether none is left waiting.
     fn place(
         &mut self,
+        now_ms: u64,
         key: jobs::JobKey,
         candidates: &mut [placing::Candidate],
         starts: &mut Starts,
     ) -> bool {
         let open = &mut self.jobs[key];
-        let asks: Vec<_> = open.ready().map(|at| ask(open, at)).collect();
+        let wait = urgency::wait(&dispatch::view(open), now_ms);
+        let asks: Vec<_> = open.ready().map(|at| ask(open, at, wait)).collect();
         let placed = placing::place(&asks, candidates);
         let is_all = placed.len() == asks.len();
-        for (at, runner) in placed {
+        for target in placed {
+            let (at, runner) = (target.task, target.runner);
             let id = open.next_run(at);
             open.tasks[at].state = jobs::State::At(runner);
             let step = &open.job.steps[usize::from(open.tasks[at].step)];
@@ -94,7 +98,9 @@
                     id,
                     spec: sync::Arc::clone(&open.job.spec),
                     need: step.need,
+                    wait,
                 },
+                waits: target.waits,
                 job: key,
                 task: at,
                 expected_ms: step.estimate_ms,
@@ -107,7 +113,7 @@
     }
 }
 
-fn ask(open: &jobs::Open, at: usize) -> placing::Ask<'_> {
+fn ask(open: &jobs::Open, at: usize, wait: messages::Wait) -> placing::Ask<'_> {
     let step = &open.job.steps[usize::from(open.tasks[at].step)];
     placing::Ask {
         task: at,
@@ -116,5 +122,6 @@
         label: step.label.as_ref(),
         rack: step.rack.as_ref(),
         per_server: step.per_server,
+        may_wait: wait.most_ms > 0,
     }
 }
--- a/src/leased/dispatch/judging.rs
+++ b/src/leased/dispatch/judging.rs
@@ -56,7 +56,8 @@
         for (key, runner) in &self.runners {
             for (_, placed) in runner.placed_runs() {
                 let age_ms = now_ms.saturating_sub(placed.ordered_ms + WAY_MS);
-                if age_ms > placed.expected_ms && self.jobs.contains_key(placed.job) {
+                let is_late = !placed.waits && age_ms > placed.expected_ms;
+                if is_late && self.jobs.contains_key(placed.job) {
                     late.push((key, end_of(placed, age_ms, codes::Code::Pending)));
                 }
             }
@@ -83,7 +84,8 @@
         };
         log::warn!(event = "runner.ejected", runner = runner.address.as_str(), usable = usable, runs = runner.placed(); "its tasks fail, hang or are slow");
         let is_hanging = |placed: &runners::Placed| {
-            now_ms.saturating_sub(placed.ordered_ms) > MOVE_FACTOR * placed.expected_ms
+            !placed.waits
+                && now_ms.saturating_sub(placed.ordered_ms) > MOVE_FACTOR * placed.expected_ms
         };
         let hanging = runner
             .placed_runs()
--- a/src/leased/dispatch/placing.rs
+++ b/src/leased/dispatch/placing.rs
@@ -27,6 +27,8 @@
     pub key: runners::RunnerKey,
     /// What is free there.
     pub free: wire::Resources,
+    /// Thousandths of a core that may still wait there for room.
+    pub line_milli: u32,
     /// Whether any other is to be preferred, by how the tasks there fare.
     pub is_suspect: bool,
     /// How many tasks more it may get.
@@ -54,10 +56,23 @@
     pub rack: Option<&'a SmolStr>,
     /// At most so many of its step on one backend server.
     pub per_server: u32,
+    /// Whether it may wait at a runner for room.
+    pub may_wait: bool,
 }
 
-/// Places as many tasks as fit, and takes their room from the candidates.
-pub fn place(asks: &[Ask<'_>], candidates: &mut [Candidate]) -> Vec<(usize, runners::RunnerKey)> {
+/// Where a task goes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Target {
+    /// Its place in the job's list.
+    pub task: usize,
+    /// The runner.
+    pub runner: runners::RunnerKey,
+    /// Whether it has to wait there for room.
+    pub waits: bool,
+}
+
+/// Places as many tasks as fit, or may wait, and takes their room from the candidates.
+pub fn place(asks: &[Ask<'_>], candidates: &mut [Candidate]) -> Vec<Target> {
     let mut counts: collections::HashMap<(u16, runners::RunnerKey), u32> =
         collections::HashMap::new();
     let mut placed = Vec::with_capacity(asks.len());
@@ -67,9 +82,8 @@
             // The tasks of a step ask for the same; in overload most of all asks end here.
             continue;
         }
-        let fits = |candidate: &&mut Candidate| {
+        let may_take = |candidate: &Candidate| {
             candidate.places > 0
-                && ask.need.fits_in(&candidate.free)
                 && (ask.per_server == u32::MAX
                     || counts.get(&(ask.step, candidate.key)).copied().unwrap_or(0)
                         < ask.per_server)
@@ -77,7 +91,9 @@
                     .label
                     .is_none_or(|label| candidate.labels.contains(label))
         };
-        let best = candidates.iter_mut().filter(fits).min_by_key(|candidate| {
+        let has_room = |candidate: &Candidate| ask.need.fits_in(&candidate.free);
+        let has_line = |candidate: &Candidate| candidate.line_milli >= ask.need.cpu_milli;
+        let order = |candidate: &Candidate| {
             let is_far_from_data = ask
                 .rack
                 .is_some_and(|rack| !candidate.labels.contains(rack));
@@ -87,15 +103,36 @@
                 !candidate.is_near,
                 candidate.preference,
             )
-        });
-        let Some(best) = best else {
+        };
+        let first = |has: &dyn Fn(&Candidate) -> bool| {
+            let fitting = candidates
+                .iter()
+                .enumerate()
+                .filter(|(_, candidate)| has(candidate) && may_take(candidate));
+            fitting
+                .min_by_key(|(_, candidate)| order(candidate))
+                .map(|(at, _)| at)
+        };
+        let with_room = first(&has_room);
+        let waits = with_room.is_none();
+        let found = with_room.or_else(|| ask.may_wait.then(|| first(&has_line)).flatten());
+        let Some(at) = found else {
             full_step = Some(ask.step);
             continue;
         };
-        best.free = best.free.minus(&ask.need);
+        let best = &mut candidates[at];
+        if waits {
+            best.line_milli -= ask.need.cpu_milli;
+        } else {
+            best.free = best.free.minus(&ask.need);
+        }
         best.places -= 1;
         *counts.entry((ask.step, best.key)).or_default() += 1;
-        placed.push((ask.task, best.key));
+        placed.push(Target {
+            task: ask.task,
+            runner: best.key,
+            waits,
+        });
     }
     placed
 }
--- a/src/leased/dispatch/runners.rs
+++ b/src/leased/dispatch/runners.rs
@@ -12,6 +12,7 @@
 use crate::leased::dispatch::jobs;
 use crate::leased::messages;
 use crate::leased::room;
+use crate::leased::room::line;
 use crate::wire;
 
 pub use crate::membership::RunnerKey;
@@ -46,11 +47,13 @@
     pub need: wire::Resources,
     /// The life of the runner that was told.
     life: ids::Incarnation,
+    /// Whether it waits at the runner for room, as far as is known.
+    pub waits: bool,
     /// After this the order starts nothing any more.
     valid_until_ms: u64,
     /// The runner's message that first showed the run.
     accepted: Option<u64>,
-    /// When it was ordered.
+    /// When it was ordered; once it has waited, when it was first heard to run.
     pub ordered_ms: u64,
     /// How long it should run, in milliseconds as declared.
     pub expected_ms: u64,
@@ -65,6 +68,8 @@
 pub struct Planned {
     /// What the runner is told.
     pub start: messages::Start,
+    /// Whether it will have to wait there for room.
+    pub waits: bool,
     /// Its job.
     pub job: jobs::JobKey,
     /// Its task, in the job's list.
@@ -157,13 +162,26 @@
         let on_the_way = self
             .placed
             .values()
-            .filter(|placed| placed.accepted.is_none());
+            .filter(|placed| placed.accepted.is_none() && !placed.waits);
         let on_the_way = on_the_way.fold(wire::Resources::default(), |sum, placed| {
             sum.plus(&placed.need)
         });
         self.load.size.minus(&self.load.used).minus(&on_the_way)
     }
 
+    /// Thousandths of a core that may still wait there, with this entry's orders that the
+    /// runner's last word didn't contain.
+    pub fn line_milli(&self) -> u32 {
+        let on_the_way = self
+            .placed
+            .values()
+            .filter(|placed| placed.accepted.is_none() && placed.waits);
+        let on_the_way: u32 = on_the_way.map(|placed| placed.need.cpu_milli).sum();
+        (self.load.size.cpu_milli / line::LINE_SHARE)
+            .saturating_sub(self.load.line.cpu_milli)
+            .saturating_sub(on_the_way)
+    }
+
     /// The runner's clock now: never ahead of it.
     fn clock_ms(&self, now_ms: u64) -> Option<u64> {
         let (reading_ms, heard_ms) = self.clock?;
@@ -202,6 +220,7 @@
                 task: planned.task,
                 need: planned.start.need,
                 life,
+                waits: planned.waits,
                 valid_until_ms: now_ms + ORDER_VALID_MS,
                 accepted: None,
                 ordered_ms: now_ms,
@@ -308,11 +327,27 @@
         }
         if is_news {
             self.load = report.load;
+            self.note_waiting(now_ms, &report.runs, &report.waiting);
             over.extend(self.reconcile(now_ms, report.sequence, &report.runs));
         }
         over
     }
 
+    /// Keeps apart what waits at the runner and what runs, of all that it holds: time in the
+    /// line says nothing of how fast the backend server is.
+    fn note_waiting(&mut self, now_ms: u64, held: &[messages::RunId], waiting: &[messages::RunId]) {
+        for id in held {
+            let Some(placed) = self.placed.get_mut(id) else {
+                continue;
+            };
+            let waits = waiting.contains(id);
+            if placed.waits && !waits {
+                placed.ordered_ms = now_ms;
+            }
+            placed.waits = waits;
+        }
+    }
+
     /// Runs that the runner doesn't hold, and whose ends it hasn't told, are over.
     ///
     /// An answer to an order may be lost, or the runner's life may have ended with all it
--- a/src/leased/dispatch/urgency.rs
+++ b/src/leased/dispatch/urgency.rs
@@ -4,6 +4,8 @@
 //! until all callers are late; with it those served are served in time, and the others
 //! hear at once that they are not.
 
+use crate::leased::messages;
+
 /// What is known of a waiting job.
 #[derive(Clone, Copy, Debug)]
 pub struct View {
@@ -48,6 +50,22 @@
 /// 0.854 on another (one play each).
 const ESTIMATE_SHARE: u64 = 8;
 
+/// How a job's tasks may wait at a runner: until they can't be in time any more, or, if some
+/// have run, until nobody waits for them. A late job takes no place in a line.
+pub const fn wait(view: &View, now_ms: u64) -> messages::Wait {
+    let Rank(class, latest_ms) = rank(view, now_ms);
+    let last_ms = match class {
+        0 => view.deadline_ms.saturating_sub(view.left_ms),
+        1 => view.due_ms.saturating_sub(view.left_ms),
+        _ => 0,
+    };
+    messages::Wait {
+        most_ms: last_ms.saturating_sub(now_ms),
+        class,
+        start_within_ms: latest_ms.saturating_sub(now_ms),
+    }
+}
+
 /// Whether waiting on makes no sense for a job of which nothing was ordered.
 ///
 /// Room is short, or it would have started; served late it would make others late. Its
--- a/src/leased/messages.rs
+++ b/src/leased/messages.rs
@@ -78,6 +78,8 @@
     pub size: wire::Resources,
     /// What is taken, by whichever entry.
     pub used: wire::Resources,
+    /// What waits there for room, by whichever entry.
+    pub line: wire::Resources,
     /// Service of the backend server.
     pub service: SmolStr,
     /// Availability zone of the backend server.
@@ -159,6 +161,8 @@
     pub load: Load,
     /// The entry's runs that the runner holds.
     pub runs: Vec<RunId>,
+    /// Of those, the ones that wait for room.
+    pub waiting: Vec<RunId>,
     /// Ends that were not acknowledged yet.
     pub ends: Vec<End>,
     /// Position of the directives in force at the runner.
@@ -177,6 +181,20 @@
     pub spec: sync::Arc<str>,
     /// What it takes.
     pub need: wire::Resources,
+    /// Whether and how long it may wait at the runner if there is no room.
+    pub wait: Wait,
+}
+
+/// How a run may wait at a runner. Times are spans, as no clocks are compared.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Wait {
+    /// Longest wait, in milliseconds; 0: it starts at once or is refused.
+    pub most_ms: u64,
+    /// Its job's class in the line; 0 goes first.
+    pub class: u8,
+    /// Time left until it should start, in milliseconds.
+    pub start_within_ms: u64,
 }
 
 /// Runs to start.
--- a/src/leased/room/mod.rs
+++ b/src/leased/room/mod.rs
@@ -5,6 +5,7 @@
 //! its end, or until it is certain that it never started.
 
 pub mod lease;
+pub mod line;
 pub mod lists;
 pub mod owners;
 
@@ -53,7 +54,10 @@
     owner: ids::Incarnation,
     order: u64,
     need: wire::Resources,
+    /// When it was ordered; once it has waited, when its start was sent.
     ordered_ms: u64,
+    /// Its place in the line, as long as it waits for room.
+    place: Option<line::Place>,
     /// A list that was asked for later than this and lacks the run proves that it is over.
     settled_ms: Option<u64>,
     stop: Option<Stop>,
@@ -75,6 +79,7 @@
     owners: collections::HashMap<ids::Incarnation, owners::Owner>,
     runs: collections::HashMap<messages::RunId, Run>,
     used: wire::Resources,
+    line: wire::Resources,
     directives: directives::InForce,
     acked: u64,
     listed_asked_ms: u64,
@@ -96,6 +101,7 @@
             owners: collections::HashMap::new(),
             runs: collections::HashMap::new(),
             used: wire::Resources::default(),
+            line: wire::Resources::default(),
             directives: directives::InForce::default(),
             acked: 0,
             listed_asked_ms: 0,
@@ -251,7 +257,13 @@
         self.sequence += 1;
         let load = self.load(now_ms);
         let runs = self.runs.iter().filter(|(_, run)| run.owner == entry);
-        let runs = runs.map(|(id, _)| id.clone()).collect();
+        let (mut held, mut waiting) = (Vec::new(), Vec::new());
+        for (id, run) in runs {
+            held.push(id.clone());
+            if run.place.is_some() {
+                waiting.push(id.clone());
+            }
+        }
         let owner = self.owners.entry(entry).or_default();
         owner.has_news = false;
         owner.told_ms = now_ms;
@@ -261,7 +273,8 @@
             clock_ms: now_ms,
             sequence: self.sequence,
             load,
-            runs,
+            runs: held,
+            waiting,
             ends: owner.ends(),
             directives_position: self.directives.position(),
             directives: self.directives.news_since(owner.directives_position),
@@ -277,6 +290,7 @@
             readiness: self.readiness(now_ms),
             size: backend.size,
             used: self.used,
+            line: self.line,
             service: backend.service.clone(),
             zone: backend.zone.clone(),
             labels: sync::Arc::clone(&backend.labels),
@@ -298,7 +312,7 @@
             owner.hear_order(now_ms, order.alive_at_ms);
         }
         for start in order.starts {
-            if is_repeat && self.has_taken_in(order.entry, &start.id) {
+            if self.has_taken_in(order.entry, &start.id) {
                 continue;
             }
             let id = start.id.clone();
@@ -372,7 +386,8 @@
             return Some(messages::Refusal::Unwanted);
         }
         let free = backend.size.minus(&self.used);
-        (!start.need.fits_in(&free)).then_some(messages::Refusal::Room)
+        let has_place = start.need.fits_in(&free) || self.has_line_for(start, &backend.size);
+        (!has_place).then_some(messages::Refusal::Room)
     }
 
     fn admit(
@@ -382,19 +397,38 @@
         order: u64,
         start: messages::Start,
     ) -> Option<Action> {
-        let life = self.backend.as_ref()?.life.clone();
-        self.used = self.used.plus(&start.need);
+        let size = self.backend.as_ref()?.size;
+        let (id, need) = (start.id.clone(), start.need);
         let run = Run {
             owner,
             order,
-            need: start.need,
+            need,
             ordered_ms: now_ms,
+            place: Some(line::Place::new(now_ms, start)),
             settled_ms: None,
             stop: None,
         };
-        self.runs.insert(start.id.clone(), run);
+        self.runs.insert(id.clone(), run);
+        self.line = self.line.plus(&need);
+        if need.fits_in(&size.minus(&self.used)) {
+            return self.begin(now_ms, &id);
+        }
+        log::info!(event = "run.wait", run:% = id, owner:% = owner, cpu_milli = need.cpu_milli, used_milli = self.used.cpu_milli, line_milli = self.line.cpu_milli; "waits for room");
+        None
+    }
+
+    /// Starts a run that has room now.
+    fn begin(&mut self, now_ms: u64, id: &messages::RunId) -> Option<Action> {
+        let life = self.backend.as_ref()?.life.clone();
+        let run = self.runs.get_mut(id)?;
+        let start = run.place.take()?.start;
+        let waited_ms = now_ms.saturating_sub(run.ordered_ms);
+        run.ordered_ms = now_ms;
+        let owner = run.owner;
+        self.line = self.line.minus(&start.need);
+        self.used = self.used.plus(&start.need);
         let lease_until_ms = self.clock.grant(now_ms, self.lease_ms(now_ms));
-        log::info!(event = "run.start", run:% = start.id, owner:% = owner, cpu_milli = start.need.cpu_milli, used_milli = self.used.cpu_milli; "starting");
+        log::info!(event = "run.start", run:% = start.id, owner:% = owner, waited_ms = waited_ms, cpu_milli = start.need.cpu_milli, used_milli = self.used.cpu_milli; "starting");
         Some(Action::Start(ports::StartCall {
             start,
             life,
@@ -408,6 +442,7 @@
         let alive = self
             .runs
             .values()
+            .filter(|run| run.place.is_none())
             .filter_map(|run| self.owners.get(&run.owner));
         let oldest_ms = alive
             .map(owners::Owner::alive_at_ms)
@@ -445,6 +480,10 @@
     fn stop(&mut self, now_ms: u64, id: &messages::RunId, why: &'static str) -> Option<Action> {
         let life = self.backend.as_ref()?.life.clone();
         let run = self.runs.get_mut(id)?;
+        if run.place.is_some() {
+            self.end(now_ms, id, messages::How::NotStarted);
+            return None;
+        }
         if run
             .stop
             .is_some_and(|stop| now_ms < stop.called_ms + STOP_AGAIN_MS)
@@ -483,7 +522,13 @@
         let Some(run) = self.runs.remove(id) else {
             return;
         };
-        self.used = self.used.minus(&run.need);
+        let how = if run.place.is_some() {
+            self.line = self.line.minus(&run.need);
+            messages::How::NotStarted
+        } else {
+            self.used = self.used.minus(&run.need);
+            how
+        };
         let ran_ms = now_ms.saturating_sub(run.ordered_ms);
         log::info!(event = "run.end", run:% = id, owner:% = run.owner, how:? = how, ran_ms = ran_ms, used_milli = self.used.cpu_milli; "ended");
         if let Some(owner) = self.owners.get_mut(&run.owner) {
@@ -511,6 +556,7 @@
             actions.extend(self.stop(now_ms, &id, why));
         }
         self.note_readiness(now_ms);
+        actions.extend(self.serve_line(now_ms));
         actions
     }
 
--- a/tests/unit/leased/dispatch.rs
+++ b/tests/unit/leased/dispatch.rs
@@ -411,3 +411,38 @@
         "{too_late:?}"
     );
 }
+
+/// Every backend server is full, and its line is not. A task waits there with the time that it
+/// has left; given back unstarted, and too late for another place, its caller is told the truth.
+#[test]
+fn a_task_without_room_waits_at_a_runner() {
+    let (mut entry, key) = entry();
+    let mut full = fixtures::report(2, 16_000, &[]);
+    full.load.line = fixtures::cores(0);
+    entry.reported(START_MS + 1, key, full);
+
+    let order = orders(&submit(&mut entry, START_MS + 2, 1, 3)).remove(0);
+    let waiting: Vec<_> = order.starts.iter().map(|start| start.id.clone()).collect();
+    entry.ordered(START_MS + 4, key, &order, fixtures::reply(3, 16_000));
+    let ends = waiting.iter().zip(1..);
+    let ends = ends.map(|(id, number)| end(number, id, messages::How::NotStarted));
+    let given_back = entry.reported(START_MS + 100, key, report_full(4, ends.collect()));
+    let over = entry.tick(START_MS + 100);
+
+    // A quarter of 16 cores may wait: two of the three tasks.
+    assert_eq!(waiting.len(), 2);
+    // 60 ms of work have an objective of 156 ms, so they may wait for 96.
+    assert_eq!(order.starts[0].wait.most_ms, 96);
+    let answered = [given_back, over].concat();
+    assert!(
+        matches!(answers(&answered)[..], [dispatch::Outcome::NotRun { .. }]),
+        "{answered:?}"
+    );
+}
+
+fn report_full(sequence: u64, ends: Vec<messages::End>) -> messages::Report {
+    messages::Report {
+        ends,
+        ..fixtures::report(sequence, 16_000, &[])
+    }
+}
--- a/tests/unit/leased/fixtures.rs
+++ b/tests/unit/leased/fixtures.rs
@@ -165,6 +165,7 @@
         id: id.clone(),
         spec: "check".into(),
         need: cores(*cpu_milli),
+        wait: messages::Wait::default(),
     };
     messages::Order {
         version: wire::VERSION,
@@ -178,11 +179,14 @@
     }
 }
 
+/// The load of a runner of 16 cores; while anything runs there, its line is full as well.
 pub fn load(used_milli: u32) -> messages::Load {
+    let line_milli = if used_milli > 0 { 4_000 } else { 0 };
     messages::Load {
         readiness: messages::Readiness::Ready,
         size: cores(16_000),
         used: cores(used_milli),
+        line: cores(line_milli),
         service: SmolStr::new("taipa"),
         zone: SmolStr::new("bento"),
         labels: [SmolStr::new("r1-1")].into(),
@@ -197,6 +201,7 @@
         sequence,
         load: load(used_milli),
         runs: runs.to_vec(),
+        waiting: Vec::new(),
         ends: Vec::new(),
         directives_position: 0,
         directives: None,
--- a/tests/unit/leased/placing.rs
+++ b/tests/unit/leased/placing.rs
@@ -12,6 +12,7 @@
     let candidate = |&(cpu_milli, is_near, rack): &(u32, bool, &str)| placing::Candidate {
         key: keys.insert(()),
         free: fixtures::cores(cpu_milli),
+        line_milli: 0,
         is_suspect: false,
         places: u32::MAX,
         is_near,
@@ -29,6 +30,7 @@
         label: None,
         rack: None,
         per_server: u32::MAX,
+        may_wait: false,
     };
     (0..count).map(ask).collect()
 }
@@ -43,7 +45,7 @@
 
     let placed = placing::place(&asks(2, 1_600), &mut free);
 
-    let keys: Vec<_> = placed.iter().map(|(_, key)| *key).collect();
+    let keys: Vec<_> = placed.iter().map(|target| target.runner).collect();
     assert_eq!(keys, [free[2].key, free[1].key]);
 }
 
@@ -56,7 +58,12 @@
 
     let placed = placing::place(&asks, &mut free);
 
-    assert_eq!(placed, [(0, free[0].key)]);
+    let target = placing::Target {
+        task: 0,
+        runner: free[0].key,
+        waits: false,
+    };
+    assert_eq!(placed, [target]);
 }
 
 #[test]
@@ -72,7 +79,7 @@
     let placed = placing::place(&asks, &mut free);
 
     assert_eq!(placed.len(), 2);
-    assert!(placed.iter().all(|(_, key)| *key == free[0].key));
+    assert!(placed.iter().all(|target| target.runner == free[0].key));
 }
 
 #[test]
@@ -83,6 +90,6 @@
 
     let placed = placing::place(&asks(3, 1_600), &mut free);
 
-    let keys: Vec<_> = placed.iter().map(|(_, key)| *key).collect();
+    let keys: Vec<_> = placed.iter().map(|target| target.runner).collect();
     assert_eq!(keys, [free[1].key, free[1].key, free[0].key]);
 }
