Stop at its next life what a backend server may have taken from the former

A backend server crashed and was back under its name within milliseconds; starts on their way to the former life ran in the new one. The runner told their entries at the next heartbeat that all was over, and the tasks started elsewhere. Now only what a list of the former life has shown ends with it; the rest is stopped at the new life and ends with that one's list. The test failed first. The older test of a later life shows the run in a list first, and checks the same.

--- a/src/leased/room/lists.rs
+++ b/src/leased/room/lists.rs
@@ -90,6 +90,11 @@
                 self.end(now_ms, &ended.id, ended.how);
             }
         }
+        for running in &listing.running {
+            if let Some(run) = self.runs.get_mut(&running.id) {
+                run.is_listed = true;
+            }
+        }
         let last = listing.ended.iter().map(|ended| ended.number).max();
         self.acked = self.acked.max(last.unwrap_or(0));
         self.end_missing(now_ms, asked_ms, listing);
--- a/src/leased/room/mod.rs
+++ b/src/leased/room/mod.rs
@@ -60,6 +60,10 @@
     ordered_ms: u64,
     /// Its place in the line, as long as it waits for room.
     place: Option<line::Place>,
+    /// Whether a list has shown it running.
+    is_listed: bool,
+    /// Whether it is to be stopped whatever its entry wants.
+    must_stop: bool,
     /// A list that was asked for later than this and lacks the run proves that it is over.
     settled_ms: Option<u64>,
     stop: Option<Stop>,
@@ -170,7 +174,7 @@
                 return false;
             }
             if !is_same {
-                self.end_life(now_ms, "a later life announced itself");
+                self.end_listed(now_ms);
             }
         } else {
             log::info!(event = "backend.found", name = heard.life.name.as_str(), born_ms = heard.life.born_ms, cpu_milli = heard.size.cpu_milli; "announced");
@@ -209,6 +213,28 @@
         }
     }
 
+    /// A later life has taken the place of the one that was known so far: what that one ran is
+    /// over, and what it may never have got is stopped at the later one.
+    ///
+    /// A backend server may come back under its name and address within milliseconds, and
+    /// carries out a start that was meant for its former life. Only a list of the former life
+    /// proves that a run was there and is gone; the task of any other would start elsewhere
+    /// while it runs here.
+    fn end_listed(&mut self, now_ms: u64) {
+        let unsure: Vec<_> = self
+            .runs
+            .extract_if(|_, run| run.place.is_none() && !run.is_listed)
+            .collect();
+        self.end_life(now_ms, "a later life announced itself");
+        for (id, mut run) in unsure {
+            log::info!(event = "run.unsure", run:% = id, owner:% = run.owner; "may have started in the later life; to be stopped there");
+            run.settled_ms = None;
+            run.stop = None;
+            run.must_stop = true;
+            self.runs.insert(id, run);
+        }
+    }
+
     /// Nothing of the life that was known so far runs any more.
     fn end_life(&mut self, now_ms: u64, why: &'static str) {
         log::warn!(event = "backend.life_over", runs = self.runs.len(), why = why; "its runs are over");
@@ -441,6 +467,9 @@
             .get(&run.owner)
             .map_or(0, owners::Owner::alive_at_ms);
         let is_silent = now_ms > alive_at_ms + OWNER_SILENCE_MS;
+        if run.must_stop {
+            return Some((id.clone(), "meant for a former life"));
+        }
         is_silent.then(|| (id.clone(), "entry silent"))
     }
 
--- a/src/leased/room/orders.rs
+++ b/src/leased/room/orders.rs
@@ -116,6 +116,8 @@
             need,
             ordered_ms: now_ms,
             place: Some(line::Place::new(now_ms, start)),
+            is_listed: false,
+            must_stop: false,
             settled_ms: None,
             stop: None,
         };
--- a/tests/unit/leased/room.rs
+++ b/tests/unit/leased/room.rs
@@ -194,6 +194,8 @@
 #[test]
 fn a_later_life_ends_the_runs_of_the_former() {
     let (mut room, id) = room_with_run();
+    let running = fixtures::listing(5_010, std::slice::from_ref(&id));
+    room.listed(START_MS + 10, START_MS + 5, running);
 
     room.announced(START_MS + 50, fixtures::announcement(900, 1));
     let is_taken = room.announced(START_MS + 60, fixtures::announcement(100, 40));
@@ -207,6 +209,40 @@
     );
 }
 
+/// The backend server crashes and is back under its name and address when a start comes that
+/// was meant for the former life: the new one carries it out. The new life's heartbeat must not
+/// be taken for the end of that run, or its task starts elsewhere beside it.
+#[test]
+fn a_run_that_no_list_has_shown_may_go_on_in_the_next_life() {
+    let (mut room, id) = room_with_run();
+
+    room.announced(START_MS + 50, fixtures::announcement(900, 1));
+    let actions = room.tick(START_MS + 51);
+    let still_held = room.report(START_MS + 51, ENTRY);
+    room.stop_answered(START_MS + 53, &id, true);
+    let ports::ListAnswer::Listed(mut listing) = fixtures::listing(60, &[]) else {
+        panic!("a list");
+    };
+    listing.born_ms = 900;
+    room.listed(
+        START_MS + 60,
+        START_MS + 55,
+        ports::ListAnswer::Listed(listing),
+    );
+    let over = room.report(START_MS + 61, ENTRY);
+
+    assert_eq!(fixtures::stopped(&actions), std::slice::from_ref(&id));
+    assert_eq!(
+        (still_held.runs, still_held.ends.len()),
+        (vec![id.clone()], 0)
+    );
+    assert_eq!(over.ends.len(), 1);
+    assert_eq!(
+        (&over.ends[0].id, over.ends[0].how),
+        (&id, messages::How::Stopped)
+    );
+}
+
 /// The backend server refuses connections behind a cut, and works on. Its runs count as
 /// over only when every lease has surely lapsed by its clock, which may be slow.
 #[test]
