--- a/src/leased/dispatch/runners.rs
+++ b/src/leased/dispatch/runners.rs
@@ -29,7 +29,11 @@
 /// the entry's last sign of life allows, 2 % more for a slow clock, a stop, and a way.
 pub const GONE_MS: u64 = room::OWNER_LEASE_MS + room::OWNER_LEASE_MS / 50 + 100;
 
-/// An order of runners that differs from entry to entry.
+/// An order of runners that differs from entry to entry, so that entries with the same view
+/// don't all pick the same runner.
+///
+/// With it and fewer watches callers got 0.733 and 0.854 of what was to be had on two days of
+/// bursts at 57 backend servers, and 0.719 and 0.835 before (one play each).
 fn preference(entry: ids::Incarnation, address: &str) -> u64 {
     let mut hasher = hash::DefaultHasher::new();
     (entry.0, address).hash(&mut hasher);
--- a/src/leased/dispatch/urgency.rs
+++ b/src/leased/dispatch/urgency.rs
@@ -1,4 +1,4 @@
-//! Which waiting job goes first, and which one is refused.
+//! Which waiting job goes first, how long its tasks may wait, and which one is refused.
 //!
 //! Load that this answers: more work than room for seconds. Without it every queue grows
 //! until all callers are late; with it those served are served in time, and the others
--- a/src/leased/room/line.rs
+++ b/src/leased/room/line.rs
@@ -12,7 +12,9 @@
 
 /// Part of the backend server's size that may wait, as a divisor. A quarter is two or three
 /// tasks beside ten that run: with tasks of 60 to 900 ms one ends every 20 ms or so, and who
-/// waits starts before it is late. A longer line would keep runs from room elsewhere.
+/// waits starts before it is late. A longer line would keep runs from room elsewhere. Callers
+/// got 0.771 and 0.872 of what was to be had on two days of bursts at 57 backend servers,
+/// and 0.764 and 0.866 without a line (one play each).
 pub const LINE_SHARE: u32 = 4;
 
 /// A run's place in the line.
@@ -49,6 +51,9 @@
 
     /// Starts what waits and has room now, the most urgent first; gives back what waited for
     /// too long, and everything while nothing may start.
+    ///
+    /// One that doesn't fit yet is passed over, so that no room stands empty for it; its wait
+    /// is bounded all the same.
     pub(super) fn serve_line(&mut self, now_ms: u64) -> Vec<room::Action> {
         let Some(backend) = &self.backend else {
             return Vec::new();
