--- a/standins/src/processes.rs
+++ b/standins/src/processes.rs
@@ -22,6 +22,9 @@
 /// How often an exit is looked for.
 const EXIT_POLL: time::Duration = time::Duration::from_millis(5);
 
+/// Longest time until a process that was told to stands still.
+const STAND_STILL: time::Duration = time::Duration::from_secs(10);
+
 /// The word before the address that a process serves.
 const LISTENING: &str = "listening";
 
@@ -149,9 +152,24 @@
         Ok(())
     }
 
-    /// SIGSTOP: it holds its connections and does nothing.
+    /// SIGSTOP: it holds its connections and does nothing; returns once it stands still.
+    ///
+    /// The signal is taken by one thread, and the others go on until that one has had its turn
+    /// on a processor. On a busy machine an entry still answered a call that was made after
+    /// the signal, and a test took it for one that was not frozen.
     pub fn freeze(&mut self) -> io::Result<()> {
-        self.signal(Signal::STOP)
+        self.signal(Signal::STOP)?;
+        let pid = rustix::process::Pid::from_child(&self.child);
+        let options =
+            rustix::process::WaitIdOptions::STOPPED | rustix::process::WaitIdOptions::NOHANG;
+        let until = time::Instant::now() + STAND_STILL;
+        while rustix::process::waitid(rustix::process::WaitId::Pid(pid), options)?.is_none() {
+            if time::Instant::now() >= until {
+                return Err(io::ErrorKind::TimedOut.into());
+            }
+            thread::sleep(EXIT_POLL);
+        }
+        Ok(())
     }
 
     /// SIGCONT.
