--- a/src/leased/dispatch/placing.rs
+++ b/src/leased/dispatch/placing.rs
@@ -71,10 +71,12 @@
     pub waits: bool,
 }
 
+/// How many tasks of a step each runner got.
+type Counts = collections::HashMap<(u16, runners::RunnerKey), u32>;
+
 /// Places as many tasks as fit, or may wait, and takes their room from the candidates.
 pub fn place(asks: &[Ask<'_>], candidates: &mut [Candidate]) -> Vec<Target> {
-    let mut counts: collections::HashMap<(u16, runners::RunnerKey), u32> =
-        collections::HashMap::new();
+    let mut counts = Counts::new();
     let mut placed = Vec::with_capacity(asks.len());
     let mut full_step = None;
     for ask in asks {
@@ -82,51 +84,12 @@
             // The tasks of a step ask for the same; in overload most of all asks end here.
             continue;
         }
-        let may_take = |candidate: &Candidate| {
-            candidate.places > 0
-                && (ask.per_server == u32::MAX
-                    || counts.get(&(ask.step, candidate.key)).copied().unwrap_or(0)
-                        < ask.per_server)
-                && ask
-                    .label
-                    .is_none_or(|label| candidate.labels.contains(label))
-        };
-        let has_room = |candidate: &Candidate| ask.need.fits_in(&candidate.free);
-        let has_line = |candidate: &Candidate| candidate.line_milli >= ask.need.cpu_milli;
-        let order = |candidate: &Candidate| {
-            let is_far_from_data = ask
-                .rack
-                .is_some_and(|rack| !candidate.labels.contains(rack));
-            (
-                candidate.is_suspect,
-                is_far_from_data,
-                !candidate.is_near,
-                candidate.preference,
-            )
-        };
-        let first = |has: &dyn Fn(&Candidate) -> bool| {
-            let fitting = candidates
-                .iter()
-                .enumerate()
-                .filter(|(_, candidate)| has(candidate) && may_take(candidate));
-            fitting
-                .min_by_key(|(_, candidate)| order(candidate))
-                .map(|(at, _)| at)
-        };
-        let with_room = first(&has_room);
-        let waits = with_room.is_none();
-        let found = with_room.or_else(|| ask.may_wait.then(|| first(&has_line)).flatten());
-        let Some(at) = found else {
+        let Some((at, waits)) = find(ask, candidates, &counts) else {
             full_step = Some(ask.step);
             continue;
         };
         let best = &mut candidates[at];
-        if waits {
-            best.line_milli -= ask.need.cpu_milli;
-        } else {
-            best.free = best.free.minus(&ask.need);
-        }
-        best.places -= 1;
+        best.take(&ask.need, waits);
         *counts.entry((ask.step, best.key)).or_default() += 1;
         placed.push(Target {
             task: ask.task,
@@ -136,3 +99,64 @@
     }
     placed
 }
+
+/// The candidate for a task, and whether the task has to wait there: one with room, or else
+/// one with a place in line.
+fn find(ask: &Ask<'_>, candidates: &[Candidate], counts: &Counts) -> Option<(usize, bool)> {
+    let has_room = |candidate: &Candidate| ask.need.fits_in(&candidate.free);
+    if let Some(at) = first(ask, candidates, counts, has_room) {
+        return Some((at, false));
+    }
+    if !ask.may_wait {
+        return None;
+    }
+    let has_line = |candidate: &Candidate| candidate.line_milli >= ask.need.cpu_milli;
+    first(ask, candidates, counts, has_line).map(|at| (at, true))
+}
+
+fn first(
+    ask: &Ask<'_>,
+    candidates: &[Candidate],
+    counts: &Counts,
+    has_place: impl Fn(&Candidate) -> bool,
+) -> Option<usize> {
+    let all = candidates.iter().enumerate();
+    let fitting =
+        all.filter(|(_, candidate)| has_place(candidate) && ask.may_go_to(candidate, counts));
+    let first = fitting.min_by_key(|(_, candidate)| ask.order_of(candidate))?;
+    Some(first.0)
+}
+
+impl Candidate {
+    fn take(&mut self, need: &wire::Resources, waits: bool) {
+        if waits {
+            self.line_milli -= need.cpu_milli;
+        } else {
+            self.free = self.free.minus(need);
+        }
+        self.places -= 1;
+    }
+}
+
+impl Ask<'_> {
+    fn may_go_to(&self, candidate: &Candidate, counts: &Counts) -> bool {
+        let has_label = |label| candidate.labels.contains(label);
+        let count = || counts.get(&(self.step, candidate.key)).copied();
+        candidate.places > 0
+            && (self.per_server == u32::MAX || count().unwrap_or(0) < self.per_server)
+            && self.label.is_none_or(has_label)
+    }
+
+    /// Where a candidate stands for this task; the least goes first.
+    fn order_of(&self, candidate: &Candidate) -> (bool, bool, bool, u64) {
+        let is_far_from_data = self
+            .rack
+            .is_some_and(|rack| !candidate.labels.contains(rack));
+        (
+            candidate.is_suspect,
+            is_far_from_data,
+            !candidate.is_near,
+            candidate.preference,
+        )
+    }
+}
