--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -19,8 +19,8 @@
 /// Part of its deadline within which a submission must be foreseen to be answered.
 ///
 /// The rest is for what can't be foreseen: a queue that is let grow up to the deadline
-/// has its jobs begun and then cut off. At twice the load 0.5, 0.7 and 0.85 had the
-/// same work done, and 0.5 the shortest wait.
+/// has its jobs begun and then cut off. A greater part lets callers wait longer for the same
+/// work done.
 pub const DEADLINE_PART: f64 = 0.5;
 
 /// A submission as it looks to admission.
--- a/src/leased/dispatch/judging.rs
+++ b/src/leased/dispatch/judging.rs
@@ -2,9 +2,7 @@
 //!
 //! Load that this answers: a backend server that fails whatever it starts looks empty and
 //! draws all work; on one that is slow or stands still every job is late. See [`health`]
-//! for the evidence and its figures. With slow, hanging and failing servers
-//! under a burst callers got 0.737 of what was to be had, and 0.716 with the slice switched
-//! off (means of four runs).
+//! for the evidence.
 
 use slotmap::Key as _;
 
--- a/src/leased/dispatch/mod.rs
+++ b/src/leased/dispatch/mod.rs
@@ -28,9 +28,8 @@
 pub const WATCH_WAIT_MS: u64 = 150;
 
 /// How long a watch waits at a runner where the entry has no runs, in milliseconds: below
-/// the silence of 450 ms after which a runner gets no work. One watch costs an entry 74 us
-/// of processor time; at 57 runners and 150 ms that was 28 ms of each second without any
-/// caller (measured with processes of 0.12 of a core).
+/// the silence of 450 ms after which a runner gets no work. Asked as often as where it has
+/// runs, some dozen idle runners would take much of an entry that has an eighth of a core.
 pub const IDLE_WATCH_WAIT_MS: u64 = 350;
 
 /// What the entry's surroundings must do.
