Know callers who came again by their patience, and serve them in spare room

Cause: after all power was lost some 280 jobs come within the first second, most of callers whose connections broke and who come again 1.3 s later.

Ruled out: what is learnt in memory only (it is lost with the power), and the band of a kind's patience (too wide for long jobs).

Change: a caller that grants less than its queue's limit has waited the rest, unless most of the queue's callers do. Its job is due from its first try; late jobs take room only where a quarter of a backend server stays free, and are held as long as others before they are refused.

--- a/src/leased/dispatch/filling.rs
+++ b/src/leased/dispatch/filling.rs
@@ -63,6 +63,7 @@
             placing::Candidate {
                 key,
                 free: runner.free(),
+                size_milli: runner.load.size.cpu_milli,
                 line_milli: runner.line_milli(),
                 line_taken_milli: 0,
                 is_suspect: allowance.is_suspect || allowance.trust != health::Trust::Whole,
--- a/src/leased/dispatch/jobs.rs
+++ b/src/leased/dispatch/jobs.rs
@@ -63,8 +63,10 @@
     pub arrived_ms: u64,
     /// When its caller is gone.
     pub deadline_ms: u64,
-    /// When it should be complete.
+    /// When it should be complete, counted from the caller's first try.
     pub due_ms: u64,
+    /// Until when it may wait to begin, if it could be complete by then.
+    pub hold_until_ms: u64,
     /// Time that the caller grants in all, in milliseconds.
     pub objective_ms: u64,
     /// Its tasks.
@@ -103,6 +105,7 @@
             // A caller knows how much work its job is; the queue's limit is for whoever says nothing.
             deadline_ms: now_ms + timeout_ms.unwrap_or(queue.timeout_ms),
             due_ms: now_ms + objective_ms,
+            hold_until_ms: now_ms + objective_ms,
             objective_ms,
             has_begun: false,
             waiters: vec![waiter],
@@ -110,6 +113,14 @@
         }
     }
 
+    /// Its caller has waited for so long before it came.
+    ///
+    /// That makes the job late sooner. It may wait for room as long as others all the same:
+    /// its caller still wants the answer.
+    pub const fn note_waited(&mut self, waited_ms: u64) {
+        self.due_ms = self.due_ms.saturating_sub(waited_ms);
+    }
+
     /// Tasks that wait and whose earlier steps are complete.
     pub fn ready(&self) -> impl Iterator<Item = usize> {
         let is_open = |task: &Task| {
--- a/src/leased/dispatch/mod.rs
+++ b/src/leased/dispatch/mod.rs
@@ -4,6 +4,7 @@
 pub mod filling;
 pub mod jobs;
 pub mod judging;
+pub mod patience;
 pub mod placing;
 pub mod runners;
 pub mod urgency;
@@ -100,6 +101,7 @@
     by_id: collections::HashMap<SmolStr, jobs::JobKey>,
     waiting: Vec<jobs::JobKey>,
     health: health::Health,
+    patience: patience::Patience,
     policy: settings::Policy,
     looked_ms: u64,
     counts: Counts,
@@ -118,6 +120,7 @@
             by_id: collections::HashMap::new(),
             waiting: Vec::new(),
             health: health::Health::default(),
+            patience: patience::Patience::default(),
             policy: settings::Policy::default(),
             looked_ms: 0,
             counts: Counts::default(),
@@ -186,6 +189,7 @@
         }
         let current = self.directives.get();
         self.queues = sync::Arc::new(queues::Queues::new(&current.queues, current.bounds));
+        self.patience.retain(&current.queues);
         true
     }
 
@@ -229,7 +233,9 @@
         let kind = self.health.kind(&queue.service, &queue.name);
         let mut open = jobs::Open::new(now_ms, job, queue, timeout_ms, waiter, kind);
         open.precedence = self.queues.precedence(queue);
-        log::info!(event = "job.accept", job = open.job.id.as_str(), queue = open.queue.as_str(), tasks = open.tasks.len(), estimate_ms = open.job.chain_ms(), objective_ms = open.objective_ms, precedence = open.precedence, timeout_ms = open.deadline_ms - now_ms, waiting = self.waiting.len(), configuration = self.directives.get().version; "accepted");
+        let waited_ms = self.patience.waited_ms(queue, timeout_ms);
+        open.note_waited(waited_ms);
+        log::info!(event = "job.accept", job = open.job.id.as_str(), queue = open.queue.as_str(), tasks = open.tasks.len(), estimate_ms = open.job.chain_ms(), objective_ms = open.objective_ms, precedence = open.precedence, timeout_ms = open.deadline_ms - now_ms, waited_ms = waited_ms, waiting = self.waiting.len(), configuration = self.directives.get().version; "accepted");
         self.counts.accepted += 1;
         let id = open.job.id.clone();
         let key = self.jobs.insert(open);
@@ -463,6 +469,7 @@
         has_started: open.has_started(),
         precedence: open.precedence,
         due_ms: open.due_ms,
+        hold_until_ms: open.hold_until_ms,
         deadline_ms: open.deadline_ms,
         left_ms: open.job.chain_ms(),
     }
--- a/src/leased/dispatch/placing.rs
+++ b/src/leased/dispatch/placing.rs
@@ -19,9 +19,14 @@
 use smol_str::SmolStr;
 
 use crate::leased::dispatch::runners;
+use crate::leased::dispatch::urgency;
 use crate::leased::messages;
 use crate::wire;
 
+/// Part of a backend server that stays free when a late job takes room there, as a divisor:
+/// two or three tasks, which is what comes before the next report.
+const SPARE_SHARE: u32 = 4;
+
 /// A runner that may get tasks.
 #[derive(Clone, Debug)]
 pub struct Candidate {
@@ -29,6 +34,8 @@
     pub key: runners::RunnerKey,
     /// What is free there.
     pub free: wire::Resources,
+    /// Thousandths of a core that it has in all.
+    pub size_milli: u32,
     /// Thousandths of a core that may still wait there for room, in each class of urgency.
     pub line_milli: [u32; messages::CLASSES],
     /// Thousandths of a core that were put into the line since.
@@ -127,7 +134,7 @@
 /// The candidate for a task, and whether the task has to wait there: one with room, or else
 /// one with a place in line.
 fn find(ask: &Ask<'_>, candidates: &[Candidate], counts: &Counts) -> Option<(usize, bool)> {
-    let has_room = |candidate: &Candidate| ask.need.fits_in(&candidate.free);
+    let has_room = |candidate: &Candidate| candidate.has_room_for(ask);
     if let Some(at) = first(ask, candidates, counts, has_room) {
         return Some((at, false));
     }
@@ -170,6 +177,16 @@
         self.places += 1;
     }
 
+    fn has_room_for(&self, ask: &Ask<'_>) -> bool {
+        let spare_milli = if urgency::takes_spare_room_only(ask.class) {
+            self.size_milli / SPARE_SHARE
+        } else {
+            0
+        };
+        ask.need.fits_in(&self.free)
+            && self.free.cpu_milli >= ask.need.cpu_milli.saturating_add(spare_milli)
+    }
+
     fn has_line_for(&self, ask: &Ask<'_>) -> bool {
         let class = usize::from(ask.class).min(messages::CLASSES - 1);
         self.line_milli[class] >= self.line_taken_milli.saturating_add(ask.need.cpu_milli)
--- a/src/leased/dispatch/urgency.rs
+++ b/src/leased/dispatch/urgency.rs
@@ -15,6 +15,8 @@
     pub precedence: u8,
     /// When it should be complete.
     pub due_ms: u64,
+    /// Until when it may wait to begin, if it could be complete by then.
+    pub hold_until_ms: u64,
     /// When its caller is gone.
     pub deadline_ms: u64,
     /// How long what is left takes, in milliseconds as declared.
@@ -40,6 +42,14 @@
     class > MOST_URGENT
 }
 
+/// Whether a job of this class may only take room that is likely to stay free without it.
+///
+/// A late answer is worth little to its caller. Given the last room, it makes the next job
+/// late that could have been in time.
+pub const fn takes_spare_room_only(class: u8) -> bool {
+    class >= LATE
+}
+
 /// A class, and when the job has to start; the least goes first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Rank(u8, u64);
@@ -90,5 +100,5 @@
 /// caller hears at once that nothing ran.
 pub const fn is_hopeless(view: &View, now_ms: u64) -> bool {
     let end_ms = now_ms + view.left_ms;
-    !view.has_started && (end_ms > view.due_ms || end_ms > view.deadline_ms)
+    !view.has_started && (end_ms > view.hold_until_ms || end_ms > view.deadline_ms)
 }
--- a/tests/unit/leased.rs
+++ b/tests/unit/leased.rs
@@ -5,6 +5,7 @@
 mod fixtures;
 mod jobs;
 mod line;
+mod patience;
 mod placing;
 mod play;
 mod queues;
--- a/tests/unit/leased/placing.rs
+++ b/tests/unit/leased/placing.rs
@@ -13,6 +13,7 @@
     let candidate = |&(cpu_milli, is_near, rack): &(u32, bool, &str)| placing::Candidate {
         key: keys.insert(()),
         free: fixtures::cores(cpu_milli),
+        size_milli: 16_000,
         line_milli: [0; messages::CLASSES],
         line_taken_milli: 0,
         is_suspect: false,
--- a/tests/unit/leased/play/load.rs
+++ b/tests/unit/leased/play/load.rs
@@ -27,6 +27,8 @@
     pub job: job::Job,
     /// How long each of its tasks really runs, in milliseconds.
     pub run_ms: u64,
+    /// How long its caller has waited before, in milliseconds.
+    pub waited_ms: u64,
 }
 
 /// A queue of checks that goes before the reports.
@@ -87,10 +89,26 @@
             queue: queue.clone(),
             job: fixtures::job(id, tasks, 1_600, estimate_ms),
             run_ms,
+            waited_ms: 0,
         });
     }
 }
 
+/// A load, and in its second second all callers of a second before once more: their
+/// connections broke, and they come again 1.3 s after their first try.
+pub fn coming_again(load: f64) -> Vec<Arrival> {
+    let mut arrivals = offered(load);
+    let is_cut = |arrival: &&Arrival| (2_000..3_000).contains(&arrival.at_ms);
+    let again: Vec<_> = arrivals.iter().filter(is_cut).cloned().collect();
+    for (mut arrival, id) in again.into_iter().zip(1_000_000..) {
+        arrival.job.id = smol_str::format_smolstr!("{id:016x}");
+        arrival.waited_ms = 1_300;
+        arrivals.push(arrival);
+    }
+    arrivals.sort_by_key(|arrival| arrival.at_ms);
+    arrivals
+}
+
 /// A time up to so much longer or shorter.
 fn spread(rng: &mut ChaCha8Rng, mean_ms: u64, by: f64) -> u64 {
     let factor = 1.0 + rng.random_range(-by..by);
--- a/tests/unit/leased/urgency.rs
+++ b/tests/unit/leased/urgency.rs
@@ -8,6 +8,7 @@
         has_started: false,
         precedence: 0,
         due_ms: arrived_ms + objective_ms,
+        hold_until_ms: arrived_ms + objective_ms,
         deadline_ms: arrived_ms + 5_000,
         left_ms,
     }
