Let only urgent and begun jobs wait in a runner's line

A job with tasks in several lines is late as soon as one of them moves slowly, while room comes free elsewhere.

Ruled out: no line at all.

Change: jobs of the most urgent queue and what has begun wait at runners, all others at their entry.

--- a/src/leased/dispatch/urgency.rs
+++ b/src/leased/dispatch/urgency.rs
@@ -79,13 +79,17 @@
 const ESTIMATE_SHARE: u64 = 8;
 
 /// How a job's tasks may wait at a runner: until they can't be in time any more, or, if some
-/// have run, until nobody waits for them. A late job takes no place in a line.
+/// have run, until nobody waits for them.
+///
+/// Only what has begun and the most urgent queue's jobs wait there. Others stay at their entry,
+/// which can still send them wherever room comes free first: a job whose tasks stand in several
+/// lines is late as soon as one of them moves slowly.
 pub const fn wait(view: &View, now_ms: u64) -> messages::Wait {
     let Rank(class, latest_ms) = rank(view, now_ms);
     let last_ms = match class {
         BEGUN => view.deadline_ms.saturating_sub(view.left_ms),
-        LATE => 0,
-        _ => view.due_ms.saturating_sub(view.left_ms),
+        MOST_URGENT => view.due_ms.saturating_sub(view.left_ms),
+        _ => 0,
     };
     messages::Wait {
         most_ms: last_ms.saturating_sub(now_ms),
--- a/tests/unit/leased/urgency.rs
+++ b/tests/unit/leased/urgency.rs
@@ -76,3 +76,24 @@
     assert!(urgency::rank(&tight, 1_135) < urgency::rank(&ample, 1_135));
     assert!(urgency::rank(&ample, 1_136) < urgency::rank(&tight, 1_136));
 }
+
+/// A report's tasks wait in the lines of several runners while room comes free at others, and
+/// the slowest line makes it late. It stays at its entry, which sends it where room is; a check
+/// that comes first everywhere, and whatever has begun, wait where the room comes free.
+#[test]
+fn only_what_is_urgent_or_begun_waits_at_a_runner() {
+    let check = view(1_000, 60);
+    let report = urgency::View {
+        precedence: 1,
+        ..view(1_000, 200)
+    };
+    let begun = urgency::View {
+        has_started: true,
+        ..report
+    };
+
+    let most_ms = [check, report, begun].map(|view| urgency::wait(&view, 1_010).most_ms);
+
+    // Until its end is due, not at all, and until its caller is gone.
+    assert_eq!(most_ms, [86, 0, 4_790]);
+}
