--- a/measure/src/lib.rs
+++ b/measure/src/lib.rs
@@ -1,6 +1,7 @@
 //! Deterministic measurements over the pure decision modules: queues, slots and
 //! service times in a clock of their own, without network or processes.
 
+pub mod ceiling;
 pub mod pages;
 pub mod patterns;
 pub mod report;
--- a/src/leased/room/line.rs
+++ b/src/leased/room/line.rs
@@ -6,8 +6,8 @@
 //! room comes free, the one that must start soonest goes first whichever entry sent it, and
 //! it starts in the moment in which another ends.
 //!
-//! Only urgent runs join; see [`crate::leased::dispatch::urgency::wait`]. The line is short, so that nothing waits where it would be late while another runner has
-//! room. A run that is more urgent than what fills the line takes the place of the least
+//! Only urgent runs join; see [`crate::leased::dispatch::urgency::wait`]. The line is short, so
+//! that nothing waits where it would be late while another runner has room. A run that is more urgent than what fills the line takes the place of the least
 //! urgent one, which goes back to its entry unstarted. Otherwise long jobs that have time in
 //! hand fill every line, and the last task of a short one finds no place until it is late.
 
