--- a/standins/src/relay.rs
+++ b/standins/src/relay.rs
@@ -59,6 +59,11 @@
         /// Milliseconds.
         ms: u64,
     },
+    /// Each direction of each connection carries so much.
+    Pace {
+        /// Bytes a second; 0 counts as 1.
+        bytes_per_s: u64,
+    },
     /// Open connections are closed, and new ones as soon as they are there.
     Cut,
     /// Bytes and closings are swallowed and connections stay open.
@@ -81,7 +86,7 @@
         match self {
             Self::Silent { direction, new_too } => Some((direction, new_too)),
             Self::SilentExisting => Some((Direction::Both, false)),
-            Self::Pass | Self::Delay { .. } | Self::Cut => None,
+            Self::Pass | Self::Delay { .. } | Self::Pace { .. } | Self::Cut => None,
         }
     }
 
@@ -91,6 +96,17 @@
             _ => time::Duration::ZERO,
         }
     }
+
+    /// How long so many bytes occupy a connection.
+    fn occupied(self, bytes: usize) -> time::Duration {
+        match self {
+            Self::Pace { bytes_per_s } => {
+                time::Duration::from_secs(bytes as u64)
+                    / u32::try_from(bytes_per_s.max(1)).unwrap_or(u32::MAX)
+            }
+            _ => time::Duration::ZERO,
+        }
+    }
 }
 
 /// What the relay has seen so far.
@@ -362,6 +378,8 @@
     ) -> io::Result<()> {
         while let Some((due, bytes)) = rx.recv().await {
             tokio::time::sleep_until(due).await;
+            let occupied = lock(&self.shared).behaviour.occupied(bytes.len());
+            tokio::time::sleep(occupied).await;
             let silent = self.is_silent();
             lock(&self.shared).count(self.direction, silent, bytes.len());
             match (silent, bytes.is_empty()) {
