Receive a long answer of the store for as long as it keeps coming

A change that operators had confirmed was in force at an entry 7 to 36 s late, or never.

Cause: a read of the store had one time limit, 2.5 s, for its whole answer, and started from its beginning after it. Over a link that carries less than the answer in that time it never arrived, and its tries kept the link full.

There are limits for an answer's beginning and for the gap from each part to the next now, and none for the whole. What goes silent is noticed as soon as before. What entries ask each other for is received the same way.

--- a/src/leased/entry/learning.rs
+++ b/src/leased/entry/learning.rs
@@ -10,15 +10,19 @@
 use crate::leased::messages;
 use crate::leased::ports;
 use crate::outgoing;
+use crate::receiving;
 
-/// Longest wait for another entry's answer.
-const LIMIT: time::Duration = time::Duration::from_millis(500);
+/// How long another entry's answer is waited for; it grows with what operators configure.
+const LIMITS: receiving::Limits = receiving::Limits {
+    head: time::Duration::from_millis(500),
+    gap: time::Duration::from_millis(500),
+    bytes: outgoing::MAX_MESSAGE_BYTES,
+};
 
 /// Asks another entry for what it knows, and hands that to the control thread.
 pub async fn learn(from: SmolStr, control: &actix::Addr<entry::Control>) {
     let path = messages::KNOWN_PATH;
-    let asked: Result<messages::Known, _> =
-        outgoing::get(&outgoing::kept(), &from, path, LIMIT).await;
+    let asked: Result<messages::Known, _> = outgoing::fetch(&from, path, LIMITS).await;
     let known = match asked {
         Ok(known) => known,
         Err(e) => {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod progress;
 pub mod queue;
 pub mod ramp;
+pub mod receiving;
 pub mod retry;
 pub mod runner;
 pub mod settings;
--- a/src/outgoing.rs
+++ b/src/outgoing.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 use serde::de;
 
+use crate::receiving;
 use crate::wire;
 
 /// Largest message taken from another process, in bytes.
@@ -93,15 +94,31 @@
     exchange(request.no_decompress().send_body(body), limit).await
 }
 
-/// Fetches a message, all within `limit`.
-pub async fn get<R: de::DeserializeOwned>(
-    client: &awc::Client,
+/// Fetches a message that may be long, on a connection made for this call.
+pub async fn fetch<R: de::DeserializeOwned>(
     address: &str,
     path: &str,
-    limit: time::Duration,
+    limits: receiving::Limits,
 ) -> Result<R, CallError> {
-    let request = client.get(format!("http://{address}{path}"));
-    exchange(request.no_decompress().send(), limit).await
+    let request = client().get(format!("http://{address}{path}"));
+    Ok(wire::decode(
+        &receiving::receive(request.no_decompress().send(), limits).await?,
+    )?)
+}
+
+/// Posts a message and fetches an answer that may be long, on a connection made for this
+/// call.
+pub async fn post_and_fetch<M: Serialize, R: de::DeserializeOwned>(
+    address: &str,
+    path: &str,
+    message: &M,
+    limits: receiving::Limits,
+) -> Result<R, CallError> {
+    let body = wire::encode(message)?;
+    let request = client().post(format!("http://{address}{path}"));
+    let request = request.insert_header((http::header::CONTENT_TYPE, CONTENT_TYPE));
+    let sent = request.no_decompress().send_body(body);
+    Ok(wire::decode(&receiving::receive(sent, limits).await?)?)
 }
 
 async fn exchange<R: de::DeserializeOwned>(
@@ -136,6 +153,16 @@
     post(&client(), address, path, message, limit).await
 }
 
+impl From<receiving::ReceiveError> for CallError {
+    fn from(err: receiving::ReceiveError) -> Self {
+        match err {
+            receiving::ReceiveError::Failed(e) => classify(&e),
+            receiving::ReceiveError::Status(status) => Self::Refused(status.as_u16()),
+            other => Self::Lost(other.to_string()),
+        }
+    }
+}
+
 /// Only a connection that was never made means that nothing was sent.
 fn classify(err: &awc::error::SendRequestError) -> CallError {
     if is_unsent(err) {
