Receive long settings in the product's own daemon as they come, too

An entry behind a way of 14 KiB/s never had a settings file of 59 KB in force; in a folder of many files, the checkpoint that a new process starts from has them all.

Both are received for as long as they keep coming now, with limits for the beginning and for each gap. A read that fails says why in the log; it was swallowed before.

--- a/src/heartbeats.rs
+++ b/src/heartbeats.rs
@@ -8,6 +8,7 @@
 use crate::clock;
 use crate::membership::contacts;
 use crate::outgoing;
+use crate::receiving;
 use crate::settings;
 use crate::wire;
 
@@ -64,8 +65,12 @@
     });
 }
 
-/// Longest wait for settings from a peer.
-const FETCH_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+/// How long settings from a peer are waited for; they grow with what operators configure.
+const FETCH_LIMITS: receiving::Limits = receiving::Limits {
+    head: time::Duration::from_secs(1),
+    gap: time::Duration::from_secs(1),
+    bytes: outgoing::MAX_MESSAGE_BYTES,
+};
 
 /// Asks a peer for everything from a position of the settings stream on.
 pub fn fetch_settings(
@@ -80,7 +85,7 @@
             position,
         };
         let path = wire::SETTINGS_PATH;
-        match outgoing::post_afresh(&address, path, &query, FETCH_TIMEOUT).await {
+        match outgoing::post_and_fetch(&address, path, &query, FETCH_LIMITS).await {
             Ok(reply) => done.do_send(SettingsDone { address, reply }),
             Err(e) => log::debug!(event = "settings.fetch_failed", to = address.as_str(); "{e}"),
         }
--- a/src/streams.rs
+++ b/src/streams.rs
@@ -9,6 +9,7 @@
 use crate::clock;
 use crate::membership::announcements;
 use crate::outgoing;
+use crate::receiving;
 use crate::settings::reader;
 use crate::settings::record;
 use crate::wire;
@@ -21,7 +22,7 @@
 const PAUSE: time::Duration = time::Duration::from_millis(200);
 /// How long a read waits at the log for something new.
 const WAIT_MS: u64 = 1_000;
-/// How much longer than that an answer may take.
+/// How much longer than that an answer's beginning may take, and each next part of it.
 const GRACE: time::Duration = time::Duration::from_secs(2);
 /// Longest wait for the answer to an append.
 const APPEND_TIMEOUT: time::Duration = time::Duration::from_secs(3);
@@ -185,11 +186,11 @@
     pub max_bytes: usize,
     /// How long to wait at the log for something new, in milliseconds.
     pub wait_ms: u64,
-    /// How much longer than that the answer may take.
+    /// How much longer than that the answer's beginning may take, and each next part.
     pub grace: time::Duration,
 }
 
-/// Reads a stream once; none: there was no answer in time.
+/// Reads a stream once; none: there was no answer, or none that can be read.
 pub(crate) async fn read(
     client: &awc::Client,
     log: &str,
@@ -205,19 +206,25 @@
     } = query;
     let url =
         format!("http://{log}/v1/streams/{stream}/records?from={from}&max={max}&wait_ms={wait_ms}");
-    let limit = time::Duration::from_millis(wait_ms) + grace;
-    let exchange = async {
-        let mut response = client.get(url).send().await.ok()?;
-        if !response.status().is_success() {
+    let limits = receiving::Limits {
+        head: time::Duration::from_millis(wait_ms) + grace,
+        gap: grace,
+        bytes: max_bytes,
+    };
+    let body = match receiving::receive(client.get(url).send(), limits).await {
+        Ok(body) => body,
+        Err(e) => {
+            log::debug!(event = "log.unread", stream = stream, from = from; "{e}");
             return None;
         }
-        response
-            .json::<log_service::Page>()
-            .limit(max_bytes)
-            .await
-            .ok()
     };
-    tokio::time::timeout(limit, exchange).await.ok().flatten()
+    match serde_json::from_slice(&body) {
+        Ok(page) => Some(page),
+        Err(e) => {
+            log::warn!(event = "log.unreadable", stream = stream, from = from; "{e}");
+            None
+        }
+    }
 }
 
 /// Appends once; whether there was an answer that says so.
--- a/tests/failure/settings.rs
+++ b/tests/failure/settings.rs
@@ -6,6 +6,7 @@
 use bulrushtiller::api;
 use bulrushtiller::audit;
 use bulrushtiller::codes;
+use bulrushtiller_standins::relay;
 use bulrushtiller_standins::site;
 
 use crate::cuts;
@@ -313,3 +314,33 @@
         "it came as a record, not as a whole state"
     );
 }
+
+/// Guards against settings that never arrive because they take longer than a read may.
+#[test]
+fn settings_that_take_long_on_their_way_come_into_force() {
+    let mut rig = cuts::bare("");
+    let log = cuts::Relay::start(&rig, rig.log.address());
+    let links = site::Links {
+        log: log.address(),
+        entries: Vec::new(),
+    };
+    let entry = rig
+        .site
+        .entry(&site::Place::new("entry-0", "bento"), &links);
+    rig.entries.push(entry.expect("an entry starts"));
+    let bytes_per_s = 14 << 10;
+    let filler = "# what operators note beside a limit\n".repeat(1_600);
+    let way = time::Duration::from_secs(filler.len() as u64 / bytes_per_s);
+
+    log.set(&relay::Behaviour::Pace { bytes_per_s });
+    let began = time::Instant::now();
+    let revision = rig.put_settings("50-limits.toml", &(filler + &limit(3_333)));
+    watch::wait_for_revision(&watch::daemons(&rig), revision);
+    let took = began.elapsed();
+
+    assert!(took > way / 2, "the way carried more than it should");
+    assert!(
+        took < way + time::Duration::from_secs(5),
+        "it took {took:?}"
+    );
+}
