Do less for each call and each change however many queues there are

Entries of an eighth of a core pay for it.

- A call looked through all queues of its host; it looks up as many prefixes as there are lengths of them now.

--- a/src/leased/directives.rs
+++ b/src/leased/directives.rs
@@ -22,7 +22,7 @@
     /// The configuration's version, for logs; 0: there is none yet.
     pub version: u64,
     /// The queues.
-    pub queues: Vec<queues::Queue>,
+    pub queues: sync::Arc<[queues::Queue]>,
     /// Bounds on what callers send.
     pub bounds: queues::Bounds,
     /// Availability zones that operators have taken out of service.
--- a/src/leased/dispatch/mod.rs
+++ b/src/leased/dispatch/mod.rs
@@ -189,12 +189,16 @@
 
     /// The store, or another process, told what operators ask for; whether it was news.
     pub fn directed(&mut self, heard: directives::Directives) -> bool {
+        let before = sync::Arc::clone(self.directives.get());
         if !self.directives.advance(heard) {
             return false;
         }
         let current = self.directives.get();
-        self.queues = sync::Arc::new(queues::Queues::new(&current.queues, current.bounds));
-        self.patience.retain(&current.queues);
+        let is_same = sync::Arc::ptr_eq(&before.queues, &current.queues);
+        if !is_same || before.bounds != current.bounds {
+            self.queues = sync::Arc::new(queues::Queues::new(&current.queues, current.bounds));
+            self.patience.retain(&current.queues);
+        }
         true
     }
 
--- a/src/leased/queues.rs
+++ b/src/leased/queues.rs
@@ -54,7 +54,7 @@
 /// All queues of one configuration, ready for looking up.
 #[derive(Clone, Debug, Default)]
 pub struct Queues {
-    by_host: collections::HashMap<SmolStr, Vec<Queue>>,
+    by_host: collections::HashMap<SmolStr, Prefixes>,
     /// The priorities of each service's queues.
     priorities: collections::HashMap<SmolStr, collections::BTreeSet<u32>>,
     /// Bounds on what a caller sends.
@@ -64,22 +64,19 @@
 impl Queues {
     /// Sorts the queues for looking up.
     pub fn new(queues: &[Queue], bounds: Bounds) -> Self {
-        let mut by_host: collections::HashMap<SmolStr, Vec<Queue>> = collections::HashMap::new();
+        let mut by_host: collections::HashMap<SmolStr, Prefixes> = collections::HashMap::new();
         let mut priorities: collections::HashMap<SmolStr, collections::BTreeSet<u32>> =
             collections::HashMap::new();
         for queue in queues {
             by_host
                 .entry(queue.host.clone())
                 .or_default()
-                .push(queue.clone());
+                .add(queue.clone());
             priorities
                 .entry(queue.service.clone())
                 .or_default()
                 .insert(queue.priority);
         }
-        for queues in by_host.values_mut() {
-            queues.sort_by_key(|queue| std::cmp::Reverse(queue.prefix.len()));
-        }
         Self {
             by_host,
             priorities,
@@ -100,10 +97,29 @@
 
     /// The queue with the longest prefix of the path, and the rest of the path.
     pub fn find<'a>(&self, host: &str, path: &'a str) -> Option<(&Queue, &'a str)> {
-        let queues = self.by_host.get(host)?;
-        let found = queues
-            .iter()
-            .find(|queue| path.starts_with(queue.prefix.as_str()))?;
-        Some((found, &path[found.prefix.len()..]))
+        self.by_host.get(host)?.find(path)
+    }
+}
+
+/// The queues of one host. Looking one up takes as long as there are lengths of prefixes,
+/// however many queues there are.
+#[derive(Clone, Debug, Default)]
+struct Prefixes {
+    by_prefix: collections::HashMap<SmolStr, Queue>,
+    lengths: collections::BTreeSet<usize>,
+}
+
+impl Prefixes {
+    /// Adds a queue; of two with the same prefix the first one counts.
+    fn add(&mut self, queue: Queue) {
+        self.lengths.insert(queue.prefix.len());
+        self.by_prefix.entry(queue.prefix.clone()).or_insert(queue);
+    }
+
+    fn find<'a>(&self, path: &'a str) -> Option<(&Queue, &'a str)> {
+        self.lengths.iter().rev().find_map(|&length| {
+            let (prefix, rest) = path.split_at_checked(length)?;
+            Some((self.by_prefix.get(prefix)?, rest))
+        })
     }
 }
--- a/tests/unit/leased/fixtures.rs
+++ b/tests/unit/leased/fixtures.rs
@@ -50,7 +50,7 @@
     directives::Directives {
         position,
         version: position,
-        queues: vec![queue()],
+        queues: [queue()].into(),
         ..directives::Directives::default()
     }
 }
--- a/tests/unit/leased/play/world.rs
+++ b/tests/unit/leased/play/world.rs
@@ -414,7 +414,7 @@
     let me = ids::Incarnation(number);
     let mut dispatcher = dispatch::Dispatcher::new(me, "bento".into());
     let mut directives = fixtures::directives(3);
-    directives.queues = vec![load::checks(), load::reports()];
+    directives.queues = [load::checks(), load::reports()].into();
     dispatcher.directed(directives);
     Entry {
         me,
--- a/tests/unit/leased/queues.rs
+++ b/tests/unit/leased/queues.rs
@@ -40,3 +40,31 @@
     let asked = queue("x", service, priority);
     assert_eq!(queues.precedence(&asked), before);
 }
+
+/// Guards against a lookup that takes a queue whose prefix is shorter, or none.
+#[rstest]
+#[case::longest("/a/b/77", Some(("inner", "77")))]
+#[case::shorter("/a/x", Some(("outer", "x")))]
+#[case::whole_prefix("/a/b/", Some(("inner", "")))]
+#[case::too_short("/a", None)]
+#[case::not_cut_within_a_character("/a/é", Some(("outer", "é")))]
+fn a_path_is_found_by_its_longest_prefix(
+    #[case] path: &str,
+    #[case] expected: Option<(&str, &str)>,
+) {
+    let named = |name: &str, prefix: &str| queues::Queue {
+        prefix: prefix.into(),
+        ..queue(name, "taipa", 0)
+    };
+    let all = [
+        named("outer", "/a/"),
+        named("inner", "/a/b/"),
+        named("again", "/a/b/"),
+    ];
+    let queues = queues::Queues::new(&all, queues::Bounds::default());
+
+    let found = queues.find("school.example", path);
+
+    let found = found.map(|(queue, rest)| (queue.name.as_str(), rest));
+    assert_eq!(found, expected);
+}
