--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -9,6 +9,9 @@
 use base64::Engine as _;
 use serde::Deserialize;
 
+/// Most bytes of a read.
+const MAX_PAGE_BYTES: usize = 1 << 20;
+
 /// How often a waiting read looks for something new.
 const LOOK: time::Duration = time::Duration::from_millis(5);
 
@@ -115,6 +118,9 @@
     let mut body = (records.len() as u64).to_be_bytes().to_vec();
     body.extend_from_slice(&0_u64.to_be_bytes());
     for record in records.iter().skip(query.from) {
+        if body.len() + record.len() > MAX_PAGE_BYTES {
+            break;
+        }
         let length = u32::try_from(record.len()).unwrap_or(u32::MAX);
         body.extend_from_slice(&length.to_be_bytes());
         body.extend_from_slice(record);
