Call no queue unknown while a later configuration is on its way

A caller of a queue that operators had just added was told 404, no such queue, by an entry that had been told of a later configuration and had not got it yet. That is not true, and the caller does not come back.

Such an entry answers 503 with when to come back until it has the configuration; nothing of the call has run. Whoever has the latest configuration still answers 404.

--- a/src/leased/entry.rs
+++ b/src/leased/entry.rs
@@ -39,10 +39,23 @@
 pub struct View {
     /// The queues; absent: no configuration was heard yet.
     pub queues: Option<sync::Arc<queues::Queues>>,
+    /// Whether there is a later configuration, which is not here yet.
+    pub is_lacking: bool,
     /// Whether the balancer should send new callers.
     pub is_ready: bool,
 }
 
+impl View {
+    fn is_same(&self, other: &Self) -> bool {
+        let are_same = match (&self.queues, &other.queues) {
+            (Some(held), Some(new)) => sync::Arc::ptr_eq(held, new),
+            (None, None) => true,
+            _ => false,
+        };
+        are_same && self.is_lacking == other.is_lacking && self.is_ready == other.is_ready
+    }
+}
+
 /// What the control thread is made of.
 #[derive(Debug)]
 pub struct Parts {
@@ -117,26 +130,26 @@
 
     /// Shows the threads that serve callers what has changed.
     fn show(&self) {
-        let is_configured = self.dispatcher.directives().get().is_configured();
-        let queues = is_configured.then(|| sync::Arc::clone(self.dispatcher.queues()));
-        let is_ready = is_configured && self.leaving_ms.is_none();
-        let is_same = |view: &View| {
-            let are_same = match (&view.queues, &queues) {
-                (Some(held), Some(new)) => sync::Arc::ptr_eq(held, new),
-                (None, None) => true,
-                _ => false,
-            };
-            are_same && view.is_ready == is_ready
-        };
-        if self.parts.view.read().is_ok_and(|view| is_same(&view)) {
+        let new = self.view();
+        if self.parts.view.read().is_ok_and(|held| held.is_same(&new)) {
             return;
         }
         match self.parts.view.write() {
-            Ok(mut view) => *view = View { queues, is_ready },
+            Ok(mut held) => *held = new,
             Err(e) => log::error!(event = "view.poisoned"; "{e}"),
         }
     }
 
+    fn view(&self) -> View {
+        let directives = self.dispatcher.directives();
+        let is_configured = directives.get().is_configured();
+        View {
+            queues: is_configured.then(|| sync::Arc::clone(self.dispatcher.queues())),
+            is_lacking: directives.is_lacking(),
+            is_ready: is_configured && self.leaving_ms.is_none(),
+        }
+    }
+
     fn answer(&mut self, waiter: jobs::Waiter, outcome: dispatch::Outcome) {
         let Some(tx) = self.answers.remove(&waiter) else {
             return;
