Read long answers as they come in the operators' tool, too

Over a way of 12 KiB/s an operator could neither show nor change a settings file of 59 KB: "the log service is not available", after 3 s, each time.

The limit holds until an answer begins and from each part of it to the next. The reading is the one that the processes use (receiving.rs).

--- a/src/client/http.rs
+++ b/src/client/http.rs
@@ -11,6 +11,7 @@
 
 use crate::api;
 use crate::codes;
+use crate::receiving;
 use crate::wire;
 
 /// Longest wait for a connection.
@@ -154,7 +155,7 @@
     pub token: Option<&'a str>,
     /// What is sent.
     pub body: Body,
-    /// Longest time until the whole answer is there.
+    /// Longest time until an answer begins, and from each part of it to the next.
     pub timeout: time::Duration,
 }
 
@@ -217,24 +218,13 @@
 
     /// Calls once.
     ///
-    /// The time limit covers connecting, sending and reading, so that a connection
-    /// that has gone silent ends as [`ClientError::Lost`]; its connection is closed
-    /// then and the next call opens a fresh one.
+    /// A connection that has gone silent ends as [`ClientError::Lost`]; its connection
+    /// is closed then and the next call opens a fresh one. A long answer is read for as
+    /// long as it keeps coming.
     pub async fn call(&self, call: Call<'_>) -> Result<Reply, ClientError> {
-        let address = SmolStr::new(call.address);
-        let timeout = call.timeout;
-        match rt_time::timeout(timeout, self.exchange(call)).await {
-            Ok(result) => result,
-            Err(_elapsed) => {
-                let why = format_smolstr!("nothing within {} ms", timeout.as_millis());
-                Err(ClientError::Lost(address, why))
-            }
-        }
-    }
-
-    async fn exchange(&self, call: Call<'_>) -> Result<Reply, ClientError> {
         let address = SmolStr::new(call.address);
         let lost = |why: String| ClientError::Lost(address.clone(), SmolStr::from(why));
+        let timeout = call.timeout;
         let url = format!("http://{}{}", call.address, call.path);
         let mut req = self.client.request(call.method, url);
         if let Some(token) = call.token {
@@ -244,12 +234,20 @@
         if !content_type.is_empty() {
             req = req.content_type(content_type);
         }
-        let sent = req.send_body(bytes).await;
-        let mut resp = sent.map_err(|err| send_error(&address, &err))?;
-        let body = resp.body().limit(MAX_ANSWER_BYTES).await;
+        let sent = rt_time::timeout(timeout, req.send_body(bytes)).await;
+        let sent =
+            sent.map_err(|_elapsed| lost(format!("nothing within {} ms", timeout.as_millis())))?;
+        let resp = sent.map_err(|err| send_error(&address, &err))?;
+        let status = resp.status().as_u16();
+        let limits = receiving::Limits {
+            head: timeout,
+            gap: timeout,
+            bytes: MAX_ANSWER_BYTES,
+        };
+        let body = receiving::read_body(resp, limits).await;
         Ok(Reply {
-            status: resp.status().as_u16(),
-            body: body.map_err(|err| lost(err.to_string()))?,
+            status,
+            body: body.map_err(|err| lost(err.to_string()))?.into(),
             address,
         })
     }
--- a/src/receiving.rs
+++ b/src/receiving.rs
@@ -2,7 +2,9 @@
 
 use std::time;
 
+use actix_web::error;
 use actix_web::http;
+use actix_web::web;
 use futures_util::StreamExt as _;
 
 /// How long to wait for an answer.
@@ -58,13 +60,21 @@
 ) -> Result<Vec<u8>, ReceiveError> {
     let begun = tokio::time::timeout(limits.head, sent).await;
     let begun = begun.map_err(|_elapsed| ReceiveError::Silent(limits.head))?;
-    let mut response = begun.map_err(ReceiveError::Failed)?;
+    let response = begun.map_err(ReceiveError::Failed)?;
     if !response.status().is_success() {
         return Err(ReceiveError::Status(response.status()));
     }
+    read_body(response, limits).await
+}
+
+/// Reads the body of an answer that has begun.
+pub async fn read_body<S>(mut parts: S, limits: Limits) -> Result<Vec<u8>, ReceiveError>
+where
+    S: futures_util::Stream<Item = Result<web::Bytes, error::PayloadError>> + Unpin,
+{
     let mut body = Vec::new();
     loop {
-        let part = tokio::time::timeout(limits.gap, response.next()).await;
+        let part = tokio::time::timeout(limits.gap, parts.next()).await;
         let part = part.map_err(|_elapsed| ReceiveError::Stalled(body.len(), limits.gap))?;
         let Some(part) = part else {
             return Ok(body);
--- a/tests/cli/test_config_change.rs
+++ b/tests/cli/test_config_change.rs
@@ -1,6 +1,9 @@
 //! `config put|remove|sync|show|diff` against a log.
 
+use std::net;
+
 use bulrushtiller_standins::log_service;
+use bulrushtiller_standins::relay;
 
 use super::fake_log;
 use super::workdir;
@@ -196,3 +199,23 @@
     assert_eq!(run.status, 6, "{run:?}");
     assert!(run.stdout.contains("508"), "{run:?}");
 }
+
+/// Guards against an operator who can change nothing over a way that carries little.
+#[actix_rt::test]
+async fn settings_that_take_long_on_their_way_are_read() {
+    let bench = Bench::start();
+    let noted = "# what operators note beside a limit\n".repeat(1_600) + GOOD;
+    bench.dir.create("good.toml", &noted);
+    bench.config(&["put", "good.toml"]).await;
+    let near = net::SocketAddr::from(([127, 0, 0, 1], 0));
+    let relay = relay::Relay::start(near, bench.log.address()).await;
+    let relay = relay.expect("a relay");
+    let bytes_per_s = 12 << 10;
+    relay.set(relay::Behaviour::Pace { bytes_per_s });
+
+    let address = relay.address().to_string();
+    let show = ["config", "show", "--file", "good.toml", "--log", &address];
+    let show = bench.dir.run_beside(&show).await;
+
+    assert_eq!((show.status, show.stdout), (0, noted), "{}", show.stderr);
+}
