Watch a bounded set of runners, and others only where room is short

With 55 entries and 240 runners an entry of 0.12 of a core spends more on runners than on callers: it keeps a watch open at each, 690 to 1,600 a second at 0.13 ms, and each runner answers every entry.

An entry watches the runners that hold its runs, and a set of 24 that take work: the first in an order of its own, by rendezvous hashing, five of its own availability zone for each one of another. Whoever is gone or doesn't take work doesn't count, so the next ones are watched within 300 ms. Where few of them have room left, six others are asked, with pauses that double while that brings nothing; whoever has room stays watched while it is used, and for half a second. A site of up to 24 runners has what it had.

What goes with it: - A runner numbers ends on for an entry that it had forgotten. Numbered from 1 again, they were passed over and the runs taken for lost. - A runner that the store lists stays known however long it is silent, and one that isn't listed any more is forgotten after a minute (two findings by reading). - Runners write their availability zone and service into the topic of members, and each record there is decoded once, not at each change of the topic. - `watch_set` is a setting, so that the soak plays entries that watch one runner in any case: watches open and close all the time there.

--- a/src/leased/dispatch/ending.rs
+++ b/src/leased/dispatch/ending.rs
@@ -4,9 +4,8 @@
 use crate::leased::dispatch::jobs;
 use crate::leased::dispatch::urgency;
 
-/// Silence after which a runner without runs is forgotten unless the store still lists
-/// it, in milliseconds.
-const FORGET_RUNNER_MS: u64 = 60_000;
+/// How often silent runners are looked for, in milliseconds.
+const SWEEP_MS: u64 = 1_000;
 
 /// Shortest time after which a refused caller is asked to come back, in milliseconds.
 const MIN_RETRY_MS: u64 = 1_000;
@@ -15,17 +14,18 @@
     /// Time passes.
     pub fn tick(&mut self, now_ms: u64) -> Vec<dispatch::Action> {
         let mut actions = Vec::new();
-        for key in self.runners.keys().collect::<Vec<_>>() {
+        // A runner with runs is always watched.
+        for key in self.watches.open().to_vec() {
             let over = self.runners[key].lapse(now_ms);
             for over in over {
                 actions.extend(self.take_end(now_ms, &over));
             }
         }
-        self.runners.retain(|_, runner| {
-            runner.silence_ms(now_ms) < FORGET_RUNNER_MS || runner.placed() > 0
-        });
-        let runners = &self.runners;
-        self.health.retain(|key| runners.contains_key(key));
+        if now_ms >= self.swept_ms + SWEEP_MS {
+            self.swept_ms = now_ms;
+            self.forget_runners(now_ms);
+        }
+        actions.extend(self.keep_watches(now_ms));
         actions.extend(self.judge_running(now_ms));
         actions.extend(self.end_overdue(now_ms));
         actions.extend(self.fill(now_ms));
@@ -77,11 +77,10 @@
     /// How long the work that waits takes on the runners that are in sight, in milliseconds.
     fn drain_ms(&self, now_ms: u64) -> u64 {
         let usable = self
-            .runners
-            .values()
-            .filter(|runner| runner.is_usable(now_ms));
+            .watched_runners()
+            .filter(|(_, runner)| runner.is_usable(now_ms));
         let cpu: u64 = usable
-            .map(|runner| u64::from(runner.load.size.cpu_milli))
+            .map(|(_, runner)| u64::from(runner.load.size.cpu_milli))
             .sum();
         let waiting = self.waiting.iter().filter_map(|key| self.jobs.get(*key));
         let work: u64 = waiting.map(|open| open.job.work()).sum();
--- a/src/leased/dispatch/filling.rs
+++ b/src/leased/dispatch/filling.rs
@@ -11,8 +11,37 @@
 use crate::leased::dispatch::placing;
 use crate::leased::dispatch::runners;
 use crate::leased::dispatch::urgency;
+use crate::leased::dispatch::watching;
 use crate::leased::messages;
 
+/// The room of one service while waiting jobs are placed.
+struct Room {
+    candidates: Vec<placing::Candidate>,
+    /// Thousandths of a core of the largest task that was asked for.
+    largest_milli: u32,
+    has_waiting: bool,
+}
+
+impl Room {
+    const fn of(candidates: Vec<placing::Candidate>) -> Self {
+        Self {
+            candidates,
+            largest_milli: 0,
+            has_waiting: false,
+        }
+    }
+
+    fn left(&self) -> watching::Left {
+        let has_room = |candidate: &&placing::Candidate| {
+            candidate.places > 0 && candidate.free.cpu_milli >= self.largest_milli
+        };
+        watching::Left {
+            with_room: self.candidates.iter().filter(has_room).count(),
+            has_waiting: self.has_waiting,
+        }
+    }
+}
+
 /// Runs to be ordered, by runner.
 type Starts = collections::HashMap<runners::RunnerKey, Vec<runners::Planned>>;
 
@@ -30,15 +59,15 @@
         });
         line.sort_by_cached_key(|key| urgency::rank(&dispatch::view(&self.jobs[*key]), now_ms));
         let mut starts = Starts::new();
-        let mut candidates: collections::HashMap<SmolStr, Vec<placing::Candidate>> =
-            collections::HashMap::new();
+        let mut rooms: collections::HashMap<SmolStr, Room> = collections::HashMap::new();
         for key in line {
             let service = self.jobs[key].service.clone();
-            let candidates = candidates
+            let room = rooms
                 .entry(service.clone())
-                .or_insert_with(|| self.candidates(now_ms, &service));
-            let is_all = self.place(now_ms, key, candidates, &mut starts);
+                .or_insert_with(|| Room::of(self.candidates(now_ms, &service)));
+            let is_all = self.place(now_ms, key, room, &mut starts);
             if !is_all {
+                room.has_waiting = true;
                 self.waiting.push(key);
             }
         }
@@ -46,6 +75,9 @@
         for (runner, starts) in starts {
             actions.extend(self.order(now_ms, runner, starts, Vec::new()));
         }
+        for (service, room) in rooms {
+            actions.extend(self.seek_room(now_ms, &service, room.left()));
+        }
         actions
     }
 
@@ -55,7 +87,9 @@
             let load = &runner.load;
             runner.is_usable(now_ms) && load.service == service && !directives.is_out(&load.zone)
         };
-        let usable = self.runners.iter().filter(|(_, runner)| may_take(runner));
+        let usable = self
+            .watched_runners()
+            .filter(|(_, runner)| may_take(runner));
         let candidates = usable.map(|(key, runner)| {
             let allowance = self.health.allowance(now_ms, key);
             let most = allowance.most.unwrap_or(u32::MAX);
@@ -81,16 +115,18 @@
         &mut self,
         now_ms: u64,
         key: jobs::JobKey,
-        candidates: &mut [placing::Candidate],
+        room: &mut Room,
         starts: &mut Starts,
     ) -> bool {
         let open = &mut self.jobs[key];
         let wait = urgency::wait(&dispatch::view(open), now_ms);
         let asks: Vec<_> = open.ready().map(|at| ask(open, at, wait)).collect();
+        let largest_milli = asks.iter().map(|ask| ask.need.cpu_milli).max();
+        room.largest_milli = room.largest_milli.max(largest_milli.unwrap_or(0));
         let placed = if urgency::begins_whole(wait.class) {
-            placing::place_all(&asks, candidates)
+            placing::place_all(&asks, &mut room.candidates)
         } else {
-            placing::place(&asks, candidates)
+            placing::place(&asks, &mut room.candidates)
         };
         let is_all = placed.len() == asks.len();
         for target in placed {
--- a/src/leased/dispatch/judging.rs
+++ b/src/leased/dispatch/judging.rs
@@ -51,7 +51,7 @@
         }
         self.looked_ms = now_ms;
         let mut late = Vec::new();
-        for (key, runner) in &self.runners {
+        for (key, runner) in self.watched_runners() {
             for (_, placed) in runner.placed_runs() {
                 let age_ms = now_ms.saturating_sub(placed.ordered_ms + WAY_MS);
                 let is_late = !placed.waits && age_ms > placed.expected_ms;
@@ -73,14 +73,14 @@
 
     /// Takes a runner out for a while, unless too many are, and moves what hangs there.
     fn eject(&mut self, now_ms: u64, key: runners::RunnerKey) -> Vec<dispatch::Action> {
-        let (_, usable) = self.runners(now_ms);
+        let usable = self.usable(now_ms);
         if !self.health.eject(now_ms, key, usable, &self.policy) {
             return Vec::new();
         }
         let Some(runner) = self.runners.get(key) else {
             return Vec::new();
         };
-        log::warn!(event = "runner.ejected", runner = runner.address.as_str(), usable = usable, runs = runner.placed(); "its tasks fail, hang or are slow");
+        log::warn!(event = "runner.ejected", runner = runner.address().as_str(), usable = usable, runs = runner.placed(); "its tasks fail, hang or are slow");
         let is_hanging = |placed: &runners::Placed| {
             !placed.waits
                 && now_ms.saturating_sub(placed.ordered_ms) > MOVE_FACTOR * placed.expected_ms
--- a/src/leased/dispatch/mod.rs
+++ b/src/leased/dispatch/mod.rs
@@ -9,6 +9,7 @@
 pub mod placing;
 pub mod runners;
 pub mod urgency;
+pub mod watching;
 
 use std::collections;
 use std::sync;
@@ -101,6 +102,8 @@
     catching_up: catching_up::CatchingUp,
     queues: sync::Arc<queues::Queues>,
     runners: SlotMap<runners::RunnerKey, runners::Runner>,
+    by_address: collections::HashMap<SmolStr, runners::RunnerKey>,
+    watches: watching::Watches,
     jobs: SlotMap<jobs::JobKey, jobs::Open>,
     by_id: collections::HashMap<SmolStr, jobs::JobKey>,
     waiting: Vec<jobs::JobKey>,
@@ -108,6 +111,7 @@
     patience: patience::Patience,
     policy: settings::Policy,
     looked_ms: u64,
+    swept_ms: u64,
     counts: Counts,
 }
 
@@ -121,6 +125,8 @@
             catching_up: catching_up::CatchingUp::default(),
             queues: sync::Arc::default(),
             runners: SlotMap::with_key(),
+            by_address: collections::HashMap::new(),
+            watches: watching::Watches::default(),
             jobs: SlotMap::with_key(),
             by_id: collections::HashMap::new(),
             waiting: Vec::new(),
@@ -128,10 +134,18 @@
             patience: patience::Patience::default(),
             policy: settings::Policy::default(),
             looked_ms: 0,
+            swept_ms: 0,
             counts: Counts::default(),
         }
     }
 
+    /// The same entry, with so many runners of each service that it watches in any case.
+    #[must_use]
+    pub const fn with_watch_set(mut self, size: usize) -> Self {
+        self.watches.size = size;
+        self
+    }
+
     /// Counts for the metrics.
     pub const fn counts(&self) -> Counts {
         self.counts
@@ -147,21 +161,32 @@
         self.waiting.len()
     }
 
-    /// Runners, and how many of them take work.
-    pub fn runners(&self, now_ms: u64) -> (usize, usize) {
-        let usable = self
-            .runners
-            .values()
-            .filter(|runner| runner.is_usable(now_ms));
-        (self.runners.len(), usable.count())
+    /// How many runners are known.
+    pub fn runners(&self) -> usize {
+        self.runners.len()
+    }
+
+    /// How many runners are watched.
+    pub fn watched(&self) -> usize {
+        self.watches.open().len()
+    }
+
+    /// How many of the watched runners take work.
+    pub fn usable(&self, now_ms: u64) -> usize {
+        let watched = self.watched_runners();
+        watched
+            .filter(|(_, runner)| runner.is_usable(now_ms))
+            .count()
+    }
+
+    fn watched_runners(&self) -> impl Iterator<Item = (runners::RunnerKey, &runners::Runner)> {
+        let open = self.watches.open().iter();
+        open.map(|key| (*key, &self.runners[*key]))
     }
 
     /// Addresses of all runners, for another entry.
     pub fn addresses(&self) -> Vec<SmolStr> {
-        self.runners
-            .values()
-            .map(|runner| runner.address.clone())
-            .collect()
+        self.by_address.keys().cloned().collect()
     }
 
     /// The directives in force.
@@ -215,24 +240,6 @@
         Some(Action::Learn(holder))
     }
 
-    /// Runners that the store lists.
-    pub fn found(&mut self, now_ms: u64, addresses: &[SmolStr]) -> Vec<Action> {
-        let mut actions = Vec::new();
-        for address in addresses {
-            if self
-                .runners
-                .values()
-                .any(|runner| runner.address == *address)
-            {
-                continue;
-            }
-            log::info!(event = "runner.found", address = address.as_str(); "found");
-            let runner = runners::Runner::new(self.me, address.clone(), now_ms);
-            actions.push(Action::Watch(self.runners.insert(runner)));
-        }
-        actions
-    }
-
     /// A caller hands a job in; `timeout_ms` is how long it waits at most, if it says so.
     pub fn submit(
         &mut self,
@@ -301,7 +308,7 @@
             return Vec::new();
         };
         for (id, why) in &reply.refused {
-            log::info!(event = "order.refused", job = id.job.as_str(), run:% = id, runner = runner.address.as_str(), why:? = why, free_milli = reply.load.size.minus(&reply.load.used).cpu_milli; "not taken in");
+            log::info!(event = "order.refused", job = id.job.as_str(), run:% = id, runner = runner.address().as_str(), why:? = why, free_milli = reply.load.size.minus(&reply.load.used).cpu_milli; "not taken in");
         }
         let over = runner.ordered(now_ms, order, reply);
         self.take_over(now_ms, key, over)
@@ -318,7 +325,7 @@
         let Some(runner) = self.runners.get_mut(key) else {
             return Vec::new();
         };
-        log::warn!(event = "order.lost", runner = runner.address.as_str(), number = order.number, runs = order.starts.len(), unsent = is_unsent; "no answer");
+        log::warn!(event = "order.lost", runner = runner.address().as_str(), number = order.number, runs = order.starts.len(), unsent = is_unsent; "no answer");
         if !is_unsent {
             return Vec::new();
         }
@@ -326,12 +333,15 @@
         self.take_over(now_ms, key, over)
     }
 
-    /// The next watch for a runner; none: it is forgotten.
+    /// The next watch for a runner; none: it is closed, or the runner is forgotten.
     pub fn next_watch(
         &mut self,
         now_ms: u64,
         key: runners::RunnerKey,
     ) -> Option<(SmolStr, messages::Watch)> {
+        if self.close_idle_watch(now_ms, key) {
+            return None;
+        }
         let wants_room = !self.waiting.is_empty();
         let runner = self.runners.get_mut(key)?;
         let jobs = &self.jobs;
@@ -350,7 +360,7 @@
         watch.directives_position = latest.get().position;
         watch.configuration = self.directives.get().version;
         watch.notice = latest.news_since(runner.directives_position);
-        Some((runner.address.clone(), watch))
+        Some((runner.address().clone(), watch))
     }
 
     /// A watch was answered.
@@ -370,8 +380,9 @@
         let holder = report.holder.take();
         let over = runner.reported(now_ms, report);
         if was_usable != runner.is_usable(now_ms) {
-            log::info!(event = "runner.changed", runner = runner.address.as_str(), readiness:? = runner.load.readiness, zone = runner.load.zone.as_str(), silence_ms = silence_ms; "heard");
+            log::info!(event = "runner.changed", runner = runner.address().as_str(), readiness:? = runner.load.readiness, zone = runner.load.zone.as_str(), silence_ms = silence_ms; "heard");
         }
+        self.note_whereabouts(key);
         if let Some(notice) = notice {
             self.directives.hear(&notice);
         }
@@ -486,9 +497,12 @@
         starts: Vec<runners::Planned>,
         stops: Vec<messages::RunId>,
     ) -> Option<Action> {
+        if !starts.is_empty() {
+            self.note_use(now_ms, key);
+        }
         let runner = self.runners.get_mut(key)?;
         let order = runner.order(now_ms, self.me, starts, stops)?;
-        Some(Action::Order(key, runner.address.clone(), order))
+        Some(Action::Order(key, runner.address().clone(), order))
     }
 }
 
--- a/src/leased/dispatch/runners.rs
+++ b/src/leased/dispatch/runners.rs
@@ -10,7 +10,9 @@
 use crate::health;
 use crate::ids;
 use crate::leased::dispatch::jobs;
+use crate::leased::dispatch::watching;
 use crate::leased::messages;
+use crate::leased::ports;
 use crate::leased::room;
 use crate::leased::room::line;
 use crate::wire;
@@ -29,6 +31,9 @@
 /// the entry's last sign of life allows, 2 % more for a slow clock, a stop, and a way.
 pub const GONE_MS: u64 = room::OWNER_LEASE_MS + room::OWNER_LEASE_MS / 50 + 100;
 
+/// Silence after which a runner that the store doesn't list is forgotten, in milliseconds.
+const FORGET_MS: u64 = 60_000;
+
 /// An order of runners that differs from entry to entry, so that entries with the same view
 /// don't all pick the same runner.
 fn preference(entry: ids::Incarnation, address: &str) -> u64 {
@@ -96,11 +101,27 @@
     pub ran_ms: u64,
 }
 
+/// What the store says of a runner.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Listing {
+    /// Nothing since it was added: another entry told of it.
+    #[default]
+    Untold,
+    /// It is listed.
+    Listed,
+    /// Others are listed, and it isn't.
+    Unlisted,
+}
+
 /// A runner.
 #[derive(Clone, Debug)]
 pub struct Runner {
-    /// Where it answers.
-    pub address: SmolStr,
+    /// Where it is, as it says itself, or else as it is listed.
+    pub member: ports::Member,
+    /// What the store says of it.
+    pub listing: Listing,
+    /// Whether and why it is watched.
+    pub watch: watching::Watch,
     /// Its place in the order in which the entry looks for room.
     pub preference: u64,
     /// What it last said of its room.
@@ -120,10 +141,12 @@
 
 impl Runner {
     /// A runner that was found and not heard yet.
-    pub fn new(entry: ids::Incarnation, address: SmolStr, now_ms: u64) -> Self {
+    pub fn new(entry: ids::Incarnation, member: ports::Member, now_ms: u64) -> Self {
         Self {
-            preference: preference(entry, &address),
-            address,
+            preference: preference(entry, &member.address),
+            member,
+            listing: Listing::default(),
+            watch: watching::Watch::default(),
             load: messages::Load::default(),
             directives_position: 0,
             life: None,
@@ -148,6 +171,35 @@
         now_ms.saturating_sub(self.heard_ms.unwrap_or(self.added_ms))
     }
 
+    /// Where it answers.
+    pub const fn address(&self) -> &SmolStr {
+        &self.member.address
+    }
+
+    /// Whether anything was ever heard of it.
+    pub const fn was_heard(&self) -> bool {
+        self.heard_ms.is_some()
+    }
+
+    /// Whether anything was heard of it since.
+    pub fn was_heard_since(&self, since_ms: u64) -> bool {
+        self.heard_ms.is_some_and(|heard_ms| heard_ms >= since_ms)
+    }
+
+    /// Whether it isn't worth knowing any more: in use nowhere, and silent for long.
+    ///
+    /// Silence says something of a runner that nobody else tells of only while it is asked.
+    pub fn is_forgotten(&self, now_ms: u64) -> bool {
+        let is_silent = self.silence_ms(now_ms) >= FORGET_MS;
+        let since_ms = self.watch.since_ms.unwrap_or(now_ms);
+        let may_go = match self.listing {
+            Listing::Listed => false,
+            Listing::Unlisted => true,
+            Listing::Untold => now_ms >= since_ms + FORGET_MS,
+        };
+        may_go && is_silent && self.placed.is_empty()
+    }
+
     /// How many runs of this entry are there, or may be.
     pub fn placed(&self) -> usize {
         self.placed.len()
--- a/src/leased/entry.rs
+++ b/src/leased/entry.rs
@@ -75,6 +75,8 @@
     pub traffic: sync::Arc<traffic::Traffic>,
     /// Longest time for a graceful stop.
     pub grace: time::Duration,
+    /// Runners of a service that take work and are watched in any case.
+    pub watch_set: usize,
 }
 
 /// The control thread's state.
@@ -93,7 +95,8 @@
     /// An entry that has heard nothing yet.
     pub fn new(parts: Parts) -> Self {
         Self {
-            dispatcher: dispatch::Dispatcher::new(parts.me, parts.zone.clone()),
+            dispatcher: dispatch::Dispatcher::new(parts.me, parts.zone.clone())
+                .with_watch_set(parts.watch_set),
             parts,
             answers: collections::HashMap::new(),
             last_waiter: 0,
@@ -292,9 +295,19 @@
 impl actix::Handler<ports::Found> for Control {
     type Result = ();
 
-    fn handle(&mut self, found: ports::Found, cx: &mut Self::Context) {
+    fn handle(&mut self, ports::Found(addresses): ports::Found, cx: &mut Self::Context) {
         let now_ms = self.now_ms();
-        let actions = self.dispatcher.found(now_ms, &found.runners);
+        let actions = self.dispatcher.found(now_ms, &addresses);
+        self.act(cx, actions);
+    }
+}
+
+impl actix::Handler<ports::Listed> for Control {
+    type Result = ();
+
+    fn handle(&mut self, ports::Listed(members): ports::Listed, cx: &mut Self::Context) {
+        let now_ms = self.now_ms();
+        let actions = self.dispatcher.listed(now_ms, &members);
         self.act(cx, actions);
     }
 }
@@ -363,7 +376,6 @@
 
     fn handle(&mut self, _want: control::WantMetrics, _cx: &mut Self::Context) -> Self::Result {
         let counts = self.dispatcher.counts();
-        let (known, usable) = self.dispatcher.runners(self.now_ms());
         let counter = metrics::Sample::counter;
         let gauge = metrics::Sample::gauge;
         let mut samples = self.parts.traffic.of_entry();
@@ -405,8 +417,17 @@
                 "Jobs that wait for room",
                 self.dispatcher.waiting() as u64,
             ),
-            gauge("runners", "Runners known", known as u64),
-            gauge("runners_usable", "Runners that take work", usable as u64),
+            gauge("runners", "Runners known", self.dispatcher.runners() as u64),
+            gauge(
+                "runners_watched",
+                "Runners with an open watch",
+                self.dispatcher.watched() as u64,
+            ),
+            gauge(
+                "runners_usable",
+                "Watched runners that take work",
+                self.dispatcher.usable(self.now_ms()) as u64,
+            ),
             gauge(
                 "directives_version",
                 "Version of the configuration in force",
--- a/src/leased/ports.rs
+++ b/src/leased/ports.rs
@@ -221,14 +221,28 @@
 #[rtype(result = "()")]
 pub struct BackendLeft(pub SmolStr);
 
-/// Other processes of the system, as the store tells.
+/// A runner that the store lists.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Member {
+    /// Where it answers entries.
+    pub address: SmolStr,
+    /// Its availability zone; empty: not told.
+    pub zone: SmolStr,
+    /// Service of the backend server beside it; empty: not told.
+    pub service: SmolStr,
+}
+
+/// Every runner that the store lists.
 #[derive(Clone, Debug)]
 #[derive(actix::Message)]
 #[rtype(result = "()")]
-pub struct Found {
-    /// Addresses of runners where they answer entries.
-    pub runners: Vec<SmolStr>,
-}
+pub struct Listed(pub Vec<Member>);
+
+/// Addresses of runners that another entry knows.
+#[derive(Clone, Debug)]
+#[derive(actix::Message)]
+#[rtype(result = "()")]
+pub struct Found(pub Vec<SmolStr>);
 
 /// What operators have asked for, as the store or another process tells.
 #[derive(Clone, Debug)]
--- a/src/leased/room/owners.rs
+++ b/src/leased/room/owners.rs
@@ -44,6 +44,8 @@
         self.directives_position = watch.directives_position;
         self.configuration = watch.configuration;
         self.ends.retain(|end| end.number > watch.acked);
+        // An entry that comes back after it was forgotten passes over numbers that it has heard.
+        self.last_end = self.last_end.max(watch.acked);
         if watch.ordered >= self.ordered {
             self.ordered = watch.ordered;
             self.wanted = watch.wanted.iter().cloned().collect();
--- a/tests/unit/leased.rs
+++ b/tests/unit/leased.rs
@@ -12,3 +12,4 @@
 mod room;
 mod spreading;
 mod urgency;
+mod watching;
--- a/tests/unit/leased/play/load.rs
+++ b/tests/unit/leased/play/load.rs
@@ -6,14 +6,12 @@
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
 
+use super::world;
 use crate::leased::fixtures;
 
 /// How long callers send, in milliseconds.
 const LENGTH_MS: u64 = 10_000;
 
-/// Cores of all backend servers of a [`super::world::Site`].
-const CORES: f64 = 128.0;
-
 /// One call to come.
 #[derive(Clone, Debug)]
 pub struct Arrival {
@@ -46,33 +44,70 @@
     }
 }
 
+/// How many of the calls come to each entry, by their weights.
+type Weights = Vec<u32>;
+
 /// Checks of eight tasks of 60 ms and reports of two of 200 ms, a quarter of the work in checks;
 /// `load` is the work offered over the room. Run times spread, and declared ones are off.
 pub fn offered(load: f64) -> Vec<Arrival> {
+    let site = world::Site::default();
+    offered_at(&site, load, &vec![1; site.entries])
+}
+
+/// The same load, of which the entries of the first availability zone get four times as much
+/// as others.
+pub fn uneven(site: &world::Site, load: f64) -> Vec<Arrival> {
+    let weight = |at: usize| if at.is_multiple_of(site.zones) { 4 } else { 1 };
+    offered_at(site, load, &(0..site.entries).map(weight).collect())
+}
+
+fn offered_at(site: &world::Site, load: f64, weights: &Weights) -> Vec<Arrival> {
     let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let cores = site.cores();
     let check_cores = 8.0 * 1.6 * 0.06;
     let report_cores = 2.0 * 1.6 * 0.2;
-    let checks_a_second = load * CORES * 0.25 / check_cores;
-    let reports_a_second = load * CORES * 0.75 / report_cores;
+    let checks_a_second = load * cores * 0.25 / check_cores;
+    let reports_a_second = load * cores * 0.75 / report_cores;
     let mut arrivals = Vec::new();
-    add(&mut arrivals, &mut rng, &checks(), checks_a_second, (8, 60));
+    let (checks, reports) = (checks(), reports());
+    let check = (8, 60);
+    let report = (2, 200);
+    add(
+        &mut arrivals,
+        &mut rng,
+        (&checks, checks_a_second),
+        check,
+        weights,
+    );
     add(
         &mut arrivals,
         &mut rng,
-        &reports(),
-        reports_a_second,
-        (2, 200),
+        (&reports, reports_a_second),
+        report,
+        weights,
     );
     arrivals.sort_by_key(|arrival| arrival.at_ms);
     arrivals
 }
 
+/// The entry that a call comes to.
+fn entry_of(rng: &mut ChaCha8Rng, weights: &Weights) -> usize {
+    let mut drawn = rng.random_range(0..weights.iter().sum());
+    for (entry, weight) in weights.iter().enumerate() {
+        if drawn < *weight {
+            return entry;
+        }
+        drawn -= weight;
+    }
+    unreachable!("less than the sum");
+}
+
 fn add(
     arrivals: &mut Vec<Arrival>,
     rng: &mut ChaCha8Rng,
-    queue: &queues::Queue,
-    a_second: f64,
+    (queue, a_second): (&queues::Queue, f64),
     (tasks, mean_ms): (u32, u64),
+    weights: &Weights,
 ) {
     let mut at_ms = 0.0;
     loop {
@@ -85,7 +120,7 @@
         let id = arrivals.len() as u64 + 1;
         arrivals.push(Arrival {
             at_ms: whole(at_ms),
-            entry: rng.random_range(0..super::world::ENTRIES),
+            entry: entry_of(rng, weights),
             queue: queue.clone(),
             job: fixtures::job(id, tasks, 1_600, estimate_ms),
             run_ms,
--- a/tests/unit/leased/play/mod.rs
+++ b/tests/unit/leased/play/mod.rs
@@ -99,6 +99,7 @@
 fn unanswered_calls_of_backend_servers_cost_few_callers_their_time() {
     let site = world::Site {
         unanswered_in_thousand: 55,
+        ..world::Site::default()
     };
     let mut world = world::World::new(site);
 
@@ -113,6 +114,27 @@
     assert!(refused < calls_in_tenths(&calls), "{checks:?} {reports:?}");
 }
 
+/// Guards against callers who are refused or late at the entries of one availability zone,
+/// beside room that these entries don't watch.
+#[test]
+fn entries_with_four_times_the_calls_find_room_beyond_what_they_watch() {
+    let site = world::Site {
+        entries: 8,
+        runners: 80,
+        zones: 4,
+        ..world::Site::default()
+    };
+    let mut world = world::World::new(site);
+
+    let calls = world.play(&load::uneven(&site, 0.75));
+
+    for queue in ["checks", "reports"] {
+        let got = Got::of(&calls, queue);
+        assert!(got.share() >= 0.95, "{queue}: {got:?}");
+        assert_eq!(got.not_run, 0, "{queue}: {got:?}");
+    }
+}
+
 fn calls_in_tenths(calls: &[world::Call]) -> u32 {
     u32::try_from(calls.len() / 10).expect("a few thousand calls")
 }
--- a/tests/unit/leased/play/world.rs
+++ b/tests/unit/leased/play/world.rs
@@ -19,11 +19,8 @@
 use crate::leased::fixtures;
 use crate::leased::fixtures::START_MS;
 
-/// How many entries there are.
-pub const ENTRIES: usize = 4;
-
-/// How many runners, each beside a backend server of 16 cores.
-const RUNNERS: usize = 8;
+/// Cores of each backend server.
+const CORES: usize = 16;
 
 /// One way between an entry and a runner, in milliseconds.
 const WAY_MS: u64 = 1;
@@ -36,10 +33,46 @@
 const AFTER_MS: u64 = 4_000;
 
 /// What differs from play to play.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct Site {
     /// Of a thousand calls to a backend server, how many get no answer.
     pub unanswered_in_thousand: u32,
+    /// Entries, which take turns in the availability zones.
+    pub entries: usize,
+    /// Runners, which do so as well.
+    pub runners: usize,
+    /// Availability zones.
+    pub zones: usize,
+}
+
+impl Default for Site {
+    fn default() -> Self {
+        Self {
+            unanswered_in_thousand: 0,
+            entries: 4,
+            runners: 8,
+            zones: 1,
+        }
+    }
+}
+
+impl Site {
+    /// Cores of all backend servers.
+    pub fn cores(&self) -> f64 {
+        (self.runners * CORES) as f64
+    }
+
+    fn zone_of(&self, at: usize) -> SmolStr {
+        smol_str::format_smolstr!("zone-{}", at % self.zones)
+    }
+
+    fn member(&self, runner: usize) -> ports::Member {
+        ports::Member {
+            address: smol_str::format_smolstr!("10.0.0.{runner}:7720"),
+            zone: self.zone_of(runner),
+            service: "taipa".into(),
+        }
+    }
 }
 
 /// What became of one call.
@@ -117,13 +150,13 @@
             now_ms: START_MS,
             rng: ChaCha8Rng::seed_from_u64(3),
             site,
-            entries: (1..).take(ENTRIES).map(new_entry).collect(),
-            runners: (100..).take(RUNNERS).map(new_runner).collect(),
+            entries: (0..site.entries).map(|at| new_entry(&site, at)).collect(),
+            runners: (0..site.runners).map(|at| new_runner(&site, at)).collect(),
             letters: collections::VecDeque::new(),
             calls: Vec::new(),
             run_ms: collections::HashMap::new(),
         };
-        for at in 0..ENTRIES {
+        for at in 0..site.entries {
             world.introduce(at);
         }
         world
@@ -142,14 +175,11 @@
     }
 
     fn introduce(&mut self, at: usize) {
-        let addresses: Vec<_> = (0..RUNNERS).map(address).collect();
-        let actions = self.entries[at].dispatcher.found(self.now_ms, &addresses);
-        for (action, runner) in actions.into_iter().zip(0..) {
-            if let dispatch::Action::Watch(key) = action {
-                self.entries[at].keys.insert(runner, key);
-                self.ask(at, runner);
-            }
-        }
+        let members: Vec<_> = (0..self.site.runners)
+            .map(|runner| self.site.member(runner))
+            .collect();
+        let actions = self.entries[at].dispatcher.listed(self.now_ms, &members);
+        self.act(at, actions);
     }
 
     fn arrive(&mut self, arrival: &load::Arrival) {
@@ -173,11 +203,11 @@
         while self.now_ms < end_ms {
             self.now_ms += 1;
             self.deliver();
-            for at in 0..RUNNERS {
+            for at in 0..self.site.runners {
                 self.step_runner(at);
             }
             if self.now_ms.is_multiple_of(ENTRY_TICK_MS) {
-                for at in 0..ENTRIES {
+                for at in 0..self.site.entries {
                     let actions = self.entries[at].dispatcher.tick(self.now_ms);
                     self.act(at, actions);
                 }
@@ -226,17 +256,18 @@
                     let dispatcher = &mut self.entries[entry].dispatcher;
                     let actions = dispatcher.reported(now_ms, key, report);
                     self.act(entry, actions);
-                    self.ask(entry, runner);
+                    self.ask(entry, key);
                 }
             }
         }
     }
 
-    /// An entry's next watch at a runner.
-    fn ask(&mut self, entry: usize, runner: usize) {
-        let key = self.entries[entry].keys[&runner];
+    /// An entry's next watch at a runner, if there is one.
+    fn ask(&mut self, entry: usize, key: runners::RunnerKey) {
         let asked = self.entries[entry].dispatcher.next_watch(self.now_ms, key);
-        if let Some((_, watch)) = asked {
+        if let Some((address, watch)) = asked {
+            let runner = runner_at(&address);
+            self.entries[entry].keys.insert(runner, key);
             self.send(entry, runner, Message::Watch(watch));
         }
     }
@@ -244,13 +275,10 @@
     fn act(&mut self, entry: usize, actions: Vec<dispatch::Action>) {
         for action in actions {
             match action {
-                dispatch::Action::Order(key, _, order) => {
-                    let keys = &self.entries[entry].keys;
-                    let runner = keys.iter().find(|(_, held)| **held == key);
-                    let runner = *runner.expect("a runner that was introduced").0;
-                    self.send(entry, runner, Message::Order(order));
+                dispatch::Action::Order(_, address, order) => {
+                    self.send(entry, runner_at(&address), Message::Order(order));
                 }
-                dispatch::Action::Watch(_) => {}
+                dispatch::Action::Watch(key) => self.ask(entry, key),
                 dispatch::Action::Learn(holder) => panic!("every entry was told; asked {holder}"),
                 dispatch::Action::Answer(waiter, outcome) => {
                     let at = usize::try_from(waiter).expect("a small number");
@@ -309,7 +337,7 @@
             actions.extend(self.runners[at].room.tick(now_ms));
         }
         self.call_backend(at, actions);
-        for entry in 0..ENTRIES {
+        for entry in 0..self.site.entries {
             let me = self.entries[entry].me;
             if let Some(report) = self.runners[at].report_due(now_ms, me) {
                 self.send(entry, at, Message::Reported(report));
@@ -406,13 +434,16 @@
     }
 }
 
-fn address(runner: usize) -> SmolStr {
-    smol_str::format_smolstr!("10.0.0.{runner}:7720")
+/// Which runner answers at an address.
+fn runner_at(address: &str) -> usize {
+    let (host, _) = address.split_once(':').expect("a port");
+    let (_, runner) = host.rsplit_once('.').expect("an address");
+    runner.parse().expect("a number")
 }
 
-fn new_entry(number: u64) -> Entry {
-    let me = ids::Incarnation(number);
-    let mut dispatcher = dispatch::Dispatcher::new(me, "bento".into());
+fn new_entry(site: &Site, at: usize) -> Entry {
+    let me = ids::Incarnation(1 + at as u64);
+    let mut dispatcher = dispatch::Dispatcher::new(me, site.zone_of(at));
     let mut directives = fixtures::directives(3);
     directives.queues = [load::checks(), load::reports()].into();
     dispatcher.directed(directives);
@@ -423,9 +454,13 @@
     }
 }
 
-fn new_runner(number: u64) -> Runner {
-    let mut room = room::Room::new(ids::Incarnation(number), 10);
-    room.announced(START_MS, fixtures::announcement(100, 1));
+fn new_runner(site: &Site, at: usize) -> Runner {
+    let mut room = room::Room::new(ids::Incarnation(1_000 + at as u64), 10);
+    let announcement = ports::Announcement {
+        zone: site.zone_of(at),
+        ..fixtures::announcement(100, 1)
+    };
+    room.announced(START_MS, announcement);
     let mut runner = Runner {
         room,
         watches: collections::HashMap::new(),
