Play cuts and losses of entries where watches open and close

Decisions of three entries and five runners are played in simulated time: ways cut to either side or both, entries that die with their callers coming again elsewhere after 1.3 s, jobs that outlast that, and one, two or all runners watched in any case. No task may run twice at once, and every caller gets an answer.

--- a/tests/unit/leased/play/load.rs
+++ b/tests/unit/leased/play/load.rs
@@ -59,6 +59,24 @@
     offered_at(site, load, &vec![1; site.entries])
 }
 
+/// Jobs of two tasks of 2.5 s, which outlast the pause of a caller whose entry died.
+pub fn long(site: &world::Site, load: f64) -> Vec<Arrival> {
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let job_cores = 2.0 * f64::from(site.task_milli) / 1_000.0 * 2.5;
+    let a_second = load * site.cores() / job_cores;
+    let mut arrivals = Vec::new();
+    let job = (2, site.task_milli, 2_500);
+    let weights = vec![1; site.entries];
+    add(
+        &mut arrivals,
+        &mut rng,
+        (&reports(), a_second),
+        job,
+        &weights,
+    );
+    arrivals
+}
+
 /// The same load, of which the entries of the first availability zone get four times as much
 /// as others.
 pub fn uneven(site: &world::Site, load: f64) -> Vec<Arrival> {
--- a/tests/unit/leased/play/mod.rs
+++ b/tests/unit/leased/play/mod.rs
@@ -1,9 +1,11 @@
 //! Load played through the decisions of entries and runners, judged by what callers get.
 
 mod load;
+mod trouble;
 mod world;
 
 use bulrushtiller::leased::dispatch;
+use rstest::rstest;
 
 /// What became of the calls of one queue.
 #[derive(Clone, Copy, Debug, Default)]
@@ -152,6 +154,54 @@
     assert!(checks.share() >= 0.9, "{checks:?}");
 }
 
+/// Guards against runs that outlive their entry's word, and tasks that run twice at once, where
+/// watches open and close, ways are cut and entries die.
+#[rstest]
+fn no_task_runs_twice_at_once_where_few_runners_are_watched(
+    #[values(1, 2, 3, 4, 5, 6)] seed: u64,
+    #[values(1, 2, 24)] watch_set: usize,
+) {
+    let site = world::Site {
+        entries: 3,
+        runners: 5,
+        task_milli: 3_800,
+        watch_set,
+        ..world::Site::default()
+    };
+    let mut world = world::World::new(site);
+
+    let troubles = trouble::drawn(seed, &site);
+    let calls = world.play_under(&load::long(&site, 0.6), troubles);
+
+    assert!(world.overlaps.is_empty(), "{:?}", world.overlaps);
+    let has_answer = |call: &&world::Call| call.ended.is_some();
+    assert_eq!(calls.iter().filter(has_answer).count(), calls.len());
+}
+
+/// Guards against entries that find their runners no more once cuts and losses are over.
+#[rstest]
+fn callers_are_served_again_once_ways_and_entries_are_back(
+    #[values(1, 2, 3)] seed: u64,
+    #[values(1, 24)] watch_set: usize,
+) {
+    let site = world::Site {
+        entries: 3,
+        runners: 5,
+        task_milli: 3_800,
+        watch_set,
+        ..world::Site::default()
+    };
+    let mut world = world::World::new(site);
+
+    let troubles = trouble::drawn(seed, &site);
+    let calls = world.play_under(&load::even(&site, 0.6), troubles);
+
+    let after = &calls[calls.len() - calls.len() / 10..];
+    let is_served =
+        |call: &&world::Call| matches!(call.ended, Some((_, dispatch::Outcome::Completed)));
+    assert!(after.iter().filter(is_served).count() * 10 >= after.len() * 9);
+}
+
 fn calls_in_tenths(calls: &[world::Call]) -> u32 {
     u32::try_from(calls.len() / 10).expect("a few thousand calls")
 }
--- a/tests/unit/leased/play/world.rs
+++ b/tests/unit/leased/play/world.rs
@@ -7,6 +7,7 @@
 use bulrushtiller::ids;
 use bulrushtiller::leased::dispatch;
 use bulrushtiller::leased::dispatch::runners;
+use bulrushtiller::leased::dispatch::watching;
 use bulrushtiller::leased::messages;
 use bulrushtiller::leased::ports;
 use bulrushtiller::leased::room;
@@ -16,6 +17,7 @@
 use smol_str::SmolStr;
 
 use super::load;
+use super::trouble;
 use crate::leased::fixtures;
 use crate::leased::fixtures::START_MS;
 
@@ -30,7 +32,7 @@
 const RUNNER_TICK_MS: u64 = 20;
 
 /// How long a play goes on after the last arrival, in milliseconds.
-const AFTER_MS: u64 = 4_000;
+const AFTER_MS: u64 = 20_000;
 
 /// What differs from play to play.
 #[derive(Clone, Copy, Debug)]
@@ -45,6 +47,8 @@
     pub zones: usize,
     /// Thousandths of a core that each task takes.
     pub task_milli: u32,
+    /// Runners that each entry watches in any case.
+    pub watch_set: usize,
 }
 
 impl Default for Site {
@@ -55,6 +59,7 @@
             runners: 8,
             zones: 1,
             task_milli: 1_600,
+            watch_set: watching::SET,
         }
     }
 }
@@ -91,19 +96,55 @@
     pub ended: Option<(u64, dispatch::Outcome)>,
 }
 
-/// A message under way.
+/// A message under way; a watch has a number, which its report repeats.
 #[derive(Clone, Debug)]
 enum Message {
     Order(messages::Order),
-    Watch(messages::Watch),
+    Watch(messages::Watch, u64),
     Ordered(messages::Order, messages::OrderReply),
-    Reported(messages::Report),
+    Reported(messages::Report, u64),
 }
 
+impl Message {
+    const fn way(&self) -> trouble::Way {
+        match self {
+            Self::Order(_) | Self::Watch(..) => trouble::Way::ToRunner,
+            Self::Ordered(..) | Self::Reported(..) => trouble::Way::ToEntry,
+        }
+    }
+}
+
+/// What an entry does where an answer doesn't come.
+#[derive(Clone, Debug)]
+enum Overdue {
+    Watch(runners::RunnerKey, u64),
+    Order(messages::Order),
+    OrderAgain(messages::Order),
+}
+
+#[derive(Clone, Debug)]
+struct Timer {
+    at_ms: u64,
+    entry: usize,
+    life: ids::Incarnation,
+    runner: usize,
+    overdue: Overdue,
+}
+
+/// How long an answer is waited for, in milliseconds.
+const REPLY_LIMIT_MS: u64 = 250;
+
+/// Pause before a runner that didn't answer is watched again, in milliseconds.
+const RETRY_PAUSE_MS: u64 = 50;
+
+/// Pause of a caller whose entry died, in milliseconds.
+const RESEND_MS: u64 = 1_300;
+
 #[derive(Clone, Debug)]
 struct Letter {
     at_ms: u64,
     entry: usize,
+    life: ids::Incarnation,
     runner: usize,
     message: Message,
 }
@@ -112,6 +153,10 @@
     me: ids::Incarnation,
     dispatcher: dispatch::Dispatcher,
     keys: collections::HashMap<usize, runners::RunnerKey>,
+    /// The number of the open watch at each runner.
+    watches: collections::HashMap<usize, u64>,
+    /// Orders that have no answer yet, by runner and number.
+    unanswered: collections::HashSet<(usize, u64)>,
 }
 
 /// A question what runs that a backend server has yet to answer.
@@ -125,7 +170,7 @@
 
 struct Runner {
     room: room::Room,
-    watches: collections::HashMap<ids::Incarnation, u64>,
+    watches: collections::HashMap<ids::Incarnation, (u64, u64)>,
     running: collections::HashMap<messages::RunId, u64>,
     ended: Vec<ports::Ended>,
     ends: u64,
@@ -144,6 +189,15 @@
     letters: collections::VecDeque<Letter>,
     calls: Vec<Call>,
     run_ms: collections::HashMap<SmolStr, u64>,
+    timers: Vec<Timer>,
+    last_watch: u64,
+    troubles: Vec<trouble::Trouble>,
+    lives: u64,
+    arrivals: Vec<load::Arrival>,
+    /// Callers that will come again: when, which call, and by which entry.
+    returning: Vec<(u64, usize, usize)>,
+    /// Tasks that ran twice at once.
+    pub overlaps: collections::BTreeSet<String>,
 }
 
 impl World {
@@ -153,11 +207,20 @@
             now_ms: START_MS,
             rng: ChaCha8Rng::seed_from_u64(3),
             site,
-            entries: (0..site.entries).map(|at| new_entry(&site, at)).collect(),
+            entries: (0..site.entries)
+                .map(|at| new_entry(&site, at, 0))
+                .collect(),
             runners: (0..site.runners).map(|at| new_runner(&site, at)).collect(),
             letters: collections::VecDeque::new(),
             calls: Vec::new(),
             run_ms: collections::HashMap::new(),
+            timers: Vec::new(),
+            last_watch: 0,
+            troubles: Vec::new(),
+            lives: 0,
+            arrivals: Vec::new(),
+            returning: Vec::new(),
+            overlaps: collections::BTreeSet::new(),
         };
         for at in 0..site.entries {
             world.introduce(at);
@@ -165,6 +228,16 @@
         world
     }
 
+    /// Plays a load to its end, under troubles.
+    pub fn play_under(
+        &mut self,
+        arrivals: &[load::Arrival],
+        troubles: Vec<trouble::Trouble>,
+    ) -> Vec<Call> {
+        self.troubles = troubles;
+        self.play(arrivals)
+    }
+
     /// Plays a load to its end.
     pub fn play(&mut self, arrivals: &[load::Arrival]) -> Vec<Call> {
         self.run_until(START_MS + 500);
@@ -195,6 +268,11 @@
             ended: None,
         });
         self.run_ms.insert(arrival.job.id.clone(), arrival.run_ms);
+        self.arrivals.push(arrival.clone());
+        self.submit(arrival, waiter);
+    }
+
+    fn submit(&mut self, arrival: &load::Arrival, waiter: u64) {
         let timeout_ms = Some(1_500 + 5 * arrival.run_ms - arrival.waited_ms);
         let job = arrival.job.clone();
         let entry = &mut self.entries[arrival.entry].dispatcher;
@@ -202,10 +280,122 @@
         self.act(arrival.entry, actions);
     }
 
+    /// An entry dies, and another one begins in its place; its callers come again elsewhere.
+    fn lose(&mut self, at: usize) {
+        self.lives += 1;
+        self.entries[at] = new_entry(&self.site, at, self.lives);
+        let elsewhere = (at + 1) % self.site.entries;
+        for (call, arrival) in self.arrivals.iter_mut().enumerate() {
+            if arrival.entry == at && self.calls[call].ended.is_none() {
+                arrival.entry = elsewhere;
+                self.returning
+                    .push((self.now_ms + RESEND_MS, call, elsewhere));
+            }
+        }
+        self.introduce(at);
+    }
+
+    fn come_again(&mut self) {
+        let now_ms = self.now_ms;
+        let due: Vec<_> = self
+            .returning
+            .extract_if(.., |(at_ms, _, _)| *at_ms <= now_ms)
+            .collect();
+        for (_, call, entry) in due {
+            let mut arrival = self.arrivals[call].clone();
+            if arrival.entry != entry {
+                continue;
+            }
+            arrival.waited_ms = RESEND_MS;
+            self.submit(&arrival, call as u64);
+        }
+    }
+
+    fn bring_trouble(&mut self) {
+        let now_ms = self.now_ms;
+        for at in 0..self.troubles.len() {
+            if let trouble::Trouble::Loss { at_ms, entry } = self.troubles[at]
+                && START_MS + at_ms == now_ms
+            {
+                self.lose(entry);
+            }
+        }
+    }
+
+    fn is_cut(&self, letter: &Letter) -> bool {
+        let way = letter.message.way();
+        let troubles = self.troubles.iter();
+        let mut cuts = troubles.filter(|trouble| trouble.cuts(letter.entry, letter.runner, way));
+        cuts.any(|trouble| trouble.is_on(self.now_ms - START_MS))
+    }
+
+    fn wait_for_answers(&mut self) {
+        let now_ms = self.now_ms;
+        let due: Vec<_> = self
+            .timers
+            .extract_if(.., |timer| timer.at_ms <= now_ms)
+            .collect();
+        for timer in due {
+            if self.entries[timer.entry].me == timer.life {
+                self.overdue(timer);
+            }
+        }
+    }
+
+    fn overdue(&mut self, timer: Timer) {
+        let (at, runner) = (timer.entry, timer.runner);
+        let entry = &mut self.entries[at];
+        match timer.overdue {
+            Overdue::Watch(key, number) if entry.watches.get(&runner) == Some(&number) => {
+                self.ask(at, key);
+            }
+            Overdue::Watch(..) => {}
+            Overdue::Order(order) if entry.unanswered.contains(&(runner, order.number)) => {
+                self.wait_for(
+                    at,
+                    runner,
+                    REPLY_LIMIT_MS,
+                    Overdue::OrderAgain(order.clone()),
+                );
+                self.send(at, runner, Message::Order(order));
+            }
+            Overdue::OrderAgain(order) if entry.unanswered.remove(&(runner, order.number)) => {
+                let key = entry.keys[&runner];
+                let actions = entry.dispatcher.order_lost(self.now_ms, key, &order, false);
+                self.act(at, actions);
+            }
+            Overdue::Order(_) | Overdue::OrderAgain(_) => {}
+        }
+    }
+
+    fn wait_for(&mut self, entry: usize, runner: usize, limit_ms: u64, overdue: Overdue) {
+        self.timers.push(Timer {
+            at_ms: self.now_ms + limit_ms,
+            entry,
+            life: self.entries[entry].me,
+            runner,
+            overdue,
+        });
+    }
+
+    /// Notes tasks of which two runs are at work.
+    fn note_overlaps(&mut self) {
+        let mut seen = collections::HashSet::new();
+        let running = self.runners.iter().flat_map(|runner| runner.running.keys());
+        for id in running {
+            if !seen.insert((&id.job, id.step, id.index)) {
+                self.overlaps.insert(id.to_string());
+            }
+        }
+    }
+
     fn run_until(&mut self, end_ms: u64) {
         while self.now_ms < end_ms {
             self.now_ms += 1;
+            self.bring_trouble();
+            self.come_again();
             self.deliver();
+            self.wait_for_answers();
             for at in 0..self.site.runners {
                 self.step_runner(at);
             }
@@ -215,6 +405,7 @@
                     self.act(at, actions);
                 }
             }
+            self.note_overlaps();
         }
     }
 
@@ -222,6 +413,7 @@
         self.letters.push_back(Letter {
             at_ms: self.now_ms + WAY_MS,
             entry,
+            life: self.entries[entry].me,
             runner,
             message,
         });
@@ -236,26 +428,44 @@
             let Some(letter) = self.letters.pop_front() else {
                 return;
             };
+            let is_for_another_life = letter.message.way() == trouble::Way::ToEntry
+                && letter.life != self.entries[letter.entry].me;
+            if is_for_another_life || self.is_cut(&letter) {
+                continue;
+            }
             let (entry, runner, now_ms) = (letter.entry, letter.runner, self.now_ms);
-            let key = self.entries[entry].keys[&runner];
             match letter.message {
                 Message::Order(order) => {
                     let (reply, actions) = self.runners[runner].room.order(now_ms, order.clone());
                     self.call_backend(runner, actions);
-                    self.send(entry, runner, Message::Ordered(order, reply));
+                    // An answer to a life that is over goes nowhere.
+                    if letter.life == self.entries[entry].me {
+                        self.send(entry, runner, Message::Ordered(order, reply));
+                    }
                 }
-                Message::Watch(watch) => {
+                Message::Watch(watch, number) => {
                     let until_ms = now_ms + watch.wait_ms;
-                    let actions = self.runners[runner].room.watch(now_ms, &watch);
-                    self.runners[runner].watches.insert(watch.entry, until_ms);
+                    let runner_held = &mut self.runners[runner];
+                    let actions = runner_held.room.watch(now_ms, &watch);
+                    runner_held.watches.insert(watch.entry, (until_ms, number));
                     self.call_backend(runner, actions);
                 }
                 Message::Ordered(order, reply) => {
+                    let held = &mut self.entries[entry];
+                    if !held.unanswered.remove(&(runner, order.number)) {
+                        continue;
+                    }
+                    let key = held.keys[&runner];
                     let dispatcher = &mut self.entries[entry].dispatcher;
                     let actions = dispatcher.ordered(now_ms, key, &order, reply);
                     self.act(entry, actions);
                 }
-                Message::Reported(report) => {
+                Message::Reported(report, number) => {
+                    // A report that comes after its time limit is not heard.
+                    if self.entries[entry].watches.get(&runner) != Some(&number) {
+                        continue;
+                    }
+                    let key = self.entries[entry].keys[&runner];
                     let dispatcher = &mut self.entries[entry].dispatcher;
                     let actions = dispatcher.reported(now_ms, key, report);
                     self.act(entry, actions);
@@ -270,8 +480,14 @@
         let asked = self.entries[entry].dispatcher.next_watch(self.now_ms, key);
         if let Some((address, watch)) = asked {
             let runner = runner_at(&address);
-            self.entries[entry].keys.insert(runner, key);
-            self.send(entry, runner, Message::Watch(watch));
+            self.last_watch += 1;
+            let number = self.last_watch;
+            let held = &mut self.entries[entry];
+            held.keys.insert(runner, key);
+            held.watches.insert(runner, number);
+            let limit_ms = watch.wait_ms + REPLY_LIMIT_MS + RETRY_PAUSE_MS;
+            self.wait_for(entry, runner, limit_ms, Overdue::Watch(key, number));
+            self.send(entry, runner, Message::Watch(watch, number));
         }
     }
 
@@ -279,7 +495,11 @@
         for action in actions {
             match action {
                 dispatch::Action::Order(_, address, order) => {
-                    self.send(entry, runner_at(&address), Message::Order(order));
+                    let runner = runner_at(&address);
+                    let number = order.number;
+                    self.entries[entry].unanswered.insert((runner, number));
+                    self.wait_for(entry, runner, REPLY_LIMIT_MS, Overdue::Order(order.clone()));
+                    self.send(entry, runner, Message::Order(order));
                 }
                 dispatch::Action::Watch(key) => self.ask(entry, key),
                 dispatch::Action::Learn(holder) => panic!("every entry was told; asked {holder}"),
@@ -342,8 +562,8 @@
         self.call_backend(at, actions);
         for entry in 0..self.site.entries {
             let me = self.entries[entry].me;
-            if let Some(report) = self.runners[at].report_due(now_ms, me) {
-                self.send(entry, at, Message::Reported(report));
+            if let Some((report, number)) = self.runners[at].report_due(now_ms, me) {
+                self.send(entry, at, Message::Reported(report, number));
             }
         }
     }
@@ -427,13 +647,17 @@
         };
     }
 
-    fn report_due(&mut self, now_ms: u64, entry: ids::Incarnation) -> Option<messages::Report> {
-        let until_ms = *self.watches.get(&entry)?;
+    fn report_due(
+        &mut self,
+        now_ms: u64,
+        entry: ids::Incarnation,
+    ) -> Option<(messages::Report, u64)> {
+        let (until_ms, number) = *self.watches.get(&entry)?;
         if now_ms < until_ms && !self.room.has_news(entry) {
             return None;
         }
         self.watches.remove(&entry);
-        Some(self.room.report(now_ms, entry))
+        Some((self.room.report(now_ms, entry), number))
     }
 }
 
@@ -444,9 +668,10 @@
     runner.parse().expect("a number")
 }
 
-fn new_entry(site: &Site, at: usize) -> Entry {
-    let me = ids::Incarnation(1 + at as u64);
-    let mut dispatcher = dispatch::Dispatcher::new(me, site.zone_of(at));
+fn new_entry(site: &Site, at: usize, life: u64) -> Entry {
+    let me = ids::Incarnation(1 + at as u64 + 1_000 * life);
+    let mut dispatcher =
+        dispatch::Dispatcher::new(me, site.zone_of(at)).with_watch_set(site.watch_set);
     let mut directives = fixtures::directives(3);
     directives.queues = [load::checks(), load::reports()].into();
     dispatcher.directed(directives);
@@ -454,6 +679,8 @@
         me,
         dispatcher,
         keys: collections::HashMap::new(),
+        watches: collections::HashMap::new(),
+        unanswered: collections::HashSet::new(),
     }
 }
 
