--- a/tests/unit/leased/play/world.rs
+++ b/tests/unit/leased/play/world.rs
@@ -349,7 +349,6 @@
             Overdue::Watch(key, number) if entry.watches.get(&runner) == Some(&number) => {
                 self.ask(at, key);
             }
-            Overdue::Watch(..) => {}
             Overdue::Order(order) if entry.unanswered.contains(&(runner, order.number)) => {
                 self.wait_for(
                     at,
@@ -364,7 +363,7 @@
                 let actions = entry.dispatcher.order_lost(self.now_ms, key, &order, false);
                 self.act(at, actions);
             }
-            Overdue::Order(_) | Overdue::OrderAgain(_) => {}
+            Overdue::Watch(..) | Overdue::Order(_) | Overdue::OrderAgain(_) => {}
         }
     }
 
