--- a/tests/unit/leased/play/load.rs
+++ b/tests/unit/leased/play/load.rs
@@ -6,7 +6,7 @@
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
 
-use super::world;
+use super::site;
 use crate::leased::fixtures;
 
 /// How long callers send, in milliseconds.
@@ -50,17 +50,17 @@
 /// Checks of eight tasks of 60 ms and reports of two of 200 ms, a quarter of the work in checks;
 /// `load` is the work offered over the room. Run times spread, and declared ones are off.
 pub fn offered(load: f64) -> Vec<Arrival> {
-    let site = world::Site::default();
+    let site = site::Site::default();
     offered_at(&site, load, &vec![1; site.entries])
 }
 
 /// The same load at another site.
-pub fn even(site: &world::Site, load: f64) -> Vec<Arrival> {
+pub fn even(site: &site::Site, load: f64) -> Vec<Arrival> {
     offered_at(site, load, &vec![1; site.entries])
 }
 
 /// Jobs of two tasks of 2.5 s, which outlast the pause of a caller whose entry died.
-pub fn long(site: &world::Site, load: f64) -> Vec<Arrival> {
+pub fn long(site: &site::Site, load: f64) -> Vec<Arrival> {
     let mut rng = ChaCha8Rng::seed_from_u64(7);
     let job_cores = 2.0 * f64::from(site.task_milli) / 1_000.0 * 2.5;
     let a_second = load * site.cores() / job_cores;
@@ -79,12 +79,12 @@
 
 /// The same load, of which the entries of the first availability zone get four times as much
 /// as others.
-pub fn uneven(site: &world::Site, load: f64) -> Vec<Arrival> {
+pub fn uneven(site: &site::Site, load: f64) -> Vec<Arrival> {
     let weight = |at: usize| if at.is_multiple_of(site.zones) { 4 } else { 1 };
     offered_at(site, load, &(0..site.entries).map(weight).collect())
 }
 
-fn offered_at(site: &world::Site, load: f64, weights: &Weights) -> Vec<Arrival> {
+fn offered_at(site: &site::Site, load: f64, weights: &Weights) -> Vec<Arrival> {
     let mut rng = ChaCha8Rng::seed_from_u64(7);
     let cores = site.cores();
     let task_cores = f64::from(site.task_milli) / 1_000.0;
--- a/tests/unit/leased/play/mod.rs
+++ b/tests/unit/leased/play/mod.rs
@@ -1,6 +1,9 @@
 //! Load played through the decisions of entries and runners, judged by what callers get.
 
+mod letters;
 mod load;
+mod server;
+mod site;
 mod trouble;
 mod world;
 
@@ -46,7 +49,7 @@
 /// last task starts too late, and the check was run in vain.
 #[test]
 fn urgent_wide_jobs_are_in_time_under_more_work_than_room() {
-    let mut world = world::World::new(world::Site::default());
+    let mut world = world::World::new(site::Site::default());
 
     let calls = world.play(&load::offered(1.2));
 
@@ -64,7 +67,7 @@
 /// With room for twice as much there is nothing to put first: everybody is served in time.
 #[test]
 fn all_are_in_time_while_there_is_room() {
-    let mut world = world::World::new(world::Site::default());
+    let mut world = world::World::new(site::Site::default());
 
     let calls = world.play(&load::offered(0.5));
 
@@ -80,7 +83,7 @@
 /// comes for the first time gets its answer in time all the same.
 #[test]
 fn callers_who_come_again_don_t_make_others_late() {
-    let mut world = world::World::new(world::Site::default());
+    let mut world = world::World::new(site::Site::default());
 
     let calls = world.play(&load::coming_again(0.8));
 
@@ -99,9 +102,9 @@
 /// hears of no end, takes its room for used, and callers are refused beside idle servers.
 #[test]
 fn unanswered_calls_of_backend_servers_cost_few_callers_their_time() {
-    let site = world::Site {
+    let site = site::Site {
         unanswered_in_thousand: 55,
-        ..world::Site::default()
+        ..site::Site::default()
     };
     let mut world = world::World::new(site);
 
@@ -120,11 +123,11 @@
 /// beside room that these entries don't watch.
 #[test]
 fn entries_with_four_times_the_calls_find_room_beyond_what_they_watch() {
-    let site = world::Site {
+    let site = site::Site {
         entries: 8,
         runners: 80,
         zones: 4,
-        ..world::Site::default()
+        ..site::Site::default()
     };
     let mut world = world::World::new(site);
 
@@ -140,11 +143,11 @@
 /// Guards against tasks that stand in a line, as another entry was first, beside free room.
 #[test]
 fn many_entries_with_old_views_make_few_checks_late_while_a_third_is_free() {
-    let site = world::Site {
+    let site = site::Site {
         entries: 12,
         runners: 24,
         task_milli: 3_800,
-        ..world::Site::default()
+        ..site::Site::default()
     };
     let mut world = world::World::new(site);
 
@@ -161,12 +164,12 @@
     #[values(1, 2, 3, 4, 5, 6)] seed: u64,
     #[values(1, 2, 24)] watch_set: usize,
 ) {
-    let site = world::Site {
+    let site = site::Site {
         entries: 3,
         runners: 5,
         task_milli: 3_800,
         watch_set,
-        ..world::Site::default()
+        ..site::Site::default()
     };
     let mut world = world::World::new(site);
 
@@ -184,12 +187,12 @@
     #[values(1, 2, 3)] seed: u64,
     #[values(1, 24)] watch_set: usize,
 ) {
-    let site = world::Site {
+    let site = site::Site {
         entries: 3,
         runners: 5,
         task_milli: 3_800,
         watch_set,
-        ..world::Site::default()
+        ..site::Site::default()
     };
     let mut world = world::World::new(site);
 
--- a/tests/unit/leased/play/trouble.rs
+++ b/tests/unit/leased/play/trouble.rs
@@ -4,7 +4,7 @@
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
 
-use super::world;
+use super::site;
 
 /// How many ways are cut, and how many entries are lost.
 const CUTS: usize = 12;
@@ -74,7 +74,7 @@
 }
 
 /// Draws the troubles of a seed.
-pub fn drawn(seed: u64, site: &world::Site) -> Vec<Trouble> {
+pub fn drawn(seed: u64, site: &site::Site) -> Vec<Trouble> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut troubles = Vec::new();
     for _ in 0..CUTS {
--- a/tests/unit/leased/play/world.rs
+++ b/tests/unit/leased/play/world.rs
@@ -7,7 +7,6 @@
 use bulrushtiller::ids;
 use bulrushtiller::leased::dispatch;
 use bulrushtiller::leased::dispatch::runners;
-use bulrushtiller::leased::dispatch::watching;
 use bulrushtiller::leased::messages;
 use bulrushtiller::leased::ports;
 use bulrushtiller::leased::room;
@@ -16,14 +15,14 @@
 use rand_chacha::ChaCha8Rng;
 use smol_str::SmolStr;
 
+use super::letters;
 use super::load;
+use super::server;
+use super::site;
 use super::trouble;
 use crate::leased::fixtures;
 use crate::leased::fixtures::START_MS;
 
-/// Cores of each backend server.
-const CORES: usize = 16;
-
 /// One way between an entry and a runner, in milliseconds.
 const WAY_MS: u64 = 1;
 
@@ -31,57 +30,17 @@
 const ENTRY_TICK_MS: u64 = 10;
 const RUNNER_TICK_MS: u64 = 20;
 
-/// How long a play goes on after the last arrival, in milliseconds.
-const AFTER_MS: u64 = 20_000;
-
-/// What differs from play to play.
-#[derive(Clone, Copy, Debug)]
-pub struct Site {
-    /// Of a thousand calls to a backend server, how many get no answer.
-    pub unanswered_in_thousand: u32,
-    /// Entries, which take turns in the availability zones.
-    pub entries: usize,
-    /// Runners, which do so as well.
-    pub runners: usize,
-    /// Availability zones.
-    pub zones: usize,
-    /// Thousandths of a core that each task takes.
-    pub task_milli: u32,
-    /// Runners that each entry watches in any case.
-    pub watch_set: usize,
-}
-
-impl Default for Site {
-    fn default() -> Self {
-        Self {
-            unanswered_in_thousand: 0,
-            entries: 4,
-            runners: 8,
-            zones: 1,
-            task_milli: 1_600,
-            watch_set: watching::SET,
-        }
-    }
-}
+/// How long an answer is waited for, in milliseconds.
+const REPLY_LIMIT_MS: u64 = 250;
 
-impl Site {
-    /// Cores of all backend servers.
-    pub fn cores(&self) -> f64 {
-        (self.runners * CORES) as f64
-    }
+/// Pause before a runner that didn't answer is watched again, in milliseconds.
+const RETRY_PAUSE_MS: u64 = 50;
 
-    fn zone_of(&self, at: usize) -> SmolStr {
-        smol_str::format_smolstr!("zone-{}", at % self.zones)
-    }
+/// Pause of a caller whose entry died, in milliseconds.
+const RESEND_MS: u64 = 1_300;
 
-    fn member(&self, runner: usize) -> ports::Member {
-        ports::Member {
-            address: smol_str::format_smolstr!("10.0.0.{runner}:7720"),
-            zone: self.zone_of(runner),
-            service: "taipa".into(),
-        }
-    }
-}
+/// How long a play goes on after the last arrival, in milliseconds.
+const AFTER_MS: u64 = 20_000;
 
 /// What became of one call.
 #[derive(Clone, Debug)]
@@ -96,59 +55,6 @@
     pub ended: Option<(u64, dispatch::Outcome)>,
 }
 
-/// A message under way; a watch has a number, which its report repeats.
-#[derive(Clone, Debug)]
-enum Message {
-    Order(messages::Order),
-    Watch(messages::Watch, u64),
-    Ordered(messages::Order, messages::OrderReply),
-    Reported(messages::Report, u64),
-}
-
-impl Message {
-    const fn way(&self) -> trouble::Way {
-        match self {
-            Self::Order(_) | Self::Watch(..) => trouble::Way::ToRunner,
-            Self::Ordered(..) | Self::Reported(..) => trouble::Way::ToEntry,
-        }
-    }
-}
-
-/// What an entry does where an answer doesn't come.
-#[derive(Clone, Debug)]
-enum Overdue {
-    Watch(runners::RunnerKey, u64),
-    Order(messages::Order),
-    OrderAgain(messages::Order),
-}
-
-#[derive(Clone, Debug)]
-struct Timer {
-    at_ms: u64,
-    entry: usize,
-    life: ids::Incarnation,
-    runner: usize,
-    overdue: Overdue,
-}
-
-/// How long an answer is waited for, in milliseconds.
-const REPLY_LIMIT_MS: u64 = 250;
-
-/// Pause before a runner that didn't answer is watched again, in milliseconds.
-const RETRY_PAUSE_MS: u64 = 50;
-
-/// Pause of a caller whose entry died, in milliseconds.
-const RESEND_MS: u64 = 1_300;
-
-#[derive(Clone, Debug)]
-struct Letter {
-    at_ms: u64,
-    entry: usize,
-    life: ids::Incarnation,
-    runner: usize,
-    message: Message,
-}
-
 struct Entry {
     me: ids::Incarnation,
     dispatcher: dispatch::Dispatcher,
@@ -159,37 +65,17 @@
     unanswered: collections::HashSet<(usize, u64)>,
 }
 
-/// A question what runs that a backend server has yet to answer.
-#[derive(Clone, Copy, Debug)]
-struct Listing {
-    asked_ms: u64,
-    until_ms: u64,
-    lost_ms: u64,
-    is_lost: bool,
-}
-
-struct Runner {
-    room: room::Room,
-    watches: collections::HashMap<ids::Incarnation, (u64, u64)>,
-    running: collections::HashMap<messages::RunId, u64>,
-    ended: Vec<ports::Ended>,
-    ends: u64,
-    started: Vec<(u64, messages::RunId, ports::StartAnswer)>,
-    stopped: Vec<(u64, messages::RunId)>,
-    listing: Listing,
-}
-
 /// The whole of it.
 pub struct World {
     now_ms: u64,
     rng: ChaCha8Rng,
-    site: Site,
+    site: site::Site,
     entries: Vec<Entry>,
-    runners: Vec<Runner>,
-    letters: collections::VecDeque<Letter>,
+    runners: Vec<server::Runner>,
+    letters: collections::VecDeque<letters::Letter>,
     calls: Vec<Call>,
     run_ms: collections::HashMap<SmolStr, u64>,
-    timers: Vec<Timer>,
+    timers: Vec<letters::Timer>,
     last_watch: u64,
     troubles: Vec<trouble::Trouble>,
     lives: u64,
@@ -202,7 +88,7 @@
 
 impl World {
     /// A site whose runners are known to every entry and empty.
-    pub fn new(site: Site) -> Self {
+    pub fn new(site: site::Site) -> Self {
         let mut world = Self {
             now_ms: START_MS,
             rng: ChaCha8Rng::seed_from_u64(3),
@@ -210,7 +96,7 @@
             entries: (0..site.entries)
                 .map(|at| new_entry(&site, at, 0))
                 .collect(),
-            runners: (0..site.runners).map(|at| new_runner(&site, at)).collect(),
+            runners: (0..site.runners).map(|at| server::new(&site, at)).collect(),
             letters: collections::VecDeque::new(),
             calls: Vec::new(),
             run_ms: collections::HashMap::new(),
@@ -322,7 +208,7 @@
         }
     }
 
-    fn is_cut(&self, letter: &Letter) -> bool {
+    fn is_cut(&self, letter: &letters::Letter) -> bool {
         let way = letter.message.way();
         let troubles = self.troubles.iter();
         let mut cuts = troubles.filter(|trouble| trouble.cuts(letter.entry, letter.runner, way));
@@ -342,33 +228,39 @@
         }
     }
 
-    fn overdue(&mut self, timer: Timer) {
+    fn overdue(&mut self, timer: letters::Timer) {
         let (at, runner) = (timer.entry, timer.runner);
         let entry = &mut self.entries[at];
         match timer.overdue {
-            Overdue::Watch(key, number) if entry.watches.get(&runner) == Some(&number) => {
+            letters::Overdue::Watch(key, number) if entry.watches.get(&runner) == Some(&number) => {
                 self.ask(at, key);
             }
-            Overdue::Order(order) if entry.unanswered.contains(&(runner, order.number)) => {
+            letters::Overdue::Order(order)
+                if entry.unanswered.contains(&(runner, order.number)) =>
+            {
                 self.wait_for(
                     at,
                     runner,
                     REPLY_LIMIT_MS,
-                    Overdue::OrderAgain(order.clone()),
+                    letters::Overdue::OrderAgain(order.clone()),
                 );
-                self.send(at, runner, Message::Order(order));
+                self.send(at, runner, letters::Message::Order(order));
             }
-            Overdue::OrderAgain(order) if entry.unanswered.remove(&(runner, order.number)) => {
+            letters::Overdue::OrderAgain(order)
+                if entry.unanswered.remove(&(runner, order.number)) =>
+            {
                 let key = entry.keys[&runner];
                 let actions = entry.dispatcher.order_lost(self.now_ms, key, &order, false);
                 self.act(at, actions);
             }
-            Overdue::Watch(..) | Overdue::Order(_) | Overdue::OrderAgain(_) => {}
+            letters::Overdue::Watch(..)
+            | letters::Overdue::Order(_)
+            | letters::Overdue::OrderAgain(_) => {}
         }
     }
 
-    fn wait_for(&mut self, entry: usize, runner: usize, limit_ms: u64, overdue: Overdue) {
-        self.timers.push(Timer {
+    fn wait_for(&mut self, entry: usize, runner: usize, limit_ms: u64, overdue: letters::Overdue) {
+        self.timers.push(letters::Timer {
             at_ms: self.now_ms + limit_ms,
             entry,
             life: self.entries[entry].me,
@@ -408,8 +300,8 @@
         }
     }
 
-    fn send(&mut self, entry: usize, runner: usize, message: Message) {
-        self.letters.push_back(Letter {
+    fn send(&mut self, entry: usize, runner: usize, message: letters::Message) {
+        self.letters.push_back(letters::Letter {
             at_ms: self.now_ms + WAY_MS,
             entry,
             life: self.entries[entry].me,
@@ -434,22 +326,22 @@
             }
             let (entry, runner, now_ms) = (letter.entry, letter.runner, self.now_ms);
             match letter.message {
-                Message::Order(order) => {
+                letters::Message::Order(order) => {
                     let (reply, actions) = self.runners[runner].room.order(now_ms, order.clone());
                     self.call_backend(runner, actions);
                     // An answer to a life that is over goes nowhere.
                     if letter.life == self.entries[entry].me {
-                        self.send(entry, runner, Message::Ordered(order, reply));
+                        self.send(entry, runner, letters::Message::Ordered(order, reply));
                     }
                 }
-                Message::Watch(watch, number) => {
+                letters::Message::Watch(watch, number) => {
                     let until_ms = now_ms + watch.wait_ms;
                     let runner_held = &mut self.runners[runner];
                     let actions = runner_held.room.watch(now_ms, &watch);
                     runner_held.watches.insert(watch.entry, (until_ms, number));
                     self.call_backend(runner, actions);
                 }
-                Message::Ordered(order, reply) => {
+                letters::Message::Ordered(order, reply) => {
                     let held = &mut self.entries[entry];
                     if !held.unanswered.remove(&(runner, order.number)) {
                         continue;
@@ -459,7 +351,7 @@
                     let actions = dispatcher.ordered(now_ms, key, &order, reply);
                     self.act(entry, actions);
                 }
-                Message::Reported(report, number) => {
+                letters::Message::Reported(report, number) => {
                     // A report that comes after its time limit is not heard.
                     if self.entries[entry].watches.get(&runner) != Some(&number) {
                         continue;
@@ -485,8 +377,13 @@
             held.keys.insert(runner, key);
             held.watches.insert(runner, number);
             let limit_ms = watch.wait_ms + REPLY_LIMIT_MS + RETRY_PAUSE_MS;
-            self.wait_for(entry, runner, limit_ms, Overdue::Watch(key, number));
-            self.send(entry, runner, Message::Watch(watch, number));
+            self.wait_for(
+                entry,
+                runner,
+                limit_ms,
+                letters::Overdue::Watch(key, number),
+            );
+            self.send(entry, runner, letters::Message::Watch(watch, number));
         }
     }
 
@@ -497,8 +394,13 @@
                     let runner = runner_at(&address);
                     let number = order.number;
                     self.entries[entry].unanswered.insert((runner, number));
-                    self.wait_for(entry, runner, REPLY_LIMIT_MS, Overdue::Order(order.clone()));
-                    self.send(entry, runner, Message::Order(order));
+                    self.wait_for(
+                        entry,
+                        runner,
+                        REPLY_LIMIT_MS,
+                        letters::Overdue::Order(order.clone()),
+                    );
+                    self.send(entry, runner, letters::Message::Order(order));
                 }
                 dispatch::Action::Watch(key) => self.ask(entry, key),
                 dispatch::Action::Learn(holder) => panic!("every entry was told; asked {holder}"),
@@ -562,104 +464,12 @@
         for entry in 0..self.site.entries {
             let me = self.entries[entry].me;
             if let Some((report, number)) = self.runners[at].report_due(now_ms, me) {
-                self.send(entry, at, Message::Reported(report, number));
+                self.send(entry, at, letters::Message::Reported(report, number));
             }
         }
     }
 }
 
-impl Runner {
-    fn end(&mut self, id: messages::RunId, how: messages::How) {
-        self.ends += 1;
-        self.ended.push(ports::Ended {
-            number: self.ends,
-            id,
-            how,
-        });
-    }
-
-    fn finish(&mut self, now_ms: u64) {
-        let mut done: Vec<_> = self
-            .running
-            .extract_if(|_, end_ms| *end_ms <= now_ms)
-            .collect();
-        done.sort();
-        for (id, _) in done {
-            self.end(id, messages::How::Done);
-        }
-    }
-
-    fn hear_answers(&mut self, now_ms: u64) -> Vec<room::Action> {
-        let mut actions = Vec::new();
-        let started: Vec<_> = self
-            .started
-            .extract_if(.., |(at_ms, _, _)| *at_ms <= now_ms)
-            .collect();
-        for (_, id, answer) in started {
-            actions.extend(self.room.start_answered(now_ms, &id, answer));
-        }
-        let stopped: Vec<_> = self
-            .stopped
-            .extract_if(.., |(at_ms, _)| *at_ms <= now_ms)
-            .collect();
-        for (_, id) in stopped {
-            self.room.stop_answered(now_ms, &id, true);
-        }
-        actions
-    }
-
-    /// The answer to the question what runs, once there is one.
-    fn take_listing(&self, now_ms: u64) -> Option<ports::ListAnswer> {
-        let Listing {
-            asked_ms,
-            until_ms,
-            lost_ms,
-            is_lost,
-        } = self.listing;
-        if is_lost {
-            return (now_ms >= lost_ms).then_some(ports::ListAnswer::Lost);
-        }
-        let has_news = !self.ended.is_empty() && now_ms > asked_ms;
-        (has_news || now_ms >= until_ms).then(|| {
-            let running: Vec<_> = self.running.keys().cloned().collect();
-            let ports::ListAnswer::Listed(mut listing) =
-                fixtures::listing(now_ms - START_MS + 5_000, &running)
-            else {
-                unreachable!("a list");
-            };
-            listing.ended.clone_from(&self.ended);
-            ports::ListAnswer::Listed(listing)
-        })
-    }
-
-    fn ask_backend(&mut self, now_ms: u64, is_lost: bool) {
-        let call = self.room.next_list(now_ms);
-        if !is_lost {
-            self.ended.retain(|ended| ended.number > call.acked);
-        }
-        let until_ms = now_ms + call.wait_ms;
-        self.listing = Listing {
-            asked_ms: now_ms,
-            until_ms: until_ms.max(now_ms + 1),
-            lost_ms: until_ms + call.limit_ms,
-            is_lost,
-        };
-    }
-
-    fn report_due(
-        &mut self,
-        now_ms: u64,
-        entry: ids::Incarnation,
-    ) -> Option<(messages::Report, u64)> {
-        let (until_ms, number) = *self.watches.get(&entry)?;
-        if now_ms < until_ms && !self.room.has_news(entry) {
-            return None;
-        }
-        self.watches.remove(&entry);
-        Some((self.room.report(now_ms, entry), number))
-    }
-}
-
 /// Which runner answers at an address.
 fn runner_at(address: &str) -> usize {
     let (host, _) = address.split_once(':').expect("a port");
@@ -667,7 +477,7 @@
     runner.parse().expect("a number")
 }
 
-fn new_entry(site: &Site, at: usize, life: u64) -> Entry {
+fn new_entry(site: &site::Site, at: usize, life: u64) -> Entry {
     let me = ids::Incarnation(1 + at as u64 + 1_000 * life);
     let mut dispatcher =
         dispatch::Dispatcher::new(me, site.zone_of(at)).with_watch_set(site.watch_set);
@@ -682,29 +492,3 @@
         unanswered: collections::HashSet::new(),
     }
 }
-
-fn new_runner(site: &Site, at: usize) -> Runner {
-    let mut room = room::Room::new(ids::Incarnation(1_000 + at as u64), 10);
-    let announcement = ports::Announcement {
-        zone: site.zone_of(at),
-        ..fixtures::announcement(100, 1)
-    };
-    room.announced(START_MS, announcement);
-    let mut runner = Runner {
-        room,
-        watches: collections::HashMap::new(),
-        running: collections::HashMap::new(),
-        ended: Vec::new(),
-        ends: 0,
-        started: Vec::new(),
-        stopped: Vec::new(),
-        listing: Listing {
-            asked_ms: START_MS,
-            until_ms: START_MS,
-            lost_ms: START_MS,
-            is_lost: false,
-        },
-    };
-    runner.ask_backend(START_MS, false);
-    runner
-}
