--- a/src/leased/dispatch/mod.rs
+++ b/src/leased/dispatch/mod.rs
@@ -8,6 +8,7 @@
 pub mod patience;
 pub mod placing;
 pub mod runners;
+pub mod runs_over;
 pub mod urgency;
 pub mod watching;
 
@@ -392,69 +393,6 @@
         self.take_over(now_ms, key, over)
     }
 
-    fn take_over(
-        &mut self,
-        now_ms: u64,
-        key: runners::RunnerKey,
-        over: Vec<runners::Over>,
-    ) -> Vec<Action> {
-        let mut actions = Vec::new();
-        for over in over {
-            actions.extend(self.judge_end(now_ms, key, &over));
-            actions.extend(self.take_end(now_ms, &over));
-        }
-        actions.extend(self.fill(now_ms));
-        actions
-    }
-
-    fn take_end(&mut self, now_ms: u64, over: &runners::Over) -> Vec<Action> {
-        let Some(open) = self.jobs.get_mut(over.placed.job) else {
-            return Vec::new();
-        };
-        let at = over.placed.task;
-        open.has_begun |= over.how != messages::How::NotStarted;
-        if open.run_id(at) != over.id || !matches!(open.tasks[at].state, jobs::State::At(_)) {
-            return Vec::new();
-        }
-        let key = over.placed.job;
-        if over.how == messages::How::Done {
-            open.tasks[at].state = jobs::State::Done;
-            open.left[usize::from(open.tasks[at].step)] -= 1;
-            if open.is_complete() {
-                return self.complete(now_ms, key);
-            }
-            self.wait(key);
-            return Vec::new();
-        }
-        open.tasks[at].state = jobs::State::Waiting;
-        match over.how {
-            messages::How::Failed => {
-                open.tasks[at].failed += 1;
-                log::info!(event = "task.failed", job = open.job.id.as_str(), run:% = over.id, failed = open.tasks[at].failed, most = open.max_attempts, ran_ms = over.ran_ms; "failed");
-                if open.tasks[at].failed >= open.max_attempts {
-                    self.counts.failed += 1;
-                    return self.end(now_ms, key, Some(Outcome::Failed), "task failed too often");
-                }
-            }
-            messages::How::NotStarted => self.counts.not_started += 1,
-            _ => {
-                log::info!(event = "task.lost", job = open.job.id.as_str(), run:% = over.id, age_ms = now_ms - over.placed.ordered_ms; "run is over without a result");
-                self.counts.lost += 1;
-            }
-        }
-        self.wait(key);
-        Vec::new()
-    }
-
-    fn complete(&mut self, now_ms: u64, key: jobs::JobKey) -> Vec<Action> {
-        self.counts.completed += 1;
-        if let Some(open) = self.jobs.get(key) {
-            self.counts.late += u64::from(now_ms > open.due_ms);
-            self.counts.took.observe(now_ms - open.arrived_ms);
-        }
-        self.end(now_ms, key, Some(Outcome::Completed), "complete")
-    }
-
     fn wait(&mut self, key: jobs::JobKey) {
         if !self.waiting.contains(&key) {
             self.waiting.push(key);
