Move the simulation of leased jobs into the measurements, with scenarios

It moves to measure/src/leased; the tests keep all their cases and bounds and use it from there.

Latency is the same between all processes, and processes work in no time.

--- a/tests/unit/leased/simulation/faults.rs
+++ b/measure/src/leased/faults.rs
@@ -4,7 +4,7 @@
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
 
-use super::site;
+use crate::leased::site;
 
 /// Number of link cuts and of entry crashes.
 const CUTS: usize = 12;
@@ -48,6 +48,30 @@
         /// Index of the entry.
         entry: usize,
     },
+    /// A backend server is faulty.
+    Server {
+        /// Index of the runner beside it.
+        runner: usize,
+        /// What is wrong with it.
+        how: ServerFault,
+        /// Start of the fault.
+        at_ms: u64,
+        /// End of the fault.
+        until_ms: u64,
+    },
+}
+
+/// What is wrong with a backend server.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum ServerFault {
+    /// Tasks that it starts take this many times as long.
+    Slow(f64),
+    /// Tasks that it starts fail at once.
+    Fails,
+    /// Tasks that it starts never end.
+    Hangs,
+    /// It is leaving and accepts no more work, for good.
+    Leaves,
 }
 
 impl Fault {
@@ -67,11 +91,22 @@
             && direction.is_none_or(|direction| direction == on)
     }
 
+    /// Returns the fault of this runner's backend server while it is active.
+    pub fn of_server(&self, now_ms: u64, at_runner: usize) -> Option<ServerFault> {
+        let Self::Server { runner, how, .. } = *self else {
+            return None;
+        };
+        (runner == at_runner && self.is_active(now_ms)).then_some(how)
+    }
+
     /// Returns whether the fault is active.
     pub const fn is_active(&self, now_ms: u64) -> bool {
         match *self {
             Self::Cut {
                 at_ms, until_ms, ..
+            }
+            | Self::Server {
+                at_ms, until_ms, ..
             } => at_ms <= now_ms && now_ms < until_ms,
             Self::Crash { .. } => false,
         }
--- a/tests/unit/leased/simulation/runner.rs
+++ b/measure/src/leased/runner.rs
@@ -6,33 +6,54 @@
 use bulrushtiller::leased::capacity;
 use bulrushtiller::leased::messages;
 use bulrushtiller::leased::ports;
+use bulrushtiller::wire;
+use smol_str::SmolStr;
 
-use super::site;
-use crate::leased::fixtures;
-use crate::leased::fixtures::START_MS;
+use crate::leased::START_MS;
+use crate::leased::site;
+
+/// Start time of every backend server by its own clock, in milliseconds.
+const BORN_MS: u64 = 100;
+
+/// Reading of every backend server's clock at [`START_MS`], in milliseconds.
+const CLOCK_AT_START_MS: u64 = 5_000;
 
 /// A listing call that the backend server has not answered yet.
 #[derive(Clone, Copy, Debug)]
 pub struct ListCall {
+    /// When the call was sent.
     pub sent_at_ms: u64,
+    /// When it is answered at the latest.
     pub until_ms: u64,
+    /// When it counts as lost.
     pub times_out_at_ms: u64,
+    /// Whether it stays without an answer.
     pub is_lost: bool,
 }
 
+/// A runner and its backend server.
+#[derive(Debug)]
 pub struct Runner {
+    /// Decisions of the runner.
     pub capacity: capacity::CapacityManager,
     /// Open watches, each with the time by which it is answered and its number.
     pub watches: collections::HashMap<ids::Incarnation, (u64, u64)>,
     /// Running runs, each with its end time.
     pub running: collections::HashMap<messages::RunId, u64>,
+    /// Ended runs that the runner has not acknowledged.
     pub ended: Vec<ports::Ended>,
+    /// Number of the last ended run.
     pub last_end: u64,
     /// Answers to starts in flight, each with its time of arrival.
     pub start_answers: Vec<(u64, messages::RunId, ports::StartAnswer)>,
     /// Acknowledged stops in flight, each with its time of arrival.
     pub stop_answers: Vec<(u64, messages::RunId)>,
+    /// The open listing call.
     pub list_call: ListCall,
+    /// When each running run started.
+    pub started: collections::HashMap<messages::RunId, u64>,
+    /// Runs of which the backend server fails the task when they end.
+    pub failing: collections::HashSet<messages::RunId>,
 }
 
 impl Runner {
@@ -54,7 +75,13 @@
             .collect();
         done.sort();
         for (id, _) in done {
-            self.end(id, messages::RunOutcome::Done);
+            self.started.remove(&id);
+            let how = if self.failing.remove(&id) {
+                messages::RunOutcome::Failed
+            } else {
+                messages::RunOutcome::Done
+            };
+            self.end(id, how);
         }
     }
 
@@ -90,16 +117,20 @@
             return (now_ms >= times_out_at_ms).then_some(ports::ListAnswer::Lost);
         }
         let has_ends = !self.ended.is_empty() && now_ms > sent_at_ms;
-        (has_ends || now_ms >= until_ms).then(|| {
-            let running: Vec<_> = self.running.keys().cloned().collect();
-            let ports::ListAnswer::Listed(mut listing) =
-                fixtures::listing(now_ms - START_MS + 5_000, &running)
-            else {
-                unreachable!("the fixture is a listing");
-            };
-            listing.ended.clone_from(&self.ended);
-            ports::ListAnswer::Listed(listing)
-        })
+        (has_ends || now_ms >= until_ms).then(|| ports::ListAnswer::Listed(self.listing(now_ms)))
+    }
+
+    fn listing(&self, now_ms: u64) -> ports::Listing {
+        let running = self.running.keys().map(|id| ports::Running {
+            id: id.clone(),
+            percent: 10,
+        });
+        ports::Listing {
+            started_at_ms: BORN_MS,
+            clock_ms: now_ms - START_MS + CLOCK_AT_START_MS,
+            running: running.collect(),
+            ended: self.ended.clone(),
+        }
     }
 
     /// Sends the next listing call.
@@ -132,14 +163,29 @@
     }
 }
 
+fn announcement(site: &site::Site, at: usize) -> ports::Announcement {
+    ports::Announcement {
+        incarnation: ports::BackendIncarnation {
+            name: smol_str::format_smolstr!("backend-{at}"),
+            started_at_ms: BORN_MS,
+        },
+        sequence: 1,
+        is_leaving: false,
+        size: wire::Resources {
+            cpu_milli: site.size_milli(at),
+            memory_mib: 0,
+            accelerators: 0,
+        },
+        service: SmolStr::new_static(site::SERVICE),
+        zone: site.zone_of(at),
+        labels: [SmolStr::new_static("a")].into(),
+    }
+}
+
 /// Creates a ready runner and its backend server.
 pub fn new(site: &site::Site, at: usize) -> Runner {
     let mut capacity = capacity::CapacityManager::new(ids::Incarnation(1_000 + at as u64), 10);
-    let announcement = ports::Announcement {
-        zone: site.zone_of(at),
-        ..fixtures::announcement(100, 1)
-    };
-    capacity.announced(START_MS, announcement);
+    capacity.announced(START_MS, announcement(site, at));
     let mut runner = Runner {
         capacity,
         watches: collections::HashMap::new(),
@@ -154,6 +200,8 @@
             times_out_at_ms: START_MS,
             is_lost: false,
         },
+        started: collections::HashMap::new(),
+        failing: collections::HashSet::new(),
     };
     runner.send_list_call(START_MS, false);
     runner
--- a/tests/unit/leased/simulation/site.rs
+++ b/measure/src/leased/site.rs
@@ -4,11 +4,11 @@
 use bulrushtiller::leased::ports;
 use smol_str::SmolStr;
 
-/// Cores of each backend server.
-const CORES: usize = 16;
+/// Cores of a backend server, in thousandths.
+const DEFAULT_SIZE_MILLI: u32 = 16_000;
 
 /// Size of a site, and how reliably its backend servers answer.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Site {
     /// Number of unanswered calls per thousand calls to a backend server.
     pub unanswered_in_thousand: u32,
@@ -18,8 +18,14 @@
     pub runners: usize,
     /// Number of availability zones.
     pub zones: usize,
+    /// One-way latency between an entry and a runner, in milliseconds.
+    pub latency_ms: u64,
     /// Thousandths of a core that each task requires.
     pub task_milli: u32,
+    /// Thousandths of a core of the backend servers, in turn.
+    pub sizes_milli: Vec<u32>,
+    /// Speeds of the backend servers relative to a sound one, in turn.
+    pub speeds: Vec<f64>,
     /// Number of ready runners that each entry always watches.
     pub watch_set: usize,
 }
@@ -31,7 +37,10 @@
             entries: 4,
             runners: 8,
             zones: 1,
+            latency_ms: 1,
             task_milli: 1_600,
+            sizes_milli: vec![DEFAULT_SIZE_MILLI],
+            speeds: vec![1.0],
             watch_set: watching::DEFAULT_SET_SIZE,
         }
     }
@@ -40,7 +49,20 @@
 impl Site {
     /// Returns the number of cores of all backend servers.
     pub fn cores(&self) -> f64 {
-        (self.runners * CORES) as f64
+        let sizes = (0..self.runners).map(|at| f64::from(self.size_milli(at)));
+        sizes.sum::<f64>() / 1_000.0
+    }
+
+    /// Returns the size of a backend server, in thousandths of a core.
+    pub fn size_milli(&self, at: usize) -> u32 {
+        // Divided by the zones, so that each zone has servers of all sizes.
+        self.sizes_milli[at / self.zones % self.sizes_milli.len()]
+    }
+
+    /// Returns the speed of a backend server relative to a sound one.
+    pub fn speed(&self, at: usize) -> f64 {
+        let turn = at / self.zones / self.sizes_milli.len();
+        self.speeds[(turn + at % self.zones) % self.speeds.len()]
     }
 
     /// Returns the availability zone of an entry or a runner.
@@ -53,7 +75,10 @@
         ports::Member {
             address: smol_str::format_smolstr!("10.0.0.{runner}:7720"),
             zone: self.zone_of(runner),
-            service: "taipa".into(),
+            service: SmolStr::new_static(SERVICE),
         }
     }
 }
+
+/// Service of all backend servers.
+pub const SERVICE: &str = "taipa";
--- a/tests/unit/leased/simulation/world.rs
+++ b/measure/src/leased/world.rs
@@ -6,25 +6,29 @@
 
 use bulrushtiller::ids;
 use bulrushtiller::leased::capacity;
+use bulrushtiller::leased::directives;
 use bulrushtiller::leased::dispatch;
 use bulrushtiller::leased::dispatch::runners;
 use bulrushtiller::leased::messages;
 use bulrushtiller::leased::ports;
+use bulrushtiller::leased::queues;
 use rand::Rng as _;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
 use smol_str::SmolStr;
 
-use super::faults;
-use super::network;
-use super::runner;
-use super::site;
-use super::workload;
-use crate::leased::fixtures;
-use crate::leased::fixtures::START_MS;
+use crate::leased::START_MS;
+use crate::leased::faults;
+use crate::leased::network;
+use crate::leased::runner;
+use crate::leased::site;
+use crate::leased::workload;
 
-/// One-way latency between an entry and a runner, in milliseconds.
-const LATENCY_MS: u64 = 1;
+/// Run time of a task that a faulty backend server fails at once, in milliseconds.
+const FAIL_MS: u64 = 1;
+
+/// Run time of a task that never ends, in milliseconds.
+const ENDLESS_MS: u64 = 1_000_000;
 
 /// Timer intervals of entries and runners, in milliseconds.
 const ENTRY_TICK_INTERVAL_MS: u64 = 10;
@@ -39,6 +43,9 @@
 /// Pause before a caller whose entry crashed resends its job, in milliseconds.
 const RESEND_MS: u64 = 1_300;
 
+/// Time before the first arrival, in milliseconds.
+pub const WARM_UP_MS: u64 = 500;
+
 /// How long a simulation continues after the last arrival, in milliseconds.
 const DRAIN_MS: u64 = 20_000;
 
@@ -47,14 +54,25 @@
 pub struct Call {
     /// Queue of the job.
     pub queue: SmolStr,
+    /// Time of arrival.
+    pub arrived_ms: u64,
+    /// Work of all tasks, in core-seconds.
+    pub core_s: f64,
+    /// Processor demand of each task, in thousandths of a core.
+    pub task_milli: u32,
+    /// Number of tasks.
+    pub tasks: u32,
     /// Time by which an answer is in time.
     pub due_ms: u64,
     /// Whether the caller resent the job.
     pub is_resent: bool,
     /// Time and outcome of the answer.
     pub ended: Option<(u64, dispatch::Outcome)>,
+    /// Whether the job was refused although ready backend servers had room for all its tasks.
+    pub was_room_free: bool,
 }
 
+#[derive(Debug)]
 struct Entry {
     me: ids::Incarnation,
     dispatcher: dispatch::Dispatcher,
@@ -66,6 +84,7 @@
 }
 
 /// The simulated site.
+#[derive(Debug)]
 pub struct World {
     now_ms: u64,
     rng: ChaCha8Rng,
@@ -74,7 +93,11 @@
     runners: Vec<runner::Runner>,
     in_flight: collections::VecDeque<network::InFlight>,
     calls: Vec<Call>,
-    run_ms: collections::HashMap<SmolStr, u64>,
+    /// Run times of each job's tasks on a sound backend server.
+    run_ms: collections::HashMap<SmolStr, Vec<u64>>,
+    queues: Vec<queues::Queue>,
+    /// Work of runs that ended without a result, in core-seconds.
+    pub wasted_core_s: f64,
     timers: Vec<network::Timer>,
     last_watch: u64,
     faults: Vec<faults::Fault>,
@@ -90,14 +113,20 @@
 impl World {
     /// Creates a site of idle runners that are known to every entry.
     pub fn new(site: site::Site) -> Self {
+        Self::with_queues(site, vec![workload::checks(), workload::reports()])
+    }
+
+    /// Creates a site of idle runners whose entries serve the given queues.
+    pub fn with_queues(site: site::Site, queues: Vec<queues::Queue>) -> Self {
+        let entries = (0..site.entries).map(|at| new_entry(&site, &queues, at, 0));
         let mut world = Self {
             now_ms: START_MS,
             rng: ChaCha8Rng::seed_from_u64(3),
-            site,
-            entries: (0..site.entries)
-                .map(|at| new_entry(&site, at, 0))
-                .collect(),
+            entries: entries.collect(),
             runners: (0..site.runners).map(|at| runner::new(&site, at)).collect(),
+            site,
+            queues,
+            wasted_core_s: 0.0,
             in_flight: collections::VecDeque::new(),
             calls: Vec::new(),
             run_ms: collections::HashMap::new(),
@@ -109,7 +138,7 @@
             resends: Vec::new(),
             overlaps: collections::BTreeSet::new(),
         };
-        for at in 0..site.entries {
+        for at in 0..world.site.entries {
             world.list_runners(at);
         }
         world
@@ -127,7 +156,7 @@
 
     /// Runs a workload to its end and returns its calls.
     pub fn run(&mut self, arrivals: &[workload::Arrival]) -> Vec<Call> {
-        self.run_until(START_MS + 500);
+        self.run_until(START_MS + WARM_UP_MS);
         let start_ms = self.now_ms;
         for arrival in arrivals {
             self.run_until(start_ms + arrival.at_ms);
@@ -137,6 +166,15 @@
         self.calls.clone()
     }
 
+    /// Returns the number of runs ordered for each run that started.
+    pub fn orders_per_start(&self) -> f64 {
+        let counts = self.entries.iter().map(|entry| entry.dispatcher.counts());
+        let (ordered, not_started) = counts.fold((0, 0), |(ordered, not_started), counts| {
+            (ordered + counts.ordered, not_started + counts.not_started)
+        });
+        ordered as f64 / (ordered - not_started).max(1) as f64
+    }
+
     /// Passes the runners of the store to an entry.
     fn list_runners(&mut self, at: usize) {
         let members: Vec<_> = (0..self.site.runners)
@@ -150,20 +188,27 @@
 
     fn arrive(&mut self, arrival: &workload::Arrival) {
         let waiter = self.calls.len() as u64;
-        let due_ms = self.now_ms + arrival.run_ms * 16 / 10 + 60 - arrival.waited_ms;
+        let step = &arrival.job.steps[0];
         self.calls.push(Call {
             queue: arrival.queue.name.clone(),
-            due_ms,
+            arrived_ms: self.now_ms,
+            core_s: arrival.core_s(),
+            task_milli: step.need.cpu_milli,
+            tasks: step.tasks,
+            due_ms: self.now_ms + objective_ms(arrival) - arrival.waited_ms,
             is_resent: arrival.waited_ms > 0,
             ended: None,
+            was_room_free: false,
         });
-        self.run_ms.insert(arrival.job.id.clone(), arrival.run_ms);
+        self.run_ms
+            .insert(arrival.job.id.clone(), arrival.run_ms.clone());
         self.arrivals.push(arrival.clone());
         self.submit(arrival, waiter);
     }
 
     fn submit(&mut self, arrival: &workload::Arrival, waiter: u64) {
-        let timeout_ms = Some(1_500 + 5 * arrival.run_ms - arrival.waited_ms);
+        let limit_ms = arrival.queue.timeout_ms + 5 * arrival.longest_ms();
+        let timeout_ms = Some(limit_ms - arrival.waited_ms);
         let job = arrival.job.clone();
         let entry = &mut self.entries[arrival.entry].dispatcher;
         let actions = entry.submit(self.now_ms, job, &arrival.queue, timeout_ms, waiter);
@@ -173,7 +218,7 @@
     /// Replaces a crashed entry by a new incarnation; its callers resend to another entry.
     fn crash(&mut self, at: usize) {
         self.crashes += 1;
-        self.entries[at] = new_entry(&self.site, at, self.crashes);
+        self.entries[at] = new_entry(&self.site, &self.queues, at, self.crashes);
         let next_entry = (at + 1) % self.site.entries;
         for (call, arrival) in self.arrivals.iter_mut().enumerate() {
             if arrival.entry == at && self.calls[call].ended.is_none() {
@@ -209,6 +254,14 @@
             {
                 self.crash(entry);
             }
+            if let faults::Fault::Server {
+                at_ms, runner, how, ..
+            } = self.faults[at]
+                && how == faults::ServerFault::Leaves
+                && START_MS + at_ms == now_ms
+            {
+                self.runners[runner].capacity.leave(now_ms);
+            }
         }
     }
 
@@ -314,7 +367,7 @@
 
     fn send(&mut self, entry: usize, runner: usize, message: network::Message) {
         self.in_flight.push_back(network::InFlight {
-            at_ms: self.now_ms + LATENCY_MS,
+            at_ms: self.now_ms + self.site.latency_ms,
             entry,
             incarnation: self.entries[entry].me,
             runner,
@@ -422,11 +475,67 @@
                 dispatch::Action::Answer(waiter, outcome) => {
                     let at = usize::try_from(waiter).expect("a small number");
                     self.calls[at].ended = Some((self.now_ms, outcome));
+                    if matches!(outcome, dispatch::Outcome::NotRun { .. }) {
+                        self.calls[at].was_room_free = self.has_room(&self.calls[at]);
+                    }
                 }
             }
         }
     }
 
+    /// Returns whether ready backend servers have room for all tasks of a call at once.
+    fn has_room(&self, call: &Call) -> bool {
+        let fitting = self.runners.iter().map(|runner| {
+            let load = runner.capacity.load(self.now_ms);
+            let is_ready = load.readiness == messages::Readiness::Ready;
+            let free_milli = load.size.minus(&load.used).cpu_milli;
+            u32::from(is_ready) * (free_milli / call.task_milli.max(1))
+        });
+        fitting.sum::<u32>() >= call.tasks
+    }
+
+    fn server_fault(&self, at: usize) -> Option<faults::ServerFault> {
+        let elapsed_ms = self.now_ms - START_MS;
+        let mut faults = self.faults.iter();
+        faults.find_map(|fault| fault.of_server(elapsed_ms, at))
+    }
+
+    /// Starts a run at a backend server, with its speed and its fault.
+    fn start_run(&mut self, at: usize, start: &messages::Start) {
+        let id = &start.id;
+        let task_ms = self.run_ms[&id.job][id.index as usize] as f64 / self.site.speed(at);
+        let run_ms = match self.server_fault(at) {
+            Some(faults::ServerFault::Slow(factor)) => whole_ms(task_ms * factor),
+            Some(faults::ServerFault::Fails) => FAIL_MS,
+            Some(faults::ServerFault::Hangs) => ENDLESS_MS,
+            Some(faults::ServerFault::Leaves) | None => whole_ms(task_ms),
+        };
+        let runner = &mut self.runners[at];
+        if run_ms == FAIL_MS {
+            runner.failing.insert(id.clone());
+        }
+        runner.running.insert(id.clone(), self.now_ms + run_ms);
+        runner.started.insert(id.clone(), self.now_ms);
+    }
+
+    /// Stops a run at a backend server.
+    fn stop_run(&mut self, at: usize, id: &messages::RunId) {
+        let runner = &mut self.runners[at];
+        if runner.running.remove(id).is_none() {
+            return;
+        }
+        let started_ms = runner.started.remove(id).unwrap_or(self.now_ms);
+        runner.failing.remove(id);
+        runner.end(id.clone(), messages::RunOutcome::Stopped);
+        let held = self
+            .arrivals
+            .iter()
+            .rev()
+            .find(|arrival| arrival.job.id == id.job);
+        let task_milli = held.map_or(0, |arrival| arrival.job.steps[0].need.cpu_milli);
+        self.wasted_core_s += f64::from(task_milli) * (self.now_ms - started_ms) as f64 / 1e6;
+    }
+
     fn draw_unanswered(&mut self) -> bool {
         self.rng
             .random_ratio(self.site.unanswered_in_thousand, 1_000)
@@ -439,23 +548,21 @@
             let now_ms = self.now_ms;
             match action {
                 capacity::Action::Start(call) => {
-                    let id = call.start.id;
                     let answer = if is_lost {
-                        (now_ms + call.timeout_ms, id, ports::StartAnswer::Lost)
+                        (
+                            now_ms + call.timeout_ms,
+                            call.start.id,
+                            ports::StartAnswer::Lost,
+                        )
                     } else {
-                        let run_ms = self.run_ms[&id.job];
-                        let runner = &mut self.runners[at];
-                        runner.running.insert(id.clone(), now_ms + run_ms);
-                        (now_ms + 1, id, ports::StartAnswer::Started)
+                        self.start_run(at, &call.start);
+                        (now_ms + 1, call.start.id, ports::StartAnswer::Started)
                     };
                     self.runners[at].start_answers.push(answer);
                 }
                 capacity::Action::Stop(call) if !is_lost => {
-                    let runner = &mut self.runners[at];
-                    if runner.running.remove(&call.id).is_some() {
-                        runner.end(call.id.clone(), messages::RunOutcome::Stopped);
-                    }
-                    runner.stop_answers.push((now_ms + 1, call.id));
+                    self.stop_run(at, &call.id);
+                    self.runners[at].stop_answers.push((now_ms + 1, call.id));
                 }
                 capacity::Action::Stop(_) => {}
             }
@@ -496,13 +603,16 @@
     runner.parse().expect("a number")
 }
 
-fn new_entry(site: &site::Site, at: usize, generation: u64) -> Entry {
+fn new_entry(site: &site::Site, queues: &[queues::Queue], at: usize, generation: u64) -> Entry {
     let me = ids::Incarnation(1 + at as u64 + 1_000 * generation);
     let mut dispatcher =
         dispatch::Dispatcher::new(me, site.zone_of(at)).with_watch_set(site.watch_set);
-    let mut directives = fixtures::directives(3);
-    directives.queues = [workload::checks(), workload::reports()].into();
-    dispatcher.update_directives(directives);
+    dispatcher.update_directives(directives::Directives {
+        position: 3,
+        version: 3,
+        queues: queues.into(),
+        ..directives::Directives::default()
+    });
     Entry {
         me,
         dispatcher,
@@ -511,3 +621,18 @@
         unanswered_orders: collections::HashSet::new(),
     }
 }
+
+/// Returns the time that a caller allows, in milliseconds.
+fn objective_ms(arrival: &workload::Arrival) -> u64 {
+    let queue = &arrival.queue;
+    whole_ms(arrival.longest_ms() as f64 * queue.stretch) + queue.target_ms
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a time within the simulation"
+)]
+fn whole_ms(ms: f64) -> u64 {
+    ms as u64
+}
--- a/measure/src/lib.rs
+++ b/measure/src/lib.rs
@@ -2,6 +2,7 @@
 //! times on a simulated clock, without network or processes.
 
 pub mod ceiling;
+pub mod leased;
 pub mod pages;
 pub mod patterns;
 pub mod report;
--- a/tests/unit/leased/simulation/mod.rs
+++ b/tests/unit/leased/simulation.rs
@@ -1,48 +1,13 @@
 //! Simulated load on the decisions of entries and runners, judged by the outcomes of the calls.
 
-mod faults;
-mod network;
-mod runner;
-mod site;
-mod workload;
-mod world;
-
 use bulrushtiller::leased::dispatch;
+use bulrushtiller_measure::leased::faults;
+use bulrushtiller_measure::leased::site;
+use bulrushtiller_measure::leased::tally::Tally;
+use bulrushtiller_measure::leased::workload;
+use bulrushtiller_measure::leased::world;
 use rstest::rstest;
 
-/// Outcomes of the calls of one queue.
-#[derive(Clone, Copy, Debug, Default)]
-struct Tally {
-    total: u32,
-    in_time: u32,
-    late: u32,
-    not_run: u32,
-}
-
-impl Tally {
-    fn of(calls: &[world::Call], queue: &str) -> Self {
-        let mut tally = Self::default();
-        let is_counted = |call: &&world::Call| call.queue == queue && !call.is_resent;
-        for call in calls.iter().filter(is_counted) {
-            tally.total += 1;
-            match call.ended {
-                Some((at_ms, dispatch::Outcome::Completed)) if at_ms <= call.due_ms => {
-                    tally.in_time += 1;
-                }
-                Some((_, dispatch::Outcome::Completed)) => tally.late += 1,
-                Some((_, dispatch::Outcome::NotRun { .. })) => tally.not_run += 1,
-                _ => {}
-            }
-        }
-        tally
-    }
-
-    /// Returns the share of the calls that completed in time.
-    fn share(self) -> f64 {
-        f64::from(self.in_time) / f64::from(self.total)
-    }
-}
-
 /// Guards against wide jobs that are late during ten seconds of 20 % overload. The
 /// checks are wide and urgent, the reports narrow with more time. The tasks of a check find
 /// capacity one by one at several runners; if earlier reports fill the wait queues and start in
@@ -125,7 +90,7 @@
         zones: 4,
         ..site::Site::default()
     };
-    let mut world = world::World::new(site);
+    let mut world = world::World::new(site.clone());
 
     let calls = world.run(&workload::uneven(&site, 0.75));
 
@@ -142,7 +107,7 @@
         task_milli: 3_800,
         ..site::Site::default()
     };
-    let mut world = world::World::new(site);
+    let mut world = world::World::new(site.clone());
 
     let calls = world.run(&workload::even(&site, 0.67));
 
@@ -164,7 +129,7 @@
         watch_set,
         ..site::Site::default()
     };
-    let mut world = world::World::new(site);
+    let mut world = world::World::new(site.clone());
 
     let faults = faults::drawn(seed, &site);
     let calls = world.run_with_faults(&workload::long(&site, 0.6), faults);
@@ -187,7 +152,7 @@
         watch_set,
         ..site::Site::default()
     };
-    let mut world = world::World::new(site);
+    let mut world = world::World::new(site.clone());
 
     let faults = faults::drawn(seed, &site);
     let calls = world.run_with_faults(&workload::even(&site, 0.6), faults);
