Report free capacity only to entries that can use it

A report was sent to every entry that waits whenever a run ended anywhere, mostly while the wait queue took the capacity at once.

A watch now tells the least free capacity that a waiting job could use, headroom included, and the runner answers when that much is free and more than at the last report. A watch without the field is answered as before, which an entry of an earlier release needs.

--- a/src/leased/capacity/mod.rs
+++ b/src/leased/capacity/mod.rs
@@ -316,7 +316,9 @@
         let Some(owner) = self.owners.get(&entry) else {
             return true;
         };
-        owner.has_update || self.latest.get().position > owner.directives_position
+        owner.has_update
+            || self.latest.get().position > owner.directives_position
+            || owner.has_wanted_capacity(self.free_milli())
     }
 
     /// Returns the answer to the entry's watch.
@@ -331,9 +333,9 @@
                 waiting.push(id.clone());
             }
         }
+        let free_milli = self.free_milli();
         let owner = self.owners.entry(entry).or_default();
-        owner.has_update = false;
-        owner.reported_at_ms = now_ms;
+        owner.reported(now_ms, free_milli);
         let is_outdated = owner.configuration < self.latest.get().version;
         let holder = self.configuration_holder.clone().filter(|_| is_outdated);
         messages::Report {
@@ -370,6 +372,12 @@
         }
     }
 
+    /// Returns the free processor time of the backend server, in thousandths of a core.
+    fn free_milli(&self) -> u32 {
+        let size = self.backend.as_ref().map(|backend| backend.size);
+        size.map_or(0, |size| size.minus(&self.used).cpu_milli)
+    }
+
     /// Returns the longest lease that may be granted now: no lease may end later than
     /// [`OWNER_LEASE_MS`] after any entry with started runs was last seen.
     fn lease_ms(&self, now_ms: u64) -> u64 {
@@ -482,7 +490,7 @@
             owner.push_end(id.clone(), how, ran_ms);
         }
         for owner in self.owners.values_mut() {
-            owner.has_update |= owner.wants_capacity;
+            owner.run_ended();
         }
     }
 }
--- a/src/leased/capacity/orders.rs
+++ b/src/leased/capacity/orders.rs
@@ -146,6 +146,10 @@
         self.wait_queue
             .subtract(start.wait.class, start.need.cpu_milli);
         self.used = self.used.plus(&start.need);
+        let free_milli = self.free_milli();
+        for owner in self.owners.values_mut() {
+            owner.capacity_taken(free_milli);
+        }
         let lease_until_ms = self.backend_clock.grant(now_ms, self.lease_ms(now_ms));
         log::info!(event = "run.start", run:% = start.id, owner:% = owner, waited_ms = waited_ms, cpu_milli = start.need.cpu_milli, used_milli = self.used.cpu_milli; "starting the run");
         Some(capacity::Action::Start(ports::StartCall {
--- a/src/leased/capacity/owners.rs
+++ b/src/leased/capacity/owners.rs
@@ -21,7 +21,11 @@
     ends: collections::VecDeque<messages::End>,
     last_end: u64,
     /// Whether the entry waits for free capacity.
-    pub wants_capacity: bool,
+    wants_capacity: bool,
+    /// Least free capacity that is of use to it, in thousandths of a core.
+    wanted_milli: u32,
+    /// Least free capacity since the last report, in thousandths of a core.
+    least_free_milli: u32,
     /// Position of the latest directives known to the entry when it sent its last watch.
     pub directives_position: u64,
     /// Version of the complete configuration that the entry had then.
@@ -43,6 +47,7 @@
         let alive_at_ms = watch.alive_at_ms.unwrap_or(0).min(now_ms);
         self.alive_at_ms = self.alive_at_ms.max(alive_at_ms);
         self.wants_capacity = watch.wants_room;
+        self.wanted_milli = watch.wanted_milli;
         self.directives_position = watch.directives_position;
         self.configuration = watch.configuration;
         self.ends.retain(|end| end.number > watch.acked);
@@ -86,6 +91,35 @@
         order <= self.last_order && !self.wanted.contains(id)
     }
 
+    /// Records that a report with this free capacity is sent.
+    pub const fn reported(&mut self, now_ms: u64, free_milli: u32) {
+        self.has_update = false;
+        self.reported_at_ms = now_ms;
+        self.least_free_milli = free_milli;
+    }
+
+    /// Records that a run has ended or has left the wait queue.
+    pub const fn run_ended(&mut self) {
+        self.has_update |= self.wants_capacity && self.wanted_milli == 0;
+    }
+
+    /// Records that capacity was taken.
+    pub fn capacity_taken(&mut self, free_milli: u32) {
+        self.least_free_milli = self.least_free_milli.min(free_milli);
+    }
+
+    /// Returns whether capacity became free that the entry waits for.
+    ///
+    /// Under overload a run ends every few milliseconds, and what it frees is mostly taken by the
+    /// next one in the wait queue. Reports of each such end to every entry that waits would take
+    /// more of the entries' processor time than their callers.
+    pub const fn has_wanted_capacity(&self, free_milli: u32) -> bool {
+        self.wants_capacity
+            && self.wanted_milli > 0
+            && free_milli >= self.wanted_milli
+            && free_milli > self.least_free_milli
+    }
+
     /// Adds the end of a run to the next report.
     pub fn push_end(&mut self, id: messages::RunId, how: messages::RunOutcome, ran_ms: u64) {
         self.last_end += 1;
--- a/src/leased/dispatch/jobs.rs
+++ b/src/leased/dispatch/jobs.rs
@@ -9,6 +9,7 @@
 use crate::leased::job;
 use crate::leased::messages;
 use crate::leased::queues;
+use crate::wire;
 
 slotmap::new_key_type! {
     /// Key of an open job.
@@ -135,6 +136,11 @@
             .map(|(task_index, _)| task_index)
     }
 
+    /// Returns the resources that a task takes.
+    pub fn need(&self, task_index: usize) -> wire::Resources {
+        self.job.steps[usize::from(self.tasks[task_index].step)].need
+    }
+
     /// Returns whether every task has completed.
     pub fn is_complete(&self) -> bool {
         self.unfinished.iter().all(|&count| count == 0)
--- a/src/leased/dispatch/mod.rs
+++ b/src/leased/dispatch/mod.rs
@@ -358,6 +358,7 @@
             return None;
         }
         let wants_room = !self.waiting.is_empty();
+        let wanted_milli = self.wanted_milli(now_ms, self.runners.get(key)?);
         let runner = self.runners.get_mut(key)?;
         let jobs = &self.jobs;
         let mut watch = runner.build_watch(now_ms, self.incarnation, |placed| {
@@ -365,6 +366,7 @@
             open.is_some_and(|open| open.tasks[placed.task].state == jobs::State::Assigned(key))
         });
         watch.wants_room = wants_room;
+        watch.wanted_milli = wanted_milli;
         let is_idle = runner.placed() == 0 && !wants_room;
         watch.wait_ms = if is_idle {
             IDLE_WATCH_WAIT_MS
--- a/src/leased/dispatch/placement.rs
+++ b/src/leased/dispatch/placement.rs
@@ -169,6 +169,18 @@
     Some(preferred.0)
 }
 
+/// Returns the capacity that a task of a class has to leave free at a backend server, in
+/// thousandths of a core.
+pub fn spare_milli(class: u8, headroom_share: f64, size_milli: u32, need_milli: u32) -> u32 {
+    if urgency::uses_spare_capacity_only(class) {
+        size_milli / SPARE_DIVISOR
+    } else if urgency::leaves_headroom(class) {
+        headroom::reserve_milli(headroom_share, size_milli, need_milli)
+    } else {
+        0
+    }
+}
+
 impl Candidate {
     fn reserve(&mut self, need: &wire::Resources, waits: bool) {
         if waits {
@@ -189,13 +201,12 @@
     }
 
     fn has_capacity_for(&self, request: &Request<'_>) -> bool {
-        let spare_milli = if urgency::uses_spare_capacity_only(request.class) {
-            self.size_milli / SPARE_DIVISOR
-        } else if urgency::leaves_headroom(request.class) {
-            headroom::reserve_milli(self.headroom_share, self.size_milli, request.need.cpu_milli)
-        } else {
-            0
-        };
+        let spare_milli = spare_milli(
+            request.class,
+            self.headroom_share,
+            self.size_milli,
+            request.need.cpu_milli,
+        );
         request.need.fits_in(&self.free)
             && self.free.cpu_milli >= request.need.cpu_milli.saturating_add(spare_milli)
     }
--- a/src/leased/dispatch/runners.rs
+++ b/src/leased/dispatch/runners.rs
@@ -329,6 +329,7 @@
             ordered: self.orders,
             wanted: wanted.map(|(id, _)| id.clone()).collect(),
             wants_room: false,
+            wanted_milli: 0,
             wait_ms: 0,
             address: None,
             directives_position: 0,
--- a/src/leased/dispatch/scheduling.rs
+++ b/src/leased/dispatch/scheduling.rs
@@ -84,6 +84,31 @@
         actions
     }
 
+    /// Returns the least free capacity of a runner that a waiting job could use, in thousandths of
+    /// a core; 0 if a waiting job could use space in its wait queue, too.
+    pub(super) fn wanted_milli(&self, now_ms: u64, runner: &runners::Runner) -> u32 {
+        let service = &runner.load.service;
+        let headroom_share = self.headroom.share(service);
+        let waiting = self.waiting.iter().filter_map(|key| self.jobs.get(*key));
+        let wanted = waiting.filter(|open| open.service == *service).map(|open| {
+            let class = urgency::wait(&dispatch::urgency_view(open), now_ms).class;
+            if !urgency::leaves_headroom(class) {
+                return 0;
+            }
+            let tasks = open.ready_tasks();
+            let need_milli = tasks.map(|index| open.need(index).cpu_milli).min();
+            let need_milli = need_milli.unwrap_or(0);
+            let spare_milli = placement::spare_milli(
+                class,
+                headroom_share,
+                runner.load.size.cpu_milli,
+                need_milli,
+            );
+            need_milli.saturating_add(spare_milli)
+        });
+        wanted.min().unwrap_or(u32::MAX)
+    }
+
     fn candidates(&self, now_ms: u64, service: &str) -> Vec<placement::Candidate> {
         let directives = self.directives.latest();
         let headroom_share = self.headroom.share(service);
--- a/src/leased/messages.rs
+++ b/src/leased/messages.rs
@@ -178,6 +178,10 @@
     pub wanted: Vec<RunId>,
     /// Whether to answer as soon as more capacity is free.
     pub wants_room: bool,
+    /// Least free capacity that is of use, in thousandths of a core; 0 if space in the wait queue
+    /// is, too.
+    #[serde(default)]
+    pub wanted_milli: u32,
     /// Longest wait for an update, in milliseconds.
     pub wait_ms: u64,
     /// Address of the entry for other entries; absent if it has none.
--- a/tests/unit/leased/fixtures.rs
+++ b/tests/unit/leased/fixtures.rs
@@ -170,6 +170,7 @@
         ordered,
         wanted: wanted.to_vec(),
         wants_room: false,
+        wanted_milli: 0,
         wait_ms: 150,
         address: None,
         directives_position: 0,
--- a/tests/unit/leased/wait_queue.rs
+++ b/tests/unit/leased/wait_queue.rs
@@ -177,3 +177,63 @@
     assert_eq!(report.ends.len(), 1, "{report:?}");
     assert_eq!(report.ends[0].how, messages::RunOutcome::NotStarted);
 }
+
+/// Returns a watch of an entry whose waiting jobs need this much free capacity.
+fn watch_that_wants(wanted_milli: u32) -> messages::Watch {
+    messages::Watch {
+        wants_room: true,
+        wanted_milli,
+        ..fixtures::watch(OTHER, START_MS + 3, 0, &[])
+    }
+}
+
+/// Guards against reports to every waiting entry whenever a run ends under overload.
+#[rstest]
+#[case::too_little(1_601, false)]
+#[case::enough(1_600, true)]
+#[case::space_in_the_queue_counts(0, true)]
+fn waiting_entry_gets_a_report_of_capacity_that_it_can_use(
+    #[case] wanted_milli: u32,
+    #[case] expected: bool,
+) {
+    let (mut manager, runs) = full_manager();
+    manager.watch(START_MS + 3, &watch_that_wants(wanted_milli));
+    manager.report(START_MS + 3, OTHER);
+
+    end_first(&mut manager, START_MS + 10, &runs);
+
+    assert_eq!(manager.has_update(OTHER), expected);
+}
+
+/// Guards against reports of capacity that a queued run takes at once.
+#[test]
+fn capacity_taken_by_a_queued_run_is_not_reported() {
+    let (mut manager, runs) = full_manager();
+    let queued = fixtures::run_id(1, 0, 1);
+    manager.order(START_MS + 2, waiting_order(ENTRY, &queued, 80));
+    manager.watch(START_MS + 3, &watch_that_wants(1_600));
+    manager.report(START_MS + 3, OTHER);
+
+    end_first(&mut manager, START_MS + 10, &runs);
+
+    assert!(!manager.has_update(OTHER));
+}
+
+/// Guards against an entry of an earlier release whose watches say nothing of the capacity that it
+/// wants, during a rolling restart.
+#[test]
+fn watch_without_wanted_capacity_is_answered_at_each_end() {
+    let mut fields = serde_json::to_value(watch_that_wants(1_600)).expect("a watch");
+    fields
+        .as_object_mut()
+        .expect("an object")
+        .remove("wanted_milli");
+    let watch: messages::Watch = serde_json::from_value(fields).expect("a watch");
+    let (mut manager, runs) = full_manager();
+    manager.watch(START_MS + 3, &watch);
+    manager.report(START_MS + 3, OTHER);
+
+    end_first(&mut manager, START_MS + 10, &runs);
+
+    assert!(manager.has_update(OTHER));
+}
