Let a run wait briefly when its capacity was just taken

Cause: nine entries see the same freed capacity, all order, and all but one are refused: 1.7 to 1.9 runs were ordered for each that started, and each refusal costs an exchange at an entry that is short of processor time. Beside it, runners where no waiting task fits are left out before the placement.

A run for which there was capacity when it was ordered may wait 15 ms.

Also tried and not kept: refusing at arrival when the work ahead takes longer than the job can wait.

--- a/src/leased/dispatch/scheduling.rs
+++ b/src/leased/dispatch/scheduling.rs
@@ -42,6 +42,25 @@
     }
 }
 
+/// Least processor demand of the tasks of a service that wait for capacity, in thousandths of a
+/// core.
+#[derive(Clone, Copy, Debug)]
+struct LeastNeed {
+    /// Of all tasks.
+    cpu_milli: u32,
+    /// Of the tasks that may wait for capacity at a runner.
+    queued_milli: u32,
+}
+
+impl Default for LeastNeed {
+    fn default() -> Self {
+        Self {
+            cpu_milli: u32::MAX,
+            queued_milli: u32::MAX,
+        }
+    }
+}
+
 /// Runs to order at each runner.
 type Starts = collections::HashMap<runners::RunnerKey, Vec<runners::PlannedRun>>;
 
@@ -60,13 +79,15 @@
         ranked.sort_by_cached_key(|key| {
             urgency::rank(&dispatch::urgency_view(&self.jobs[*key]), now_ms)
         });
+        let least = self.least_needs(now_ms, &ranked);
         let mut starts = Starts::new();
         let mut capacities: collections::HashMap<SmolStr, ServiceCapacity> =
             collections::HashMap::new();
         for key in ranked {
             let service = self.jobs[key].service.clone();
             let capacity = capacities.entry(service.clone()).or_insert_with(|| {
-                ServiceCapacity::with_candidates(self.candidates(now_ms, &service))
+                let candidates = self.candidates(now_ms, &service, least[&service]);
+                ServiceCapacity::with_candidates(candidates)
             });
             let all_placed = self.place(now_ms, key, capacity, &mut starts);
             if !all_placed {
@@ -109,7 +130,34 @@
         wanted.min().unwrap_or(u32::MAX)
     }
 
-    fn candidates(&self, now_ms: u64, service: &str) -> Vec<placement::Candidate> {
+    /// Returns the least needs of the tasks that wait for capacity, by service.
+    fn least_needs(
+        &self,
+        now_ms: u64,
+        waiting: &[jobs::JobKey],
+    ) -> collections::HashMap<SmolStr, LeastNeed> {
+        let mut by_service: collections::HashMap<SmolStr, LeastNeed> = collections::HashMap::new();
+        for key in waiting {
+            let open = &self.jobs[*key];
+            let wait = urgency::wait(&dispatch::urgency_view(open), now_ms);
+            let needs = open.ready_tasks().map(|index| open.need(index).cpu_milli);
+            let need_milli = needs.min().unwrap_or(0);
+            let least = by_service.entry(open.service.clone()).or_default();
+            least.cpu_milli = least.cpu_milli.min(need_milli);
+            if wait.most_ms > 0 {
+                least.queued_milli = least.queued_milli.min(need_milli);
+            }
+        }
+        by_service
+    }
+
+    /// Returns the runners that accept work and where the smallest waiting task fits, or may wait.
+    fn candidates(
+        &self,
+        now_ms: u64,
+        service: &str,
+        least: LeastNeed,
+    ) -> Vec<placement::Candidate> {
         let directives = self.directives.latest();
         let headroom_share = self.headroom.share(service);
         let accepts_work = |runner: &runners::Runner| {
@@ -121,15 +169,21 @@
         let usable = self
             .watched_runners()
             .filter(|(_, runner)| accepts_work(runner));
-        let candidates = usable.map(|(key, runner)| {
+        let candidates = usable.filter_map(|(key, runner)| {
+            let free = runner.free();
+            let queue_free_milli = runner.queue_free_milli();
+            let [most_queue_free_milli, ..] = queue_free_milli;
+            if free.cpu_milli < least.cpu_milli && most_queue_free_milli < least.queued_milli {
+                return None;
+            }
             let allowance = self.health.allowance(now_ms, key);
             let limit = allowance.max_tasks.unwrap_or(u32::MAX);
             let held = u32::try_from(runner.placed()).unwrap_or(u32::MAX);
-            placement::Candidate {
+            Some(placement::Candidate {
                 key,
-                free: runner.free(),
+                free,
                 size_milli: runner.load.size.cpu_milli,
-                queue_free_milli: runner.queue_free_milli(),
+                queue_free_milli,
                 queue_taken_milli: 0,
                 headroom_share,
                 is_suspect: allowance.is_suspect || allowance.trust != health::Trust::Full,
@@ -137,7 +191,7 @@
                 is_same_zone: runner.load.zone == self.zone,
                 preference: runner.preference,
                 labels: sync::Arc::clone(&runner.load.labels),
-            }
+            })
         });
         candidates.collect()
     }
@@ -175,13 +229,7 @@
                     id,
                     spec: sync::Arc::clone(&open.job.spec),
                     need: step.need,
-                    // If other orders take the capacity first, the runner refuses this run and the
-                    // entry places it elsewhere.
-                    wait: if target.waits {
-                        wait
-                    } else {
-                        wait.without_waiting()
-                    },
+                    wait: if target.waits { wait } else { wait.briefly() },
                 },
                 waits: target.waits,
                 job: key,
--- a/src/leased/messages.rs
+++ b/src/leased/messages.rs
@@ -241,6 +241,12 @@
     pub wait: Wait,
 }
 
+/// Wait allowed to a run for which there was free capacity when it was ordered, in milliseconds.
+///
+/// Another entry's order may arrive first. On a full backend server a run often ends within this
+/// time, so that fewer such runs have to be refused and ordered again.
+pub const BRIEF_WAIT_MS: u64 = 15;
+
 /// How a run may wait at a runner. Times are durations, as no clocks are compared.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -254,10 +260,13 @@
 }
 
 impl Wait {
-    /// Returns the same urgency without permission to wait.
+    /// Returns the same urgency with permission to wait for [`BRIEF_WAIT_MS`].
     #[must_use]
-    pub const fn without_waiting(self) -> Self {
-        Self { most_ms: 0, ..self }
+    pub const fn briefly(self) -> Self {
+        Self {
+            most_ms: BRIEF_WAIT_MS,
+            ..self
+        }
     }
 }
 
--- a/tests/unit/leased/wait_queue.rs
+++ b/tests/unit/leased/wait_queue.rs
@@ -237,3 +237,19 @@
 
     assert!(manager.has_update(OTHER));
 }
+
+/// Guards against a run that is refused because another entry's order took the capacity a
+/// millisecond before, while a run ends a few milliseconds later.
+#[test]
+fn run_that_finds_its_capacity_taken_waits_briefly() {
+    let (mut manager, runs) = full_manager();
+    let id = fixtures::run_id(1, 0, 1);
+    let mut order = waiting_order(ENTRY, &id, 80);
+    order.starts[0].wait = order.starts[0].wait.briefly();
+
+    let (reply, _) = manager.order(START_MS + 2, order);
+    let started = end_first(&mut manager, START_MS + 10, &runs);
+
+    assert!(reply.refused.is_empty(), "{reply:?}");
+    assert_eq!(fixtures::started(&started).len(), 1);
+}
