Call runners from the control thread of an entry

Cause: half of the system calls of an entry woke another of its threads (strace of a loaded entry: 2,722 writes and 3,943 waits beside 839 sends and 1,055 receives). An order and a watch each crossed between the control thread and the client thread twice. Threads take turns on the platform's machines, so nothing ran beside each other for it.

The calls to runners are now made on the control thread, which owns the leases that they renew; callers, peers, the store and large fetches keep their threads.

--- a/src/leased/entry.rs
+++ b/src/leased/entry.rs
@@ -122,7 +122,7 @@
     fn act(&mut self, cx: &actix::Context<Self>, actions: Vec<dispatch::Action>) {
         for action in actions {
             match action {
-                dispatch::Action::Order(key, address, order) => self.send(cx, key, address, order),
+                dispatch::Action::Order(key, address, order) => Self::send(cx, key, address, order),
                 dispatch::Action::Watch(key) => self.start_watch(cx, key),
                 dispatch::Action::Answer(waiter, outcome) => self.answer(waiter, outcome),
                 dispatch::Action::Fetch(holder) => self.fetch_known(cx, holder),
--- a/src/leased/entry/calls.rs
+++ b/src/leased/entry/calls.rs
@@ -28,14 +28,14 @@
 
 impl entry::Control {
     pub(super) fn send(
-        &self,
         cx: &actix::Context<Self>,
         key: runners::RunnerKey,
         address: SmolStr,
         order: messages::Order,
     ) {
         let control = cx.address();
-        self.parts.pool.run(move |client| async move {
+        actix_rt::spawn(async move {
+            let client = outgoing::thread_client();
             let response = send_with_retry(&client, &address, &order).await;
             control.do_send(OrderAnswered {
                 key,
@@ -48,9 +48,8 @@
     pub(super) fn start_watch(&self, cx: &actix::Context<Self>, key: runners::RunnerKey) {
         let control = cx.address();
         let traffic = sync::Arc::clone(&self.parts.traffic);
-        self.parts
-            .pool
-            .run(move |client| watch_loop(client, control, key, traffic));
+        let client = outgoing::thread_client();
+        actix_rt::spawn(watch_loop(client, control, key, traffic));
     }
 }
 
