--- a/src/outgoing.rs
+++ b/src/outgoing.rs
@@ -66,6 +66,7 @@
     awc::Client::builder()
         .connector(connector)
         .disable_timeout()
+        .disable_redirects()
         .finish()
 }
 
