Split the backend servers out of the simulated world

The backend servers get a module of their own, the objective of a caller moves to the arrival it belongs to, and the rounding is shared. No decision, scenario, bound or assertion changes.

--- a/measure/src/leased/mod.rs
+++ b/measure/src/leased/mod.rs
@@ -4,6 +4,7 @@
 //! The decisions are those of the production code; links, backend servers and callers are
 //! simulated. Processor time, connections and the store are not, so nothing here shows their cost.
 
+pub mod backends;
 pub mod faults;
 pub mod network;
 pub mod runner;
--- a/measure/src/leased/workload.rs
+++ b/measure/src/leased/workload.rs
@@ -39,6 +39,12 @@
         self.run_ms.iter().copied().max().unwrap_or(0)
     }
 
+    /// Returns the time that the caller allows, in milliseconds.
+    pub fn objective_ms(&self) -> u64 {
+        let longest_ms = self.longest_ms() as f64;
+        whole_ms(longest_ms * self.queue.stretch) + self.queue.target_ms
+    }
+
     /// Returns the work of all tasks, in core-seconds.
     pub fn core_s(&self) -> f64 {
         let milli = self.job.steps.first().map_or(0, |step| step.need.cpu_milli);
@@ -424,7 +430,7 @@
     clippy::cast_sign_loss,
     reason = "a time within the simulation"
 )]
-fn whole_ms(ms: f64) -> u64 {
+pub(super) fn whole_ms(ms: f64) -> u64 {
     ms as u64
 }
 
--- a/measure/src/leased/world.rs
+++ b/measure/src/leased/world.rs
@@ -5,14 +5,10 @@
 use std::collections;
 
 use bulrushtiller::ids;
-use bulrushtiller::leased::capacity;
 use bulrushtiller::leased::directives;
 use bulrushtiller::leased::dispatch;
 use bulrushtiller::leased::dispatch::runners;
-use bulrushtiller::leased::messages;
-use bulrushtiller::leased::ports;
 use bulrushtiller::leased::queues;
-use rand::Rng as _;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
 use smol_str::SmolStr;
@@ -24,15 +20,8 @@
 use crate::leased::site;
 use crate::leased::workload;
 
-/// Run time of a task that a faulty backend server fails at once, in milliseconds.
-const FAIL_MS: u64 = 1;
-
-/// Run time of a task that never ends, in milliseconds.
-const ENDLESS_MS: u64 = 1_000_000;
-
-/// Timer intervals of entries and runners, in milliseconds.
+/// Timer interval of entries, in milliseconds.
 const ENTRY_TICK_INTERVAL_MS: u64 = 10;
-const RUNNER_TICK_INTERVAL_MS: u64 = 20;
 
 /// Time-out of an answer, in milliseconds.
 const REPLY_TIMEOUT_MS: u64 = 250;
@@ -73,8 +62,8 @@
 }
 
 #[derive(Debug)]
-struct Entry {
-    me: ids::Incarnation,
+pub(super) struct Entry {
+    pub(super) me: ids::Incarnation,
     dispatcher: dispatch::Dispatcher,
     keys: collections::HashMap<usize, runners::RunnerKey>,
     /// Number of the open watch at each runner.
@@ -86,24 +75,24 @@
 /// The simulated site.
 #[derive(Debug)]
 pub struct World {
-    now_ms: u64,
-    rng: ChaCha8Rng,
-    site: site::Site,
-    entries: Vec<Entry>,
-    runners: Vec<runner::Runner>,
+    pub(super) now_ms: u64,
+    pub(super) rng: ChaCha8Rng,
+    pub(super) site: site::Site,
+    pub(super) entries: Vec<Entry>,
+    pub(super) runners: Vec<runner::Runner>,
     in_flight: collections::VecDeque<network::InFlight>,
     calls: Vec<Call>,
     /// Run times of each job's tasks on a sound backend server.
-    run_ms: collections::HashMap<SmolStr, Vec<u64>>,
+    pub(super) run_ms: collections::HashMap<SmolStr, Vec<u64>>,
     queues: Vec<queues::Queue>,
     /// Work of runs that ended without a result, in core-seconds.
     pub wasted_core_s: f64,
     timers: Vec<network::Timer>,
     last_watch: u64,
-    faults: Vec<faults::Fault>,
+    pub(super) faults: Vec<faults::Fault>,
     /// Number of entry crashes, for new incarnations.
     crashes: u64,
-    arrivals: Vec<workload::Arrival>,
+    pub(super) arrivals: Vec<workload::Arrival>,
     /// Callers that will resend: time, index of the call, index of the entry.
     resends: Vec<(u64, usize, usize)>,
     /// Tasks that ran twice at a time.
@@ -195,7 +184,7 @@
             core_s: arrival.core_s(),
             task_milli: step.need.cpu_milli,
             tasks: step.tasks,
-            due_ms: self.now_ms + objective_ms(arrival) - arrival.waited_ms,
+            due_ms: self.now_ms + arrival.objective_ms() - arrival.waited_ms,
             is_resent: arrival.waited_ms > 0,
             ended: None,
             was_room_free: false,
@@ -365,7 +354,7 @@
         }
     }
 
-    fn send(&mut self, entry: usize, runner: usize, message: network::Message) {
+    pub(super) fn send(&mut self, entry: usize, runner: usize, message: network::Message) {
         self.in_flight.push_back(network::InFlight {
             at_ms: self.now_ms + self.site.latency_ms,
             entry,
@@ -482,118 +471,6 @@
             }
         }
     }
-
-    /// Returns whether ready backend servers have room for all tasks of a call at once.
-    fn has_room(&self, call: &Call) -> bool {
-        let fitting = self.runners.iter().map(|runner| {
-            let load = runner.capacity.load(self.now_ms);
-            let is_ready = load.readiness == messages::Readiness::Ready;
-            let free_milli = load.size.minus(&load.used).cpu_milli;
-            u32::from(is_ready) * (free_milli / call.task_milli.max(1))
-        });
-        fitting.sum::<u32>() >= call.tasks
-    }
-
-    fn server_fault(&self, at: usize) -> Option<faults::ServerFault> {
-        let elapsed_ms = self.now_ms - START_MS;
-        let mut faults = self.faults.iter();
-        faults.find_map(|fault| fault.of_server(elapsed_ms, at))
-    }
-
-    /// Starts a run at a backend server, with its speed and its fault.
-    fn start_run(&mut self, at: usize, start: &messages::Start) {
-        let id = &start.id;
-        let task_ms = self.run_ms[&id.job][id.index as usize] as f64 / self.site.speed(at);
-        let run_ms = match self.server_fault(at) {
-            Some(faults::ServerFault::Slow(factor)) => whole_ms(task_ms * factor),
-            Some(faults::ServerFault::Fails) => FAIL_MS,
-            Some(faults::ServerFault::Hangs) => ENDLESS_MS,
-            Some(faults::ServerFault::Leaves) | None => whole_ms(task_ms),
-        };
-        let runner = &mut self.runners[at];
-        if run_ms == FAIL_MS {
-            runner.failing.insert(id.clone());
-        }
-        runner.running.insert(id.clone(), self.now_ms + run_ms);
-        runner.started.insert(id.clone(), self.now_ms);
-    }
-
-    /// Stops a run at a backend server.
-    fn stop_run(&mut self, at: usize, id: &messages::RunId) {
-        let runner = &mut self.runners[at];
-        if runner.running.remove(id).is_none() {
-            return;
-        }
-        let started_ms = runner.started.remove(id).unwrap_or(self.now_ms);
-        runner.failing.remove(id);
-        runner.end(id.clone(), messages::RunOutcome::Stopped);
-        let held = self
-            .arrivals
-            .iter()
-            .rev()
-            .find(|arrival| arrival.job.id == id.job);
-        let task_milli = held.map_or(0, |arrival| arrival.job.steps[0].need.cpu_milli);
-        self.wasted_core_s += f64::from(task_milli) * (self.now_ms - started_ms) as f64 / 1e6;
-    }
-
-    fn draw_unanswered(&mut self) -> bool {
-        self.rng
-            .random_ratio(self.site.unanswered_in_thousand, 1_000)
-    }
-
-    /// Calls a backend server, which does not execute the calls that it leaves unanswered.
-    fn call_backend(&mut self, at: usize, actions: Vec<capacity::Action>) {
-        for action in actions {
-            let is_lost = self.draw_unanswered();
-            let now_ms = self.now_ms;
-            match action {
-                capacity::Action::Start(call) => {
-                    let answer = if is_lost {
-                        (
-                            now_ms + call.timeout_ms,
-                            call.start.id,
-                            ports::StartAnswer::Lost,
-                        )
-                    } else {
-                        self.start_run(at, &call.start);
-                        (now_ms + 1, call.start.id, ports::StartAnswer::Started)
-                    };
-                    self.runners[at].start_answers.push(answer);
-                }
-                capacity::Action::Stop(call) if !is_lost => {
-                    self.stop_run(at, &call.id);
-                    self.runners[at].stop_answers.push((now_ms + 1, call.id));
-                }
-                capacity::Action::Stop(_) => {}
-            }
-        }
-    }
-
-    fn step_runner(&mut self, at: usize) {
-        let now_ms = self.now_ms;
-        self.runners[at].end_due(now_ms);
-        let mut actions = self.runners[at].receive_answers(now_ms);
-        if let Some(listing_answer) = self.runners[at].list_answer(now_ms) {
-            let sent_at_ms = self.runners[at].list_call.sent_at_ms;
-            actions.extend(
-                self.runners[at]
-                    .capacity
-                    .listed(now_ms, sent_at_ms, listing_answer),
-            );
-            let is_lost = self.draw_unanswered();
-            self.runners[at].send_list_call(now_ms, is_lost);
-        }
-        if now_ms.is_multiple_of(RUNNER_TICK_INTERVAL_MS) {
-            actions.extend(self.runners[at].capacity.tick(now_ms));
-        }
-        self.call_backend(at, actions);
-        for entry in 0..self.site.entries {
-            let me = self.entries[entry].me;
-            if let Some((report, number)) = self.runners[at].due_report(now_ms, me) {
-                self.send(entry, at, network::Message::WatchAnswer(report, number));
-            }
-        }
-    }
 }
 
 /// Returns the index of the runner with this address.
@@ -621,18 +498,3 @@
         unanswered_orders: collections::HashSet::new(),
     }
 }
-
-/// Returns the time that a caller allows, in milliseconds.
-fn objective_ms(arrival: &workload::Arrival) -> u64 {
-    let queue = &arrival.queue;
-    whole_ms(arrival.longest_ms() as f64 * queue.stretch) + queue.target_ms
-}
-
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "a time within the simulation"
-)]
-fn whole_ms(ms: f64) -> u64 {
-    ms as u64
-}
