--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -3,6 +3,7 @@
 use prometheus_client::collector;
 use prometheus_client::encoding;
 use prometheus_client::encoding::EncodeMetric as _;
+use prometheus_client::metrics;
 use prometheus_client::metrics::counter;
 use prometheus_client::metrics::gauge;
 use prometheus_client::registry;
@@ -18,6 +19,16 @@
     Histogram,
 }
 
+impl From<Kind> for metrics::MetricType {
+    fn from(kind: Kind) -> Self {
+        match kind {
+            Kind::Counter => Self::Counter,
+            Kind::Gauge => Self::Gauge,
+            Kind::Histogram => Self::Histogram,
+        }
+    }
+}
+
 /// Upper bounds of a histogram's buckets, in milliseconds: from a one-way latency to the
 /// longest wait.
 pub const BUCKETS_MS: [u64; 12] = [
@@ -61,11 +72,16 @@
     }
 }
 
-/// One metric with its current value.
-#[derive(Clone, Copy, Debug)]
+/// Label of a sample: its name and value.
+pub type Label = (&'static str, &'static str);
+
+/// One metric with its current value, or one of the values of a metric with labels.
+#[derive(Clone, Debug)]
 pub struct Sample {
     /// Name without the common prefix and the `_total` suffix.
     pub name: &'static str,
+    /// Labels that tell the samples of one name apart; such samples follow one another.
+    pub labels: Vec<Label>,
     /// Help text.
     pub help: &'static str,
     /// Type of the metric.
@@ -81,6 +97,7 @@
     pub const fn counter(name: &'static str, help: &'static str, value: u64) -> Self {
         Self {
             name,
+            labels: Vec::new(),
             help,
             kind: Kind::Counter,
             value,
@@ -92,6 +109,7 @@
     pub const fn gauge(name: &'static str, help: &'static str, value: u64) -> Self {
         Self {
             name,
+            labels: Vec::new(),
             help,
             kind: Kind::Gauge,
             value,
@@ -103,12 +121,19 @@
     pub const fn histogram(name: &'static str, help: &'static str, histogram: Histogram) -> Self {
         Self {
             name,
+            labels: Vec::new(),
             help,
             kind: Kind::Histogram,
             value: 0,
             histogram,
         }
     }
+
+    /// Adds labels to a counter or gauge.
+    #[must_use]
+    pub fn with_labels(self, labels: Vec<Label>) -> Self {
+        Self { labels, ..self }
+    }
 }
 
 const EMPTY_HISTOGRAM: Histogram = Histogram {
@@ -125,26 +150,39 @@
 
 impl collector::Collector for Samples {
     fn encode(&self, mut encoder: encoding::DescriptorEncoder) -> Result<(), std::fmt::Error> {
-        for sample in &self.0 {
-            encode_sample(&mut encoder, sample)?;
+        for family in self.0.chunk_by(|one, next| one.name == next.name) {
+            encode_family(&mut encoder, family)?;
         }
         Ok(())
     }
 }
 
-fn encode_sample(
+/// Encodes the samples of one name.
+fn encode_family(
     encoder: &mut encoding::DescriptorEncoder,
+    family: &[Sample],
+) -> Result<(), std::fmt::Error> {
+    let Some(first) = family.first() else {
+        return Ok(());
+    };
+    let kind = metrics::MetricType::from(first.kind);
+    let mut encoder = encoder.encode_descriptor(first.name, first.help, None, kind)?;
+    if first.labels.is_empty() {
+        return encode_value(encoder, first);
+    }
+    for sample in family {
+        encode_value(encoder.encode_family(&sample.labels)?, sample)?;
+    }
+    Ok(())
+}
+
+fn encode_value(
+    mut encoder: encoding::MetricEncoder<'_>,
     sample: &Sample,
 ) -> Result<(), std::fmt::Error> {
     match sample.kind {
-        Kind::Counter => {
-            let metric = counter::ConstCounter::new(sample.value);
-            let kind = metric.metric_type();
-            metric.encode(encoder.encode_descriptor(sample.name, sample.help, None, kind)?)
-        }
+        Kind::Counter => counter::ConstCounter::new(sample.value).encode(encoder),
         Kind::Histogram => {
-            let kind = prometheus_client::metrics::MetricType::Histogram;
-            let mut encoder = encoder.encode_descriptor(sample.name, sample.help, None, kind)?;
             let histogram = &sample.histogram;
             let sum = histogram.sum_ms as f64 / 1_000.0;
             encoder.encode_histogram::<encoding::NoLabelSet>(
@@ -156,9 +194,7 @@
         }
         Kind::Gauge => {
             let value = i64::try_from(sample.value).unwrap_or(i64::MAX);
-            let metric = gauge::ConstGauge::new(value);
-            let kind = metric.metric_type();
-            metric.encode(encoder.encode_descriptor(sample.name, sample.help, None, kind)?)
+            gauge::ConstGauge::new(value).encode(encoder)
         }
     }
 }
