Let appends wait for the queue of the store, and announce a runner once

Cause: the store performs the appends to a partition one by one, 4 ms each, and carries out those whose response nobody waits for. Every record wakes the open read of every entry, which made 23,000 calls a second at the store, more than it grants. It holds only up to 375 records that are written at once.

Ways: spread the records over partitions (entries would read each of them); write under a condition and a sequence number (a repeat would be recognised, and would still wait in the queue); wait longer than the queue may be. Taken: the last, as it removes the cause. An append waits 5 s, the store refuses what would wait for over 2 s, and what is refused comes again after a delay that doubles and is drawn apart. A runner no longer writes a record before it knows its backend server, so it writes one and not two. At twice the size 1,608 appends take 6.4 s.

Test: store_load::runners_that_start_together_write_one_record_each, 400 records at 8 ms; with the former limit it found 526 records for 400. The stand-in store now queues appends and pages its newest records. store_load::newest_records_are_read_over_all_pages guards the paging, which was not at fault; a page that brings nothing new ends the reading.

What is left of the calls is a read of each entry for each record.

--- a/src/leased/mod.rs
+++ b/src/leased/mod.rs
@@ -24,4 +24,5 @@
 pub mod process;
 pub mod queues;
 pub mod runner;
+pub mod store_calls;
 pub mod traffic;
--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -12,6 +12,12 @@
 /// Maximum size of a page, in bytes.
 const MAX_PAGE_BYTES: usize = 1 << 20;
 
+/// Maximum number of records in a page of the newest ones.
+const MAX_NEWEST_RECORDS: usize = 500;
+
+/// Longest time that an append waits for those before it.
+const MAX_APPEND_WAIT: time::Duration = time::Duration::from_secs(2);
+
 /// Interval between two checks for new records while a read waits.
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(5);
 
@@ -20,6 +26,10 @@
 pub struct Store {
     topics: sync::Mutex<collections::HashMap<String, Vec<Vec<u8>>>>,
     is_down: atomic::AtomicBool,
+    append_time: time::Duration,
+    /// Time at which the last accepted append of each topic is done.
+    appended_at: sync::Mutex<collections::HashMap<String, time::Instant>>,
+    reads: atomic::AtomicU64,
     aliases: sync::Mutex<Vec<(Vec<u8>, Vec<u8>)>>,
 }
 
@@ -31,9 +41,44 @@
     from: usize,
     #[serde(default)]
     wait_ms: u64,
+    /// Key after which a page of the newest records starts.
+    #[serde(default)]
+    depends_on: String,
 }
 
 impl Store {
+    /// Creates a store that takes the given time for each append to a topic, one after the other.
+    pub fn with_append_time(append_time: time::Duration) -> Self {
+        Self {
+            append_time,
+            ..Self::default()
+        }
+    }
+
+    /// Returns the number of records that were appended to a topic.
+    pub fn appended(&self, topic: &str) -> usize {
+        self.end(topic)
+    }
+
+    /// Returns the number of reads that were answered.
+    pub fn reads(&self) -> u64 {
+        self.reads.load(atomic::Ordering::SeqCst)
+    }
+
+    /// Returns the time at which an append that arrives now is done, or `None` if it would wait
+    /// for too long.
+    fn queue_append(&self, topic: &str) -> Option<time::Instant> {
+        let now = time::Instant::now();
+        let mut appended_at = crate::lock(&self.appended_at);
+        let last = appended_at.entry(topic.to_owned()).or_insert(now);
+        let begins = now.max(*last);
+        if begins > now + MAX_APPEND_WAIT {
+            return None;
+        }
+        *last = begins + self.append_time;
+        Some(*last)
+    }
+
     /// Takes the store down, so that every call is answered with 503, or up again.
     pub fn set_down(&self, is_down: bool) {
         self.is_down.store(is_down, atomic::Ordering::SeqCst);
@@ -92,7 +137,21 @@
     if let Some(response) = unavailable(&store) {
         return response;
     }
-    let mut rest = &*body;
+    let Some(done_at) = store.queue_append(&query.topic) else {
+        return actix_web::HttpResponse::ServiceUnavailable().finish();
+    };
+    // The append is carried out even if its caller doesn't wait for the response.
+    let appended = actix_rt::spawn(async move {
+        tokio::time::sleep_until(done_at.into()).await;
+        append_now(&store, &query, &body)
+    });
+    appended
+        .await
+        .unwrap_or_else(|_panicked| actix_web::HttpResponse::InternalServerError().finish())
+}
+
+fn append_now(store: &Store, query: &Query, body: &[u8]) -> actix_web::HttpResponse {
+    let mut rest = body;
     let mut topics = crate::lock(&store.topics);
     let records = topics.entry(query.topic.clone()).or_default();
     let offset = records.len();
@@ -115,6 +174,7 @@
     if let Some(response) = unavailable(&store) {
         return response;
     }
+    store.reads.fetch_add(1, atomic::Ordering::SeqCst);
     let topics = crate::lock(&store.topics);
     let records = topics.get(&query.topic).map_or(&[][..], Vec::as_slice);
     let mut body = (records.len() as u64).to_be_bytes().to_vec();
@@ -149,10 +209,14 @@
     }
     newest.retain(|_, (_, value)| !value.is_empty());
     let encode = |value: &[u8]| base64::engine::general_purpose::STANDARD.encode(value);
-    let items = newest.iter().map(|(key, (offset, value))| {
-        serde_json::json!({"key": key, "value": encode(value), "offset": offset})
-    });
-    let items: Vec<_> = items.collect();
-    let body = serde_json::json!({"items": items, "more": false, "end": records.len()});
+    let mut items = newest
+        .iter()
+        .filter(|(key, _)| **key > query.depends_on)
+        .map(|(key, (offset, value))| {
+            serde_json::json!({"key": key, "value": encode(value), "offset": offset})
+        });
+    let page: Vec<_> = items.by_ref().take(MAX_NEWEST_RECORDS).collect();
+    let has_more = items.next().is_some();
+    let body = serde_json::json!({"items": page, "more": has_more, "end": records.len()});
     actix_web::HttpResponse::Ok().json(body)
 }
--- a/tests/unit/leased.rs
+++ b/tests/unit/leased.rs
@@ -11,6 +11,7 @@
 mod prior_wait;
 mod queues;
 mod simulation;
+mod store_calls;
 mod urgency;
 mod wait_queue;
 mod watching;
