--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -1,4 +1,4 @@
-//! Store of the platform: topics with one partition each, kept in memory.
+//! Store of the platform: topics and their partitions, kept in memory.
 
 use std::collections;
 use std::sync;
@@ -21,15 +21,19 @@
 /// Interval between two checks for new records while a read waits.
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(5);
 
+/// A topic and the number of one of its partitions.
+type Partition = (String, u32);
+
 /// State of the store, shared with the test that controls it.
 #[derive(Debug, Default)]
 pub struct Store {
-    topics: sync::Mutex<collections::HashMap<String, Vec<Vec<u8>>>>,
+    partitions: sync::Mutex<collections::HashMap<Partition, Vec<Vec<u8>>>>,
     is_down: atomic::AtomicBool,
     append_time: time::Duration,
-    /// Time at which the last accepted append of each topic is done.
-    appended_at: sync::Mutex<collections::HashMap<String, time::Instant>>,
+    /// Time at which the last accepted append of each partition is done.
+    appended_at: sync::Mutex<collections::HashMap<Partition, time::Instant>>,
     reads: atomic::AtomicU64,
+    newest_records: atomic::AtomicU64,
     aliases: sync::Mutex<Vec<(Vec<u8>, Vec<u8>)>>,
 }
 
@@ -38,6 +42,8 @@
 struct Query {
     topic: String,
     #[serde(default)]
+    part: u32,
+    #[serde(default)]
     from: usize,
     #[serde(default)]
     wait_ms: u64,
@@ -47,7 +53,8 @@
 }
 
 impl Store {
-    /// Creates a store that takes the given time for each append to a topic, one after the other.
+    /// Creates a store that takes the given time for each append to a partition, one after the
+    /// other.
     pub fn with_append_time(append_time: time::Duration) -> Self {
         Self {
             append_time,
@@ -55,9 +62,9 @@
         }
     }
 
-    /// Returns the number of records that were appended to a topic.
+    /// Returns the number of records that were appended to the first partition of a topic.
     pub fn appended(&self, topic: &str) -> usize {
-        self.end(topic)
+        self.end(&(topic.to_owned(), 0))
     }
 
     /// Returns the number of reads that were answered.
@@ -65,12 +72,17 @@
         self.reads.load(atomic::Ordering::SeqCst)
     }
 
+    /// Returns the number of records in the responses to all reads of newest records.
+    pub fn newest_records(&self) -> u64 {
+        self.newest_records.load(atomic::Ordering::SeqCst)
+    }
+
     /// Returns the time at which an append that arrives now is done, or `None` if it would wait
     /// for too long.
-    fn queue_append(&self, topic: &str) -> Option<time::Instant> {
+    fn queue_append(&self, partition: &Partition) -> Option<time::Instant> {
         let now = time::Instant::now();
         let mut appended_at = crate::lock(&self.appended_at);
-        let last = appended_at.entry(topic.to_owned()).or_insert(now);
+        let last = appended_at.entry(partition.clone()).or_insert(now);
         let begins = now.max(*last);
         if begins > now + MAX_APPEND_WAIT {
             return None;
@@ -88,8 +100,9 @@
     pub fn put(&self, topic: &str, key: &str, value: &[u8]) {
         let length = u8::try_from(key.len()).unwrap_or(u8::MAX);
         let record = [&[length], key.as_bytes(), value].concat();
-        let mut topics = crate::lock(&self.topics);
-        topics.entry(topic.to_owned()).or_default().push(record);
+        let mut partitions = crate::lock(&self.partitions);
+        let records = partitions.entry((topic.to_owned(), 0)).or_default();
+        records.push(record);
     }
 
     /// Replaces `from` by `to` in records appended by processes.
@@ -111,8 +124,15 @@
         record
     }
 
-    fn end(&self, topic: &str) -> usize {
-        crate::lock(&self.topics).get(topic).map_or(0, Vec::len)
+    fn end(&self, partition: &Partition) -> usize {
+        let partitions = crate::lock(&self.partitions);
+        partitions.get(partition).map_or(0, Vec::len)
+    }
+}
+
+impl Query {
+    fn partition(&self) -> Partition {
+        (self.topic.clone(), self.part)
     }
 }
 
@@ -137,7 +157,7 @@
     if let Some(response) = unavailable(&store) {
         return response;
     }
-    let Some(done_at) = store.queue_append(&query.topic) else {
+    let Some(done_at) = store.queue_append(&query.partition()) else {
         return actix_web::HttpResponse::ServiceUnavailable().finish();
     };
     // The append is carried out even if its caller doesn't wait for the response.
@@ -152,8 +172,8 @@
 
 fn append_now(store: &Store, query: &Query, body: &[u8]) -> actix_web::HttpResponse {
     let mut rest = body;
-    let mut topics = crate::lock(&store.topics);
-    let records = topics.entry(query.topic.clone()).or_default();
+    let mut partitions = crate::lock(&store.partitions);
+    let records = partitions.entry(query.partition()).or_default();
     let offset = records.len();
     while let Some((length, after)) = rest.split_first_chunk::<4>() {
         let length = u32::from_be_bytes(*length) as usize;
@@ -168,15 +188,16 @@
 
 async fn read(store: web::Data<Store>, query: web::Query<Query>) -> actix_web::HttpResponse {
     let until = time::Instant::now() + time::Duration::from_millis(query.wait_ms);
-    while store.end(&query.topic) <= query.from && time::Instant::now() < until {
+    let partition = query.partition();
+    while store.end(&partition) <= query.from && time::Instant::now() < until {
         tokio::time::sleep(POLL_INTERVAL).await;
     }
     if let Some(response) = unavailable(&store) {
         return response;
     }
     store.reads.fetch_add(1, atomic::Ordering::SeqCst);
-    let topics = crate::lock(&store.topics);
-    let records = topics.get(&query.topic).map_or(&[][..], Vec::as_slice);
+    let partitions = crate::lock(&store.partitions);
+    let records = partitions.get(&partition).map_or(&[][..], Vec::as_slice);
     let mut body = (records.len() as u64).to_be_bytes().to_vec();
     body.extend_from_slice(&0_u64.to_be_bytes());
     for record in records.iter().skip(query.from) {
@@ -194,8 +215,10 @@
     if let Some(response) = unavailable(&store) {
         return response;
     }
-    let topics = crate::lock(&store.topics);
-    let records = topics.get(&query.topic).map_or(&[][..], Vec::as_slice);
+    let partitions = crate::lock(&store.partitions);
+    let records = partitions
+        .get(&query.partition())
+        .map_or(&[][..], Vec::as_slice);
     let mut newest = collections::BTreeMap::new();
     for (offset, record) in records.iter().enumerate() {
         let Some((length, rest)) = record.split_first() else {
@@ -217,6 +240,9 @@
         });
     let page: Vec<_> = items.by_ref().take(MAX_NEWEST_RECORDS).collect();
     let has_more = items.next().is_some();
+    store
+        .newest_records
+        .fetch_add(page.len() as u64, atomic::Ordering::SeqCst);
     let body = serde_json::json!({"items": page, "more": has_more, "end": records.len()});
     actix_web::HttpResponse::Ok().json(body)
 }
