--- a/src/leased/entry.rs
+++ b/src/leased/entry.rs
@@ -41,6 +41,8 @@
     pub queues: Option<sync::Arc<queues::Queues>>,
     /// Whether a later configuration exists that has not been received yet.
     pub is_outdated: bool,
+    /// Whether any runner is known.
+    pub has_runners: bool,
     /// Whether the load balancer should send new callers.
     pub is_ready: bool,
 }
@@ -52,7 +54,10 @@
             (None, None) => true,
             _ => false,
         };
-        are_same && self.is_outdated == other.is_outdated && self.is_ready == other.is_ready
+        are_same
+            && self.is_outdated == other.is_outdated
+            && self.has_runners == other.has_runners
+            && self.is_ready == other.is_ready
     }
 }
 
@@ -151,10 +156,12 @@
     fn view(&self) -> View {
         let directives = self.dispatcher.directives();
         let is_configured = directives.get().is_configured();
+        let has_runners = self.dispatcher.runners() > 0;
         View {
             queues: is_configured.then(|| sync::Arc::clone(self.dispatcher.queues())),
             is_outdated: directives.is_outdated(),
-            is_ready: is_configured && self.leaving_ms.is_none(),
+            has_runners,
+            is_ready: is_configured && has_runners && self.leaving_ms.is_none(),
         }
     }
 
