--- a/standins/src/platform/backend.rs
+++ b/standins/src/platform/backend.rs
@@ -1,6 +1,7 @@
 //! Backend server that starts every run it is sent, under a lease, and records all runs.
 
 use std::collections;
+use std::net;
 use std::sync;
 use std::time;
 
@@ -54,6 +55,8 @@
     /// Rate of the monotonic clock; 1 is real time.
     clock_rate: f64,
     state: sync::Mutex<State>,
+    /// Addresses from which listings and starts came.
+    connections: sync::Mutex<collections::HashSet<net::SocketAddr>>,
 }
 
 #[derive(Debug)]
@@ -107,9 +110,19 @@
                 lease_until: now,
                 fence: 0,
             }),
+            connections: sync::Mutex::default(),
         }
     }
 
+    /// Returns the number of connections on which listings and starts came.
+    pub fn connections(&self) -> usize {
+        crate::lock(&self.connections).len()
+    }
+
+    fn record_connection(&self, req: &actix_web::HttpRequest) {
+        crate::lock(&self.connections).extend(req.peer_addr());
+    }
+
     /// Ends all runs as crashed and starts a new incarnation with the same name.
     pub fn crash(&self, started_at_ms: u64) {
         let mut state = crate::lock(&self.state);
@@ -220,7 +233,12 @@
     cfg.route("/hold", web::post().to(hold));
 }
 
-async fn start(backend: web::Data<Backend>, start: web::Json<Start>) -> actix_web::HttpResponse {
+async fn start(
+    req: actix_web::HttpRequest,
+    backend: web::Data<Backend>,
+    start: web::Json<Start>,
+) -> actix_web::HttpResponse {
+    backend.record_connection(&req);
     let start = start.into_inner();
     let mut state = crate::lock(&backend.state);
     state.advance();
@@ -265,7 +283,12 @@
     backend.ok_response(state.incarnation)
 }
 
-async fn hold(backend: web::Data<Backend>, hold: web::Json<Hold>) -> actix_web::HttpResponse {
+async fn hold(
+    req: actix_web::HttpRequest,
+    backend: web::Data<Backend>,
+    hold: web::Json<Hold>,
+) -> actix_web::HttpResponse {
+    backend.record_connection(&req);
     let until = time::Instant::now() + time::Duration::from_millis(hold.wait_ms);
     {
         let mut state = crate::lock(&backend.state);
