--- a/src/leased/entry.rs
+++ b/src/leased/entry.rs
@@ -1,6 +1,7 @@
 //! Control thread of an entry that dispatches runs under leases.
 
 mod calls;
+mod exported_metrics;
 pub mod peer_state;
 
 use std::collections;
@@ -394,80 +395,3 @@
         log::warn!(event = "entry.abandon", open = self.dispatcher.open_jobs(); "time limit of the graceful stop exceeded; exiting with open jobs");
     }
 }
-
-impl actix::Handler<control::GetMetrics> for Control {
-    type Result = actix::MessageResult<control::GetMetrics>;
-
-    fn handle(&mut self, _message: control::GetMetrics, _cx: &mut Self::Context) -> Self::Result {
-        let counts = self.dispatcher.counts();
-        let counter = metrics::Sample::counter;
-        let gauge = metrics::Sample::gauge;
-        let mut samples = self.parts.traffic.entry_samples();
-        samples.extend([
-            counter("jobs_accepted", "Jobs taken in", counts.accepted),
-            counter("jobs_completed", "Jobs completed", counts.completed),
-            counter(
-                "jobs_late",
-                "Jobs completed after their objective",
-                counts.late,
-            ),
-            counter(
-                "jobs_failed",
-                "Jobs with a task that failed too often",
-                counts.failed,
-            ),
-            counter("jobs_not_run", "Jobs refused without a run", counts.not_run),
-            counter(
-                "jobs_given_up",
-                "Jobs given up after a run",
-                counts.given_up,
-            ),
-            counter(
-                "jobs_cancelled",
-                "Jobs whose callers left",
-                counts.cancelled,
-            ),
-            counter("runs_ordered", "Runs ordered at runners", counts.ordered),
-            counter(
-                "runs_not_started",
-                "Runs that a runner didn't start",
-                counts.not_started,
-            ),
-            counter("runs_lost", "Runs that ended without a result", counts.lost),
-            metrics::Sample::histogram("job_seconds", "How long completed jobs took", counts.took),
-            gauge("jobs_open", "Jobs open", self.dispatcher.open_jobs() as u64),
-            gauge(
-                "jobs_waiting",
-                "Jobs that wait for room",
-                self.dispatcher.waiting_jobs() as u64,
-            ),
-            gauge("runners", "Runners known", self.dispatcher.runners() as u64),
-            gauge(
-                "runners_watched",
-                "Runners with an open watch",
-                self.dispatcher.watched() as u64,
-            ),
-            gauge(
-                "runners_usable",
-                "Watched runners that take work",
-                self.dispatcher.usable(self.now_ms()) as u64,
-            ),
-            gauge(
-                "directives_version",
-                "Version of the configuration in force",
-                self.dispatcher.directives().get().version,
-            ),
-            gauge(
-                "directives_noticed_version",
-                "Version of the configuration that was told of",
-                self.dispatcher.directives().latest().get().version,
-            ),
-            metrics::Sample::histogram(
-                "tick_late_seconds",
-                "How late time was looked at",
-                self.tick_late,
-            ),
-        ]);
-        actix::MessageResult(samples)
-    }
-}
