--- a/src/leased/pacing.rs
+++ b/src/leased/pacing.rs
@@ -44,14 +44,14 @@
         self.failures
     }
 
-    /// Notes a failure and returns the delay before the next call.
-    pub fn fail(&mut self) -> time::Duration {
+    /// Counts a failure and returns the delay before the next call.
+    pub fn next_delay(&mut self) -> time::Duration {
         self.failures = self.failures.saturating_add(1);
         self.delays.next().unwrap_or_default()
     }
 
-    /// Notes a success.
-    pub fn succeed(&mut self) {
+    /// Starts again with the shortest delay, after a success.
+    pub fn reset(&mut self) {
         if self.failures > 0 {
             self.failures = 0;
             self.delays = self.builder.build();
--- a/tests/unit/leased/pacing.rs
+++ b/tests/unit/leased/pacing.rs
@@ -13,10 +13,10 @@
     let processes = 200;
 
     let firsts: Vec<_> = (0..processes)
-        .map(|seed| pacing::Backoff::new(MIN, MAX, seed).fail())
+        .map(|seed| pacing::Backoff::new(MIN, MAX, seed).next_delay())
         .collect();
     let mut backoff = pacing::Backoff::new(MIN, MAX, 7);
-    let delays: Vec<_> = (0..10).map(|_| backoff.fail()).collect();
+    let delays: Vec<_> = (0..10).map(|_| backoff.next_delay()).collect();
 
     let early = firsts.iter().filter(|delay| **delay < MIN * 3 / 2).count();
     assert!((60..140).contains(&early), "{early} of {processes}");
@@ -25,16 +25,16 @@
 }
 
 #[test]
-fn success_resets_the_delays() {
+fn reset_returns_to_the_shortest_delay() {
     let mut backoff = pacing::Backoff::new(MIN, MAX, 7);
     for _ in 0..5 {
-        backoff.fail();
+        backoff.next_delay();
     }
 
-    backoff.succeed();
+    backoff.reset();
 
     assert_eq!(backoff.failures(), 0);
-    assert!(backoff.fail() < 2 * MIN);
+    assert!(backoff.next_delay() < 2 * MIN);
 }
 
 /// Guards against reads without any pause while every one of them finds a record.
