Ask how runs ended before a resumed runner reports them as stopped

What callers saw: a job whose runner stood still for longer than the leases of its runs was answered late and its completed tasks ran a second time; the work of the first runs was thrown away. A job of 3 tasks was answered 200 after 6 runs, at some moments after 4.

Cause: when a runner resumes after 700 ms and more, its own clock says that every lease has expired, and it reported all runs as `Stopped` at once. That none is running any more is true; how they ended it did not ask. The backend server keeps each end until it is acknowledged, so the `done` of all of them was one listing away.

Evidence: on the former code a runner suspended for 800 ms while it starts the runs, or 30 ms later, logs `backend.life_over` ("all leases have expired") and `run.end` with `Stopped` for runs that the stand-in had recorded as `done` after 60 ms, in 2 plays of 2; the entry then logs `task.lost` and orders them again. The two cases of pauses::completed_tasks_of_a_paused_process_... failed then and pass now; of the cases of expired_leases, those that wait for a listing have no counterpart in the former code.

Why it works now: the runs stay held, take up room and are not renewed until a listing that was requested after the expiry tells their ends; those it does not name are `Stopped`. Nothing starts meanwhile. A backend server that is gone is not waited for: after two listings in a row without an answer the runs end as before, so the check on unreachable backend servers is unchanged. The wait for a dead one after a suspension is two listing time-outs, 40 to 400 ms.

--- a/src/leased/capacity/expiry.rs
+++ b/src/leased/capacity/expiry.rs
@@ -14,9 +14,7 @@
     /// expired, and starts queued runs that fit.
     pub fn tick(&mut self, now_ms: u64) -> Vec<capacity::Action> {
         self.remove_silent_owners(now_ms);
-        if !self.runs.is_empty() && self.backend_clock.has_expired(now_ms) {
-            self.end_incarnation(now_ms, "all leases have expired");
-        }
+        self.check_leases(now_ms);
         let mut actions = Vec::new();
         let due: Vec<_> = self
             .runs
@@ -31,6 +29,33 @@
         actions
     }
 
+    /// Ends the runs once every lease has expired, or first awaits the listing of how they ended.
+    ///
+    /// Leases expire while this process is suspended. Most runs have completed by then, and the
+    /// backend server keeps their ends until they are acknowledged.
+    fn check_leases(&mut self, now_ms: u64) {
+        let is_expired = self.expired_at_ms.is_some() || self.backend_clock.has_expired(now_ms);
+        if self.runs.is_empty() || !is_expired {
+            return;
+        }
+        if self.unanswered_listings >= capacity::MAX_UNANSWERED_LISTINGS {
+            self.end_incarnation(now_ms, "all leases have expired");
+        } else if self.expired_at_ms.is_none() {
+            self.await_ends(now_ms);
+        }
+    }
+
+    /// Keeps the runs, none of which can still be running, until a listing shows their ends.
+    fn await_ends(&mut self, now_ms: u64) {
+        log::warn!(event = "backend.leases_expired", runs = self.runs.len(), unseen_ms = now_ms - self.last_seen_ms.unwrap_or(now_ms), unanswered = self.unanswered_listings; "none of the runs can still be running at the backend server; requesting the listing of their ends");
+        self.expired_at_ms = Some(now_ms);
+        self.is_reconciled = false;
+        let started = self.runs.values_mut().filter(|run| run.queued.is_none());
+        for run in started {
+            run.settled_at_ms = Some(now_ms);
+        }
+    }
+
     /// Returns the run and the reason if it has to be stopped now.
     ///
     /// An entry that has crashed, is suspended or is partitioned renews no lease. Its callers
@@ -46,6 +71,9 @@
                 !stop.is_acknowledged && now_ms >= stop.sent_at_ms + capacity::STOP_RETRY_MS;
             return is_due.then(|| (id.clone(), "stop not acknowledged"));
         }
+        if self.expired_at_ms.is_some() {
+            return None;
+        }
         let alive_at_ms = self
             .owners
             .get(&run.owner)
--- a/src/leased/capacity/listings.rs
+++ b/src/leased/capacity/listings.rs
@@ -27,7 +27,8 @@
 impl capacity::CapacityManager {
     /// Returns the next listing call.
     pub fn next_list(&mut self, now_ms: u64) -> ports::ListCall {
-        let is_renewed = self.backend_clock.is_known() && !self.runs.is_empty();
+        let is_renewed =
+            self.backend_clock.is_known() && self.expired_at_ms.is_none() && !self.runs.is_empty();
         let lease_ms = self.lease_ms(now_ms);
         self.list_wait_ms = self.next_list_wait_ms();
         ports::ListCall {
@@ -44,7 +45,7 @@
     }
 
     fn next_list_wait_ms(&self) -> u64 {
-        if !self.is_reconciled {
+        if !self.is_reconciled || self.expired_at_ms.is_some() {
             return 0;
         }
         let mut stops = self.runs.values().filter_map(|run| run.stop);
@@ -65,6 +66,7 @@
         answer: ports::ListAnswer,
     ) -> Vec<capacity::Action> {
         self.record_list_time(now_ms, sent_at_ms, &answer);
+        self.record_whether_answered(&answer);
         let mut actions = match answer {
             ports::ListAnswer::Listed(listing) => self.apply_listing(now_ms, sent_at_ms, &listing),
             ports::ListAnswer::Fenced => {
@@ -94,6 +96,17 @@
         }
     }
 
+    const fn record_whether_answered(&mut self, answer: &ports::ListAnswer) {
+        match answer {
+            ports::ListAnswer::NoConnection | ports::ListAnswer::Lost => {
+                self.unanswered_listings = self.unanswered_listings.saturating_add(1);
+            }
+            ports::ListAnswer::Listed(_)
+            | ports::ListAnswer::Fenced
+            | ports::ListAnswer::OtherIncarnation => self.unanswered_listings = 0,
+        }
+    }
+
     fn apply_listing(
         &mut self,
         now_ms: u64,
@@ -124,6 +137,9 @@
         let last = listing.ended.iter().map(|ended| ended.number).max();
         self.acked_end = self.acked_end.max(last.unwrap_or(0));
         self.end_missing(now_ms, sent_at_ms, listing);
+        if self.expired_at_ms.is_some_and(|at_ms| at_ms < sent_at_ms) {
+            self.expired_at_ms = None;
+        }
         self.stop_unknown(listing)
     }
 
--- a/src/leased/capacity/mod.rs
+++ b/src/leased/capacity/mod.rs
@@ -44,6 +44,10 @@
 /// call with a wait of 200 ms and its answer.
 const UNREACHABLE_AFTER_MS: u64 = 450;
 
+/// Number of listing calls in a row without an answer after which the backend server is not
+/// expected to report how its runs ended.
+const MAX_UNANSWERED_LISTINGS: u32 = 2;
+
 /// A call to the backend server that the caller of this module must make.
 #[derive(Clone, Debug)]
 pub enum Action {
@@ -102,6 +106,11 @@
     list_wait_ms: u64,
     /// When the last valid listing was received.
     last_seen_ms: Option<u64>,
+    /// Number of listing calls in a row without an answer.
+    unanswered_listings: u32,
+    /// When all leases were found expired, until a listing requested later shows how the runs
+    /// ended.
+    expired_at_ms: Option<u64>,
     /// Whether the last listing showed no runs of a former incarnation of this runner.
     is_reconciled: bool,
     is_leaving: bool,
@@ -129,6 +138,8 @@
             call_timeout: call_timeout::CallTimeout::default(),
             list_wait_ms: 0,
             last_seen_ms: None,
+            unanswered_listings: 0,
+            expired_at_ms: None,
             is_reconciled: false,
             is_leaving: false,
             sequence: 0,
@@ -265,6 +276,7 @@
         }
         self.backend_clock = backend_clock::BackendClock::default();
         self.acked_end = 0;
+        self.expired_at_ms = None;
         self.is_reconciled = false;
         self.listing_sent_at_ms = now_ms;
     }
