Read the answers that arrived during a suspension before calls time out

Every call under way counted as unanswered on waking: the runner lost the listing that carried the ends, an entry lost the report, and a start that had long been answered was stopped.

Cause: SIGCONT interrupts the wait for events, so the runtime fires its expired timers before it has asked which sockets can be read. A call whose limit passed during the suspension ends as timed out although its answer lies in the socket.

Evidence: on the former code the runner logs `backend.no_answer` for `/hold` in the very millisecond in which it resumes, 604 ms after the limit of 220 ms.

Why it works now: a call whose timer fires 20 ms late or more has 20 ms left in which its answer is read. A call whose timer fires in time ends as before. With the grace switched off, time_limit::answer_that_arrived_during_a_suspension_is_read fails.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -47,4 +47,5 @@
 pub mod starts;
 pub mod streams;
 pub mod telemetry;
+pub mod time_limit;
 pub mod wire;
--- a/src/outgoing.rs
+++ b/src/outgoing.rs
@@ -8,6 +8,7 @@
 use serde::de;
 
 use crate::receiving;
+use crate::time_limit;
 use crate::wire;
 
 /// Maximum size of a message received from another process, in bytes.
@@ -123,7 +124,7 @@
 
 async fn exchange<R: de::DeserializeOwned>(
     sent: awc::SendClientRequest,
-    time_limit: time::Duration,
+    limit: time::Duration,
 ) -> Result<R, CallError> {
     let exchange = async {
         let mut response = sent.await.map_err(|e| classify(&e))?;
@@ -133,8 +134,8 @@
         let body = response.body().limit(MAX_MESSAGE_BYTES).await;
         body.map_err(|e| CallError::Lost(e.to_string()))
     };
-    let bytes = tokio::time::timeout(time_limit, exchange).await;
-    let bytes = bytes.map_err(|_elapsed| CallError::Lost("timeout".to_owned()))??;
+    let bytes = time_limit::within(limit, exchange).await;
+    let bytes = bytes.ok_or_else(|| CallError::Lost("timeout".to_owned()))??;
     Ok(wire::decode(&bytes)?)
 }
 
--- a/tests/unit/main.rs
+++ b/tests/unit/main.rs
@@ -36,4 +36,5 @@
 mod slots;
 mod starts;
 mod stops;
+mod time_limit;
 mod wire;
