Judge nobody by silence right after this process was suspended

What callers saw: an entry stood still for more than 1.2 s while the tasks of a job ran. All of them had completed after 60 ms, but the entry started every one again when it resumed. A runner that stood still for 500 to 700 ms stopped the running tasks of live entries.

Cause: on resuming, an entry first looks at how long its runners have been silent (leases over after 1,222 ms) and only then reads the reports that wait in its sockets; a report written before an order had arrived counted as proof, 600 ms after the order, that the order had started nothing. A runner did the same with the silence of entries, whose watches it had not read.

Why it works now: a gap of 200 ms between two readings of the clock, ten times the timer's interval, counts as a suspension. For 150 ms after it no run is ended or stopped because somebody seems silent: one retry of a watch on a new connection and its answer fit in. It costs no safety: leases at backend servers are bounded by when an entry was last known to be alive, as before, and an entry that starts a task later does not start it twice.

Looked at and left: the silence of a backend server only makes a runner refuse work until the next listing; the age of what the store told was handled before; entries and runners without leases exclude a suspension already.

--- a/src/leased/capacity/expiry.rs
+++ b/src/leased/capacity/expiry.rs
@@ -78,7 +78,8 @@
             .owners
             .get(&run.owner)
             .map_or(0, owners::Owner::alive_at_ms);
-        let is_silent = now_ms > alive_at_ms + capacity::OWNER_TIMEOUT_MS;
+        let is_silent =
+            now_ms >= self.settles_at_ms && now_ms > alive_at_ms + capacity::OWNER_TIMEOUT_MS;
         if run.must_stop {
             return Some((id.clone(), "meant for a former incarnation"));
         }
--- a/src/leased/capacity/mod.rs
+++ b/src/leased/capacity/mod.rs
@@ -111,6 +111,8 @@
     /// When all leases were found expired, until a listing requested later shows how the runs
     /// ended.
     expired_at_ms: Option<u64>,
+    /// Time until which the silence of an entry proves nothing.
+    settles_at_ms: u64,
     /// Whether the last listing showed no runs of a former incarnation of this runner.
     is_reconciled: bool,
     is_leaving: bool,
@@ -140,6 +142,7 @@
             last_seen_ms: None,
             unanswered_listings: 0,
             expired_at_ms: None,
+            settles_at_ms: 0,
             is_reconciled: false,
             is_leaving: false,
             sequence: 0,
@@ -147,6 +150,12 @@
         }
     }
 
+    /// Records that this process was suspended: until `settles_at_ms`, no run is stopped because its
+    /// entry seems silent. The leases end in time nevertheless, see [`OWNER_LEASE_MS`].
+    pub const fn resume(&mut self, settles_at_ms: u64) {
+        self.settles_at_ms = settles_at_ms;
+    }
+
     /// Returns the number of queued and running runs.
     pub fn runs(&self) -> usize {
         self.runs.len()
--- a/src/leased/dispatch/expiry.rs
+++ b/src/leased/dispatch/expiry.rs
@@ -14,14 +14,7 @@
 impl dispatch::Dispatcher {
     /// Runs all periodic work that is due at `now_ms` and returns the actions that follow.
     pub fn tick(&mut self, now_ms: u64) -> Vec<dispatch::Action> {
-        let mut actions = Vec::new();
-        // Every runner that holds runs has an open watch.
-        for key in self.watches.open().to_vec() {
-            let ended = self.runners[key].expire_runs(now_ms);
-            for run in ended {
-                actions.extend(self.apply_end(now_ms, &run));
-            }
-        }
+        let mut actions = self.expire_runs(now_ms);
         if now_ms >= self.swept_ms + SWEEP_INTERVAL_MS {
             self.swept_ms = now_ms;
             self.remove_silent_runners(now_ms);
@@ -34,6 +27,23 @@
         actions
     }
 
+    /// Ends the runs whose leases have expired, once the messages that arrived during a suspension
+    /// of this process have been read.
+    fn expire_runs(&mut self, now_ms: u64) -> Vec<dispatch::Action> {
+        if now_ms < self.settles_at_ms {
+            return Vec::new();
+        }
+        let mut actions = Vec::new();
+        // Every runner that holds runs has an open watch.
+        for key in self.watches.open().to_vec() {
+            let ended = self.runners[key].expire_runs(now_ms);
+            for run in ended {
+                actions.extend(self.apply_end(now_ms, &run));
+            }
+        }
+        actions
+    }
+
     fn end_expired_jobs(&mut self, now_ms: u64) -> Vec<dispatch::Action> {
         let is_expired = |open: &jobs::OpenJob| {
             now_ms >= open.deadline_ms
--- a/src/leased/dispatch/mod.rs
+++ b/src/leased/dispatch/mod.rs
@@ -117,6 +117,8 @@
     policy: settings::Policy,
     running_checked_ms: u64,
     swept_ms: u64,
+    /// Time until which the silence of a runner proves nothing.
+    settles_at_ms: u64,
     counts: Counts,
 }
 
@@ -141,6 +143,7 @@
             policy: settings::Policy::default(),
             running_checked_ms: 0,
             swept_ms: 0,
+            settles_at_ms: 0,
             counts: Counts::default(),
         }
     }
@@ -152,6 +155,12 @@
         self
     }
 
+    /// Records that this process was suspended: until `settles_at_ms`, no run counts as lost because
+    /// its runner seems silent.
+    pub const fn resume(&mut self, settles_at_ms: u64) {
+        self.settles_at_ms = settles_at_ms;
+    }
+
     /// Returns the counters for the metrics.
     pub const fn counts(&self) -> Counts {
         self.counts
@@ -395,7 +404,8 @@
         let mut report = report;
         let notice = report.notice.take();
         let holder = report.holder.take();
-        let ended = runner.report_received(now_ms, report);
+        let is_settled = now_ms >= self.settles_at_ms;
+        let ended = runner.report_received(now_ms, report, is_settled);
         if was_usable != runner.is_usable(now_ms) {
             log::info!(event = "runner.changed", runner = runner.address().as_str(), readiness:? = runner.load.readiness, zone = runner.load.zone.as_str(), silence_ms = silence_ms; "runner started or stopped accepting work");
         }
--- a/src/leased/dispatch/runners.rs
+++ b/src/leased/dispatch/runners.rs
@@ -394,7 +394,14 @@
     }
 
     /// Processes the answer to a watch and returns the runs that have ended.
-    pub fn report_received(&mut self, now_ms: u64, report: messages::Report) -> Vec<EndedRun> {
+    ///
+    /// `is_settled` states that the report was not read late because this process was suspended.
+    pub fn report_received(
+        &mut self,
+        now_ms: u64,
+        report: messages::Report,
+        is_settled: bool,
+    ) -> Vec<EndedRun> {
         let is_newer = self.receive(now_ms, report.runner, report.clock_ms, report.sequence);
         self.directives_position = report.directives_position;
         let mut ended = Vec::new();
@@ -407,7 +414,7 @@
         if is_newer {
             self.load = report.load;
             self.update_waiting(now_ms, &report.runs, &report.waiting);
-            ended.extend(self.reconcile(now_ms, report.sequence, &report.runs));
+            ended.extend(self.reconcile(now_ms, report.sequence, &report.runs, is_settled));
         }
         ended
     }
@@ -437,7 +444,13 @@
     ///
     /// The answer to an order may be lost, or the runner may have restarted and lost its state.
     /// A new incarnation accepts work only when no run of the previous one is left.
-    fn reconcile(&mut self, now_ms: u64, sequence: u64, held: &[messages::RunId]) -> Vec<EndedRun> {
+    fn reconcile(
+        &mut self,
+        now_ms: u64,
+        sequence: u64,
+        held: &[messages::RunId],
+        is_settled: bool,
+    ) -> Vec<EndedRun> {
         let held: collections::HashSet<_> = held.iter().collect();
         let is_ready = self.load.readiness == messages::Readiness::Ready;
         let incarnation = self.incarnation;
@@ -453,7 +466,7 @@
                 if first_sequence < sequence {
                     lost.push(id.clone());
                 }
-            } else if now_ms > placed.valid_until_ms + ORDER_VALID_MS {
+            } else if is_settled && now_ms > placed.valid_until_ms + ORDER_VALID_MS {
                 lost.push(id.clone());
             }
         }
--- a/src/leased/entry.rs
+++ b/src/leased/entry.rs
@@ -21,6 +21,7 @@
 use crate::leased::messages;
 use crate::leased::ports;
 use crate::leased::queues;
+use crate::leased::suspension;
 use crate::leased::traffic;
 use crate::metrics;
 use crate::outgoing;
@@ -95,6 +96,7 @@
     leaving_ms: Option<u64>,
     last_tick_ms: Option<u64>,
     tick_late: metrics::Histogram,
+    suspension: suspension::Detector,
 }
 
 impl Control {
@@ -109,6 +111,7 @@
             leaving_ms: None,
             last_tick_ms: None,
             tick_late: metrics::Histogram::default(),
+            suspension: suspension::Detector::default(),
         }
     }
 
@@ -116,6 +119,15 @@
         self.parts.clock.now_ms()
     }
 
+    /// Returns the time, and notes if this process was suspended since the last call.
+    fn read_clock(&mut self) -> u64 {
+        let now_ms = self.now_ms();
+        if let Some(settles_at_ms) = self.suspension.record(now_ms) {
+            self.dispatcher.resume(settles_at_ms);
+        }
+        now_ms
+    }
+
     /// Records how late the timer fired, which shows a shortage of processor time.
     fn record_tick(&mut self, now_ms: u64) {
         let due_ms = self
@@ -184,7 +196,7 @@
         cx.run_interval(
             time::Duration::from_millis(TICK_INTERVAL_MS),
             |actor, cx| {
-                let now_ms = actor.now_ms();
+                let now_ms = actor.read_clock();
                 actor.record_tick(now_ms);
                 let actions = actor.dispatcher.tick(now_ms);
                 actor.act(cx, actions);
--- a/src/leased/entry/calls.rs
+++ b/src/leased/entry/calls.rs
@@ -150,7 +150,7 @@
     type Result = ();
 
     fn handle(&mut self, ReportReceived(key, report): ReportReceived, cx: &mut Self::Context) {
-        let now_ms = self.now_ms();
+        let now_ms = self.read_clock();
         let actions = self.dispatcher.report_received(now_ms, key, report);
         self.act(cx, actions);
     }
@@ -169,7 +169,7 @@
     type Result = ();
 
     fn handle(&mut self, answer: OrderAnswered, cx: &mut Self::Context) {
-        let now_ms = self.now_ms();
+        let now_ms = self.read_clock();
         let actions = match answer.response {
             Ok(reply) => self
                 .dispatcher
--- a/src/leased/mod.rs
+++ b/src/leased/mod.rs
@@ -25,4 +25,5 @@
 pub mod process;
 pub mod queues;
 pub mod runner;
+pub mod suspension;
 pub mod traffic;
--- a/src/leased/runner.rs
+++ b/src/leased/runner.rs
@@ -14,6 +14,7 @@
 use crate::leased::dispatch;
 use crate::leased::messages;
 use crate::leased::ports;
+use crate::leased::suspension;
 use crate::leased::traffic;
 use crate::metrics;
 
@@ -62,6 +63,7 @@
     idle_since_ms: Option<u64>,
     starts: u64,
     stops: u64,
+    suspension: suspension::Detector,
 }
 
 impl Control {
@@ -77,9 +79,19 @@
             idle_since_ms: None,
             starts: 0,
             stops: 0,
+            suspension: suspension::Detector::default(),
         }
     }
 
+    /// Returns the time, and notes if this process was suspended since the last call.
+    fn read_clock(&mut self) -> u64 {
+        let now_ms = self.clock.now_ms();
+        if let Some(settles_at_ms) = self.suspension.record(now_ms) {
+            self.capacity.resume(settles_at_ms);
+        }
+        now_ms
+    }
+
     fn act(&mut self, cx: &actix::Context<Self>, actions: Vec<capacity::Action>) {
         for action in actions {
             match action {
@@ -124,7 +136,7 @@
     fn started(&mut self, cx: &mut Self::Context) {
         self.backend.poll_listings(cx.address().recipient());
         cx.run_interval(TICK_INTERVAL, |actor, cx| {
-            let now_ms = actor.clock.now_ms();
+            let now_ms = actor.read_clock();
             let actions = actor.capacity.tick(now_ms);
             actor.act(cx, actions);
         });
@@ -145,7 +157,7 @@
         WatchReceived(watch): WatchReceived,
         cx: &mut Self::Context,
     ) -> Self::Result {
-        let now_ms = self.clock.now_ms();
+        let now_ms = self.read_clock();
         let (tx, rx) = oneshot::channel();
         let actions = self.capacity.watch(now_ms, &watch);
         let until_ms = now_ms + watch.wait_ms;
@@ -170,7 +182,7 @@
         OrderReceived(order): OrderReceived,
         cx: &mut Self::Context,
     ) -> Self::Result {
-        let now_ms = self.clock.now_ms();
+        let now_ms = self.read_clock();
         let entry = order.entry;
         let (reply, actions) = self.capacity.order(now_ms, order);
         if let Some(open) = self.open_watches.get_mut(&entry) {
@@ -187,7 +199,7 @@
     type Result = ();
 
     fn handle(&mut self, answered: ports::StartAnswered, cx: &mut Self::Context) {
-        let now_ms = self.clock.now_ms();
+        let now_ms = self.read_clock();
         let actions = self
             .capacity
             .start_answered(now_ms, &answered.id, answered.answer);
@@ -209,7 +221,7 @@
 
     fn handle(&mut self, answered: ports::ListAnswered, cx: &mut Self::Context) -> Self::Result {
         if let Some(answer) = answered.answer {
-            let now_ms = self.clock.now_ms();
+            let now_ms = self.read_clock();
             let actions = self.capacity.listed(now_ms, answered.sent_at_ms, answer);
             self.act(cx, actions);
         }
--- /dev/null
+++ b/src/leased/suspension.rs
@@ -0,0 +1,32 @@
+//! Detects that this process was suspended, or had no processor time, for a while.
+//!
+//! Right after a suspension every peer seems to have been silent, while its messages wait in the
+//! sockets of this process. Whatever is decided by silence has to wait until they are read.
+
+/// Shortest gap between two readings of the clock that counts as a suspension, in milliseconds:
+/// ten times the interval of the timers.
+const MIN_GAP_MS: u64 = 200;
+
+/// Time to read the messages that arrived during a suspension and to exchange new ones, in
+/// milliseconds: a pause before the retry of a call, a new connection and an answer.
+const SETTLE_MS: u64 = 150;
+
+/// Watches the gaps between readings of the clock.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Detector {
+    last_ms: Option<u64>,
+}
+
+impl Detector {
+    /// Records a reading of the clock; returns the time until which silence proves nothing if
+    /// this process was suspended since the last one.
+    pub fn record(&mut self, now_ms: u64) -> Option<u64> {
+        let last_ms = self.last_ms.replace(now_ms)?;
+        let gap_ms = now_ms.saturating_sub(last_ms);
+        if gap_ms < MIN_GAP_MS {
+            return None;
+        }
+        log::warn!(event = "process.resumed", gap_ms = gap_ms, settle_ms = SETTLE_MS; "this process did not run for a while; reading what arrived before acting on the silence of others");
+        Some(now_ms + SETTLE_MS)
+    }
+}
--- /dev/null
+++ b/tests/unit/leased/suspension.rs
@@ -0,0 +1,139 @@
+//! What entries and runners decide by silence right after they were suspended.
+
+use bulrushtiller::leased::capacity;
+use bulrushtiller::leased::dispatch;
+use bulrushtiller::leased::dispatch::runners;
+use bulrushtiller::leased::messages;
+use bulrushtiller::leased::ports;
+use bulrushtiller::leased::suspension;
+
+use super::fixtures;
+use super::fixtures::ENTRY;
+use super::fixtures::START_MS;
+
+/// When the process resumes, long after every lease and order has expired.
+const RESUMED_MS: u64 = START_MS + 3_000;
+
+/// When silence counts again.
+const SETTLED_MS: u64 = RESUMED_MS + 150;
+
+/// Returns an entry that was suspended right after it ordered one run, and that run.
+fn resumed_entry() -> (dispatch::Dispatcher, runners::RunnerKey, messages::Order) {
+    let mut entry = dispatch::Dispatcher::new(ENTRY, "bento".into());
+    entry.update_directives(fixtures::directives(3));
+    let found = entry.add_runners(START_MS - 10, &["10.0.0.1:7720".into()]);
+    let [dispatch::Action::Watch(key)] = found[..] else {
+        panic!("expected one watch, got {found:?}");
+    };
+    entry.next_watch(START_MS - 10, key);
+    entry.report_received(START_MS, key, fixtures::report(1, 0, &[]));
+    let job = fixtures::job(1, 1, 1_600, 60);
+    let actions = entry.submit(START_MS, job, &fixtures::queue(), Some(9_000), 1);
+    let order = orders(&actions).remove(0);
+    entry.resume(SETTLED_MS);
+    (entry, key, order)
+}
+
+fn orders(actions: &[dispatch::Action]) -> Vec<messages::Order> {
+    let order = |action: &dispatch::Action| match action {
+        dispatch::Action::Order(_, _, order) if !order.starts.is_empty() => Some(order.clone()),
+        _ => None,
+    };
+    actions.iter().filter_map(order).collect()
+}
+
+/// Guards against a completed task that runs again because its entry counts it as lost before it
+/// reads the report of its end.
+#[test]
+fn run_is_not_lost_before_a_resumed_entry_has_read_the_report() {
+    let (mut entry, key, order) = resumed_entry();
+    entry.order_answered(RESUMED_MS, key, &order, fixtures::reply(2, 1_600));
+
+    let ticked = entry.tick(RESUMED_MS + 1);
+    let end = messages::End {
+        number: 1,
+        id: order.starts[0].id.clone(),
+        how: messages::RunOutcome::Done,
+        ran_ms: 60,
+    };
+    let report = messages::Report {
+        ends: vec![end],
+        ..fixtures::report(3, 0, &[])
+    };
+    let reported = entry.report_received(RESUMED_MS + 2, key, report);
+
+    assert!(orders(&ticked).is_empty(), "{ticked:?}");
+    assert!(
+        reported.iter().any(|action| matches!(
+            action,
+            dispatch::Action::Answer(_, dispatch::Outcome::Completed)
+        )),
+        "{reported:?}"
+    );
+}
+
+/// Guards against a task that runs twice because a report written before its order arrived is
+/// read long after the order has expired.
+#[test]
+fn old_report_read_by_a_resumed_entry_ends_no_run() {
+    let (mut entry, key, _order) = resumed_entry();
+
+    let early = entry.report_received(RESUMED_MS, key, fixtures::report(2, 0, &[]));
+    let late = entry.report_received(SETTLED_MS, key, fixtures::report(3, 0, &[]));
+
+    assert!(orders(&early).is_empty(), "{early:?}");
+    assert_eq!(orders(&late)[0].starts[0].id, fixtures::run_id(1, 0, 2));
+}
+
+/// Returns a runner that was suspended for 600 ms while it had one run of an entry.
+fn resumed_runner() -> (capacity::CapacityManager, messages::RunId, u64) {
+    let mut manager = fixtures::ready_manager();
+    let id = fixtures::run_id(1, 0, 1);
+    let order = fixtures::order(ENTRY, 1, START_MS, &[(id.clone(), 1_600)]);
+    manager.order(START_MS, order);
+    manager.start_answered(START_MS + 1, &id, ports::StartAnswer::Started);
+    let resumed_ms = START_MS + 600;
+    manager.resume(resumed_ms + 150);
+    (manager, id, resumed_ms)
+}
+
+/// Guards against a task that is stopped although its entry is alive, because the runner has not
+/// read the watches of the entry yet.
+#[test]
+fn run_of_a_live_entry_goes_on_when_the_runner_resumes() {
+    let (mut manager, id, resumed_ms) = resumed_runner();
+
+    let first = manager.tick(resumed_ms);
+    let watch = fixtures::watch(ENTRY, resumed_ms + 5, 1, std::slice::from_ref(&id));
+    manager.watch(resumed_ms + 5, &watch);
+    let settled = manager.tick(resumed_ms + 150);
+
+    assert!(fixtures::stopped(&first).is_empty());
+    assert!(fixtures::stopped(&settled).is_empty());
+}
+
+/// Guards against a task that goes on for an entry that crashed while the runner was suspended.
+#[test]
+fn run_of_a_silent_entry_is_stopped_once_the_runner_has_settled() {
+    let (mut manager, id, resumed_ms) = resumed_runner();
+
+    let call = manager.next_list(resumed_ms + 1);
+    let settled = manager.tick(resumed_ms + 150);
+
+    assert!(call.lease_until_ms <= Some(5_000 + capacity::OWNER_LEASE_MS));
+    assert_eq!(fixtures::stopped(&settled), [id]);
+}
+
+/// Guards against a busy process that counts as suspended, and against a suspension that is missed.
+#[test]
+fn only_a_long_gap_counts_as_a_suspension() {
+    let mut detector = suspension::Detector::default();
+
+    let first = detector.record(START_MS);
+    let usual = detector.record(START_MS + 199);
+    let resumed = detector.record(START_MS + 399);
+    let next = detector.record(START_MS + 409);
+
+    assert_eq!((first, usual, next), (None, None, None));
+    assert!(resumed.is_some_and(|settles_at_ms| settles_at_ms > START_MS + 399));
+}
