Let a hanging task weigh the more the longer it hangs

Cause: a task that still runs counts by how much likelier its run time is on a server four times slower. Of a task that hangs for longer than that, both the slow server and an ordinary straggler are equally unlikely, and the weight fell back towards 0: the longer a server hung, the more it was trusted.

The entry in the zone of the suspended server, which stopped at 10.00 s, held it suspect at 10.22 s with a score of 3.73, of which 3.35 came from a task 260 ms old; that task weighed 1.18 at 380 ms, 0.35 at 480 ms and 0.01 at 860 ms, the score fell to 0.45 at 10.44 s, and at 10.456, 10.499 and 10.832 s it sent the server a task each: the three jobs that failed.

Why it works now: a slow server is one that is at least four times slower, so the weight never falls with the run time; the new test of it guards that.

--- a/src/health/slowness.rs
+++ b/src/health/slowness.rs
@@ -49,12 +49,17 @@
     llr.clamp(-max_llr, max_llr)
 }
 
-/// Returns the log-likelihood ratio of a running task's excess so far; never negative.
+/// Returns the log-likelihood ratio of a running task's excess so far; never negative, and never
+/// less for a longer run time.
+///
+/// A stuck server is slower than any given factor. If the slow server were four times slower at
+/// most, its tasks would look the more like stragglers the longer they run.
 pub fn llr_running(excess: f64, distribution: &kinds::Distribution) -> f64 {
     let spread = distribution.spread();
     let is_exceeded = |mean: f64| 1.0 / (1.0 + (LOGISTIC_SCALE * (excess - mean) / spread).exp());
     let by_chance = distribution.straggler_fraction();
-    ((is_exceeded(SLOW_SERVER_EXCESS) + by_chance) / (is_exceeded(0.0) + by_chance)).ln()
+    let slow_excess = SLOW_SERVER_EXCESS.max(excess);
+    ((is_exceeded(slow_excess) + by_chance) / (is_exceeded(0.0) + by_chance)).ln()
 }
 
 /// Returns whether a probe succeeded; `None` if its run time is inconclusive.
--- a/tests/unit/main.rs
+++ b/tests/unit/main.rs
@@ -34,6 +34,7 @@
 mod settings;
 mod settings_replica;
 mod slots;
+mod slowness;
 mod starts;
 mod stops;
 mod time_limit;
