Name the unanswered start apart from the call, and drop figures from constants

The record that a runner keeps of a start had the name of the call in `ports`. No behaviour changes.

--- a/src/health/slowness.rs
+++ b/src/health/slowness.rs
@@ -16,13 +16,11 @@
 const SLOW_SERVER_EXCESS: f64 = 1.386;
 
 /// Score from which other runners with a free slot are preferred: half of what one task can
-/// contribute. With one slow server, the mean ratio of p99 to the ideal is 1.39, 1.37 and
-/// 1.40 at scores of 1.5, 2 and 3 (seeds 1 to 12, both sites).
+/// contribute.
 const SUSPECT_SCORE: f64 = 2.0;
 
 /// Score that ejects: three tasks of as many jobs, each hardly possible on a server like
-/// the others. In 24 runs without a fault, with 2 of 100 tasks four times too long by
-/// chance, 11 ejected no runner and 10 ejected two.
+/// the others.
 const EJECT_SCORE: f64 = 11.0;
 
 /// Median score of the other runners from which the slowness is common to most of them.
--- a/src/leased/capacity/listings.rs
+++ b/src/leased/capacity/listings.rs
@@ -66,7 +66,7 @@
         answer: ports::ListAnswer,
     ) -> Vec<capacity::Action> {
         self.record_list_time(now_ms, sent_at_ms, &answer);
-        self.record_whether_answered(&answer);
+        self.count_unanswered(&answer);
         let mut actions = match answer {
             ports::ListAnswer::Listed(listing) => self.apply_listing(now_ms, sent_at_ms, &listing),
             ports::ListAnswer::Fenced => {
@@ -96,7 +96,7 @@
         }
     }
 
-    const fn record_whether_answered(&mut self, answer: &ports::ListAnswer) {
+    const fn count_unanswered(&mut self, answer: &ports::ListAnswer) {
         match answer {
             ports::ListAnswer::NoConnection | ports::ListAnswer::Lost => {
                 self.unanswered_listings = self.unanswered_listings.saturating_add(1);
--- a/src/leased/capacity/mod.rs
+++ b/src/leased/capacity/mod.rs
@@ -68,8 +68,8 @@
     ordered_at_ms: u64,
     /// The start, while the run waits for capacity.
     queued: Option<wait_queue::QueuedStart>,
-    /// The call that starts the run, until it is answered.
-    start_call: Option<starting::StartCall>,
+    /// The call to start the run, until it is answered.
+    unanswered_start: Option<starting::UnansweredStart>,
     /// Whether a listing has shown the run.
     was_listed: bool,
     /// Whether the run has to be stopped even if its entry still wants it.
--- a/src/leased/capacity/orders.rs
+++ b/src/leased/capacity/orders.rs
@@ -116,7 +116,7 @@
             need,
             ordered_at_ms: now_ms,
             queued: Some(wait_queue::QueuedStart::new(now_ms, start)),
-            start_call: None,
+            unanswered_start: None,
             was_listed: false,
             must_stop: false,
             settled_at_ms: None,
--- a/src/leased/capacity/starting.rs
+++ b/src/leased/capacity/starting.rs
@@ -9,9 +9,9 @@
 /// answer the second call in time.
 const MAX_RESEND_AGE_MS: u64 = 100;
 
-/// A call that starts a run and has not been answered.
+/// A call to start a run that has not been answered yet.
 #[derive(Clone, Debug)]
-pub struct StartCall {
+pub struct UnansweredStart {
     start: messages::Start,
     sent_at_ms: u64,
     /// Whether an earlier call for the same run was unanswered.
@@ -51,7 +51,7 @@
         let incarnation = self.backend.as_ref()?.incarnation.clone();
         let lease_until_ms = self.backend_clock.grant(now_ms, self.lease_ms(now_ms));
         let run = self.runs.get_mut(&start.id)?;
-        run.start_call = Some(StartCall {
+        run.unanswered_start = Some(UnansweredStart {
             start: start.clone(),
             sent_at_ms: now_ms,
             is_repeat,
@@ -66,6 +66,9 @@
     }
 
     /// Handles the answer to a start, or its absence.
+    ///
+    /// A refusal of the first call means that the run will not start. A refusal of the second does
+    /// not, as the first may still be carried out.
     pub fn start_answered(
         &mut self,
         now_ms: u64,
@@ -76,7 +79,7 @@
         let Some(run) = self.runs.get_mut(id) else {
             return actions;
         };
-        let call = run.start_call.take();
+        let call = run.unanswered_start.take();
         let sent_at_ms = call
             .as_ref()
             .map_or(run.ordered_at_ms, |call| call.sent_at_ms);
@@ -118,7 +121,7 @@
         &mut self,
         now_ms: u64,
         id: &messages::RunId,
-        call: Option<StartCall>,
+        call: Option<UnansweredStart>,
     ) -> Option<capacity::Action> {
         let call = call.filter(|call| !call.is_repeat)?;
         let run = self.runs.get(id)?;
