--- a/src/health/slowness.rs
+++ b/src/health/slowness.rs
@@ -47,11 +47,11 @@
     llr.clamp(-max_llr, max_llr)
 }
 
-/// Returns the log-likelihood ratio of a running task's excess so far; never negative, and never
-/// less for a longer run time.
+/// Returns the log-likelihood ratio of a running task's excess so far; never negative, and no
+/// less for a task that hangs than for one that a slow server has nearly completed.
 ///
 /// A stuck server is slower than any given factor. If the slow server were four times slower at
-/// most, its tasks would look the more like stragglers the longer they run.
+/// most, its tasks would look the more like stragglers the longer they hang.
 pub fn llr_running(excess: f64, distribution: &kinds::Distribution) -> f64 {
     let spread = distribution.spread();
     let is_exceeded = |mean: f64| 1.0 / (1.0 + (LOGISTIC_SCALE * (excess - mean) / spread).exp());
