Share the fixtures of a dispatching entry among the tests

dispatch.rs and suspension.rs built the same entry with one runner and picked the orders out of actions each for itself.

--- a/tests/unit/leased/dispatch.rs
+++ b/tests/unit/leased/dispatch.rs
@@ -10,27 +10,6 @@
 use super::fixtures::OTHER;
 use super::fixtures::START_MS;
 
-/// Creates an entry that knows one empty runner of 16 cores.
-fn entry() -> (dispatch::Dispatcher, runners::RunnerKey) {
-    let mut entry = dispatch::Dispatcher::new(ENTRY, "bento".into());
-    entry.update_directives(fixtures::directives(3));
-    let found = entry.add_runners(START_MS - 10, &["10.0.0.1:7720".into()]);
-    let [dispatch::Action::Watch(key)] = found[..] else {
-        panic!("expected one watch, got {found:?}");
-    };
-    entry.next_watch(START_MS - 10, key);
-    entry.report_received(START_MS, key, fixtures::report(1, 0, &[]));
-    (entry, key)
-}
-
-fn orders(actions: &[dispatch::Action]) -> Vec<messages::Order> {
-    let order = |action: &dispatch::Action| match action {
-        dispatch::Action::Order(_, _, order) => Some(order.clone()),
-        _ => None,
-    };
-    actions.iter().filter_map(order).collect()
-}
-
 fn answers(actions: &[dispatch::Action]) -> Vec<dispatch::Outcome> {
     let answer = |action: &dispatch::Action| match action {
         dispatch::Action::Answer(_, outcome) => Some(*outcome),
@@ -68,8 +47,8 @@
 
 #[test]
 fn job_is_answered_when_its_last_task_completes() {
-    let (mut entry, key) = entry();
-    let order = orders(&submit(&mut entry, START_MS, 1, 2)).remove(0);
+    let (mut entry, key) = fixtures::entry();
+    let order = fixtures::orders(&submit(&mut entry, START_MS, 1, 2)).remove(0);
     entry.order_answered(START_MS + 2, key, &order, fixtures::reply(2, 3_200));
     let first = end(1, &order.starts[0].id, messages::RunOutcome::Done);
     let second = end(2, &order.starts[1].id, messages::RunOutcome::Done);
@@ -91,8 +70,8 @@
 /// number of failed runs it fails, and its remaining runs are stopped.
 #[test]
 fn job_fails_after_the_allowed_number_of_failed_runs() {
-    let (mut entry, key) = entry();
-    let order = orders(&submit(&mut entry, START_MS, 1, 2)).remove(0);
+    let (mut entry, key) = fixtures::entry();
+    let order = fixtures::orders(&submit(&mut entry, START_MS, 1, 2)).remove(0);
     entry.order_answered(START_MS + 2, key, &order, fixtures::reply(2, 3_200));
     let other = order.starts[1].id.clone();
     let failed = |number, run| {
@@ -114,23 +93,29 @@
     };
     let ended = entry.report_received(START_MS + 60, key, report);
 
-    assert_eq!(orders(&again)[0].starts[0].id, fixtures::run_id(1, 0, 2));
+    assert_eq!(
+        fixtures::orders(&again)[0].starts[0].id,
+        fixtures::run_id(1, 0, 2)
+    );
     assert_eq!(answers(&ended), [dispatch::Outcome::Failed]);
-    assert_eq!(orders(&ended)[0].stops, [other]);
+    assert_eq!(fixtures::orders(&ended)[0].stops, [other]);
 }
 
 /// Guards against runs that go on after their caller has disconnected. They are stopped at once,
 /// and the next watch leaves them out in case the stop is lost.
 #[test]
 fn runs_of_a_disconnected_caller_are_stopped() {
-    let (mut entry, key) = entry();
-    let order = orders(&submit(&mut entry, START_MS, 1, 1)).remove(0);
+    let (mut entry, key) = fixtures::entry();
+    let order = fixtures::orders(&submit(&mut entry, START_MS, 1, 1)).remove(0);
     entry.order_answered(START_MS + 2, key, &order, fixtures::reply(2, 1_600));
 
     let actions = entry.remove_waiter(START_MS + 20, &fixtures::run_id(1, 0, 1).job, 1);
     let watch = entry.next_watch(START_MS + 21, key);
 
-    assert_eq!(orders(&actions)[0].stops, [order.starts[0].id.clone()]);
+    assert_eq!(
+        fixtures::orders(&actions)[0].stops,
+        [order.starts[0].id.clone()]
+    );
     assert!(watch.is_some_and(|(_, watch)| watch.wanted.is_empty() && watch.ordered == 2));
 }
 
@@ -138,8 +123,8 @@
 /// again to the same entry while the first attempt is open there.
 #[test]
 fn repeated_submission_joins_the_open_job() {
-    let (mut entry, key) = entry();
-    let order = orders(&submit(&mut entry, START_MS, 1, 1)).remove(0);
+    let (mut entry, key) = fixtures::entry();
+    let order = fixtures::orders(&submit(&mut entry, START_MS, 1, 1)).remove(0);
     entry.order_answered(START_MS + 2, key, &order, fixtures::reply(2, 1_600));
 
     let job = fixtures::job(1, 1, 1_600, 60);
@@ -148,7 +133,7 @@
     let ends = vec![end(1, &order.starts[0].id, messages::RunOutcome::Done)];
     let done = entry.report_received(START_MS + 60, key, report_ends(3, ends));
 
-    assert!(orders(&joined).is_empty());
+    assert!(fixtures::orders(&joined).is_empty());
     assert_eq!(answers(&done), [dispatch::Outcome::Completed]);
 }
 
@@ -156,8 +141,8 @@
 /// elsewhere only after the order has expired and the runner reports that it doesn't hold the run.
 #[test]
 fn run_of_an_unanswered_order_is_not_restarted_before_the_order_expires() {
-    let (mut entry, key) = entry();
-    let order = orders(&submit(&mut entry, START_MS, 1, 1)).remove(0);
+    let (mut entry, key) = fixtures::entry();
+    let order = fixtures::orders(&submit(&mut entry, START_MS, 1, 1)).remove(0);
     entry.order_lost(START_MS + 250, key, &order, false);
 
     let early = entry.report_received(START_MS + 260, key, fixtures::report(2, 0, &[]));
@@ -167,21 +152,24 @@
         fixtures::report(3, 0, &[]),
     );
 
-    assert!(orders(&early).is_empty());
-    assert_eq!(orders(&late)[0].starts[0].id, fixtures::run_id(1, 0, 2));
+    assert!(fixtures::orders(&early).is_empty());
+    assert_eq!(
+        fixtures::orders(&late)[0].starts[0].id,
+        fixtures::run_id(1, 0, 2)
+    );
 }
 
 /// Guards against a run that counts as lost because a report without it, written before the
 /// runner accepted the order, arrives after the answer to the order.
 #[test]
 fn report_older_than_the_order_ends_no_run() {
-    let (mut entry, key) = entry();
-    let order = orders(&submit(&mut entry, START_MS, 1, 1)).remove(0);
+    let (mut entry, key) = fixtures::entry();
+    let order = fixtures::orders(&submit(&mut entry, START_MS, 1, 1)).remove(0);
     entry.order_answered(START_MS + 3, key, &order, fixtures::reply(5, 1_600));
 
     let actions = entry.report_received(START_MS + 4, key, fixtures::report(4, 0, &[]));
 
-    assert!(orders(&actions).is_empty());
+    assert!(fixtures::orders(&actions).is_empty());
 }
 
 /// Guards against a task that runs twice while only the link from its runner is broken. The
@@ -189,10 +177,10 @@
 /// and starts the task elsewhere only after every lease has expired.
 #[test]
 fn lease_at_a_silent_runner_is_not_renewed() {
-    let (mut entry, key) = entry();
+    let (mut entry, key) = fixtures::entry();
     let job = fixtures::job(1, 1, 1_600, 60);
     let actions = entry.submit(START_MS, job, &fixtures::queue(), Some(5_000), 1);
-    let order = orders(&actions).remove(0);
+    let order = fixtures::orders(&actions).remove(0);
     entry.order_answered(START_MS + 2, key, &order, fixtures::reply(2, 1_600));
     let second = entry.add_runners(START_MS + 2, &["10.0.0.2:7720".into()]);
     let [dispatch::Action::Watch(other)] = second[..] else {
@@ -208,22 +196,25 @@
 
     assert!(alive.is_some_and(|(_, watch)| watch.alive_at_ms.is_some()));
     assert!(silent.is_some_and(|(_, watch)| watch.alive_at_ms.is_none()));
-    assert!(orders(&before).is_empty());
-    assert_eq!(orders(&after)[0].starts[0].id, fixtures::run_id(1, 0, 2));
+    assert!(fixtures::orders(&before).is_empty());
+    assert_eq!(
+        fixtures::orders(&after)[0].starts[0].id,
+        fixtures::run_id(1, 0, 2)
+    );
 }
 
 /// Guards against a wide job that starves: if the most urgent job waited for all its capacity at
 /// once, smaller jobs would take each piece that becomes free.
 #[test]
 fn most_urgent_wide_job_takes_capacity_piece_by_piece() {
-    let (mut entry, key) = entry();
+    let (mut entry, key) = fixtures::entry();
     entry.report_received(START_MS + 1, key, fixtures::report(2, 16_000, &[]));
     submit(&mut entry, START_MS + 2, 1, 8);
     let small = fixtures::job(2, 2, 1_600, 200);
     entry.submit(START_MS + 3, small, &fixtures::queue(), Some(1_500), 2);
 
     let first = entry.report_received(START_MS + 20, key, fixtures::report(3, 12_000, &[]));
-    let held: Vec<_> = orders(&first)[0]
+    let held: Vec<_> = fixtures::orders(&first)[0]
         .starts
         .iter()
         .map(|start| start.id.clone())
@@ -231,13 +222,15 @@
     entry.order_answered(
         START_MS + 21,
         key,
-        &orders(&first)[0],
+        &fixtures::orders(&first)[0],
         fixtures::reply(4, 15_200),
     );
     let second = entry.report_received(START_MS + 40, key, fixtures::report(5, 3_200, &held));
 
     let jobs = |actions: &[dispatch::Action]| -> Vec<_> {
-        let starts = orders(actions).into_iter().flat_map(|order| order.starts);
+        let starts = fixtures::orders(actions)
+            .into_iter()
+            .flat_map(|order| order.starts);
         starts.map(|start| start.id.job).collect()
     };
     let wide = fixtures::run_id(1, 0, 1).job;
@@ -249,7 +242,7 @@
 /// Guards against a caller that is left without a retry time when no capacity is free in time.
 #[test]
 fn job_without_capacity_in_time_is_refused_as_not_run() {
-    let (mut entry, key) = entry();
+    let (mut entry, key) = fixtures::entry();
     entry.report_received(START_MS + 1, key, fixtures::report(2, 16_000, &[]));
     submit(&mut entry, START_MS + 2, 1, 2);
 
@@ -259,27 +252,27 @@
         panic!("expected one refusal, got {actions:?}");
     };
     assert!(retry_after_ms >= 1_000);
-    assert!(orders(&actions).is_empty());
+    assert!(fixtures::orders(&actions).is_empty());
 }
 
 /// Guards against tasks placed in a zone that operators have taken out of service, even if only
 /// that zone has free capacity.
 #[test]
 fn no_task_is_placed_in_a_zone_that_is_out() {
-    let (mut entry, _key) = entry();
+    let (mut entry, _key) = fixtures::entry();
     let mut directives = fixtures::directives(4);
     directives.zones_out.push("bento".into());
     entry.update_directives(directives);
 
     let actions = submit(&mut entry, START_MS + 2, 1, 1);
 
-    assert!(orders(&actions).is_empty());
+    assert!(fixtures::orders(&actions).is_empty());
     assert_eq!(entry.pending("checks"), 1);
 }
 
 /// Creates an entry with three empty runners.
 fn entry_with_three() -> (dispatch::Dispatcher, Vec<runners::RunnerKey>) {
-    let (mut entry, first) = entry();
+    let (mut entry, first) = fixtures::entry();
     let found = entry.add_runners(START_MS, &["10.0.0.2:7720".into(), "10.0.0.3:7720".into()]);
     let mut keys = vec![first];
     for action in &found {
@@ -383,7 +376,7 @@
 /// entry with an eighth of a core spends a quarter of it on watches without changes.
 #[test]
 fn runner_without_runs_is_watched_at_a_longer_interval() {
-    let (mut entry, key) = entry();
+    let (mut entry, key) = fixtures::entry();
 
     let idle = entry.next_watch(START_MS + 1, key).expect("a watch").1;
     submit(&mut entry, START_MS + 2, 1, 1);
@@ -397,8 +390,8 @@
 /// before all others, be held until its caller's deadline and be reported as possibly run.
 #[test]
 fn job_with_only_refused_orders_is_refused_as_not_run() {
-    let (mut entry, key) = entry();
-    let order = orders(&submit(&mut entry, START_MS, 1, 1)).remove(0);
+    let (mut entry, key) = fixtures::entry();
+    let order = fixtures::orders(&submit(&mut entry, START_MS, 1, 1)).remove(0);
     let refused = messages::OrderReply {
         refused: vec![(order.starts[0].id.clone(), messages::Refusal::Room)],
         ..fixtures::reply(2, 16_000)
@@ -420,12 +413,12 @@
 /// against a wrong answer when the run comes back unstarted and too late for another runner.
 #[test]
 fn task_without_free_capacity_waits_at_a_runner() {
-    let (mut entry, key) = entry();
+    let (mut entry, key) = fixtures::entry();
     let mut full = fixtures::report(2, 16_000, &[]);
     full.load.line = messages::WaitQueue::default();
     entry.report_received(START_MS + 1, key, full);
 
-    let order = orders(&submit(&mut entry, START_MS + 2, 1, 3)).remove(0);
+    let order = fixtures::orders(&submit(&mut entry, START_MS + 2, 1, 3)).remove(0);
     let waiting: Vec<_> = order.starts.iter().map(|start| start.id.clone()).collect();
     entry.order_answered(START_MS + 4, key, &order, fixtures::reply(3, 16_000));
     let ends = waiting.iter().zip(1..);
--- a/tests/unit/leased/fixtures.rs
+++ b/tests/unit/leased/fixtures.rs
@@ -5,6 +5,8 @@
 use bulrushtiller::ids;
 use bulrushtiller::leased::capacity;
 use bulrushtiller::leased::directives;
+use bulrushtiller::leased::dispatch;
+use bulrushtiller::leased::dispatch::runners;
 use bulrushtiller::leased::job;
 use bulrushtiller::leased::messages;
 use bulrushtiller::leased::ports;
@@ -252,6 +254,28 @@
     }
 }
 
+/// Returns an entry that knows one empty runner of 16 cores since [`START_MS`].
+pub fn entry() -> (dispatch::Dispatcher, runners::RunnerKey) {
+    let mut entry = dispatch::Dispatcher::new(ENTRY, "bento".into());
+    entry.update_directives(directives(3));
+    let found = entry.add_runners(START_MS - 10, &["10.0.0.1:7720".into()]);
+    let [dispatch::Action::Watch(key)] = found[..] else {
+        panic!("expected one watch, got {found:?}");
+    };
+    entry.next_watch(START_MS - 10, key);
+    entry.report_received(START_MS, key, report(1, 0, &[]));
+    (entry, key)
+}
+
+/// Returns the orders among the actions.
+pub fn orders(actions: &[dispatch::Action]) -> Vec<messages::Order> {
+    let order = |action: &dispatch::Action| match action {
+        dispatch::Action::Order(_, _, order) => Some(order.clone()),
+        _ => None,
+    };
+    actions.iter().filter_map(order).collect()
+}
+
 /// Returns the start calls among the actions.
 pub fn started(actions: &[capacity::Action]) -> Vec<ports::StartCall> {
     let start = |action: &capacity::Action| match action {
--- a/tests/unit/leased/suspension.rs
+++ b/tests/unit/leased/suspension.rs
@@ -19,29 +19,14 @@
 
 /// Returns an entry that was suspended right after it ordered one run, and that run.
 fn resumed_entry() -> (dispatch::Dispatcher, runners::RunnerKey, messages::Order) {
-    let mut entry = dispatch::Dispatcher::new(ENTRY, "bento".into());
-    entry.update_directives(fixtures::directives(3));
-    let found = entry.add_runners(START_MS - 10, &["10.0.0.1:7720".into()]);
-    let [dispatch::Action::Watch(key)] = found[..] else {
-        panic!("expected one watch, got {found:?}");
-    };
-    entry.next_watch(START_MS - 10, key);
-    entry.report_received(START_MS, key, fixtures::report(1, 0, &[]));
+    let (mut entry, key) = fixtures::entry();
     let job = fixtures::job(1, 1, 1_600, 60);
     let actions = entry.submit(START_MS, job, &fixtures::queue(), Some(9_000), 1);
-    let order = orders(&actions).remove(0);
+    let order = fixtures::orders(&actions).remove(0);
     entry.resume(SETTLED_MS);
     (entry, key, order)
 }
 
-fn orders(actions: &[dispatch::Action]) -> Vec<messages::Order> {
-    let order = |action: &dispatch::Action| match action {
-        dispatch::Action::Order(_, _, order) if !order.starts.is_empty() => Some(order.clone()),
-        _ => None,
-    };
-    actions.iter().filter_map(order).collect()
-}
-
 /// Guards against a completed task that runs again because its entry counts it as lost before it
 /// reads the report of its end.
 #[test]
@@ -62,7 +47,7 @@
     };
     let reported = entry.report_received(RESUMED_MS + 2, key, report);
 
-    assert!(orders(&ticked).is_empty(), "{ticked:?}");
+    assert!(fixtures::orders(&ticked).is_empty(), "{ticked:?}");
     assert!(
         reported.iter().any(|action| matches!(
             action,
@@ -81,8 +66,11 @@
     let early = entry.report_received(RESUMED_MS, key, fixtures::report(2, 0, &[]));
     let late = entry.report_received(SETTLED_MS, key, fixtures::report(3, 0, &[]));
 
-    assert!(orders(&early).is_empty(), "{early:?}");
-    assert_eq!(orders(&late)[0].starts[0].id, fixtures::run_id(1, 0, 2));
+    assert!(fixtures::orders(&early).is_empty(), "{early:?}");
+    assert_eq!(
+        fixtures::orders(&late)[0].starts[0].id,
+        fixtures::run_id(1, 0, 2)
+    );
 }
 
 /// Returns a runner that was suspended for 600 ms while it had one run of an entry.
