--- a/src/time_limit.rs
+++ b/src/time_limit.rs
@@ -13,7 +13,7 @@
 ///
 /// When a suspended process resumes, its timers fire before its sockets are polled, so that every
 /// call under way would end as unanswered although most answers have arrived. A call whose timer
-/// fires late therefore has [`READ_TIME`] left.
+/// fires late therefore has a little time left to read its answer.
 pub async fn within<F: Future>(limit: time::Duration, call: F) -> Option<F::Output> {
     let mut call = pin::pin!(call);
     let due = time::Instant::now() + limit;
