--- a/src/leased/suspension.rs
+++ b/src/leased/suspension.rs
@@ -4,7 +4,7 @@
 //! sockets of this process. Whatever is decided by silence has to wait until they are read.
 
 /// Shortest gap between two readings of the clock that counts as a suspension, in milliseconds:
-/// ten times the interval of the timers.
+/// ten times the interval of the slower timer.
 const MIN_GAP_MS: u64 = 200;
 
 /// Time to read the messages that arrived during a suspension and to exchange new ones, in
