Log what shows the entry that a run has ended

Cause: `task.lost` said that a run is over without a result, and not why.

Change: each end of a run carries its evidence, and `task.lost` logs it with the runner's address. No decision depends on it.

Ways weighed: a line for each kind of evidence; `order.refused` and `run.end` say the rest already, so one field does.

--- a/src/leased/dispatch/jobs.rs
+++ b/src/leased/dispatch/jobs.rs
@@ -193,6 +193,14 @@
         }
     }
 
+    /// Returns the runner at which a task runs or to which its order is in flight.
+    pub fn assigned_runner(&self, task_index: usize) -> Option<runners::RunnerKey> {
+        match self.tasks[task_index].state {
+            State::Assigned(runner) => Some(runner),
+            State::Waiting | State::Done => None,
+        }
+    }
+
     /// Returns the ids of all runs that are placed, by runner.
     pub fn runs_by_runner(
         &self,
--- a/src/leased/dispatch/run_ends.rs
+++ b/src/leased/dispatch/run_ends.rs
@@ -46,6 +46,9 @@
             self.enqueue(key);
             return Vec::new();
         }
+        let runner = open.assigned_runner(index);
+        let address = runner.and_then(|key| self.runners.get(key));
+        let address = address.map_or("", |runner| runner.address().as_str());
         open.tasks[index].state = jobs::State::Waiting;
         match ended.how {
             messages::RunOutcome::Failed => {
@@ -63,7 +66,7 @@
             }
             messages::RunOutcome::NotStarted => self.counts.not_started += 1,
             _ => {
-                log::info!(event = "task.lost", job = open.job.id.as_str(), run:% = ended.id, age_ms = now_ms - ended.placed.ordered_ms; "run ended without a result; starting the task again");
+                log::info!(event = "task.lost", job = open.job.id.as_str(), run:% = ended.id, runner = address, evidence:? = ended.evidence, age_ms = now_ms - ended.placed.ordered_ms; "run ended without a result; starting the task again");
                 self.counts.lost += 1;
             }
         }
--- a/src/leased/dispatch/runners.rs
+++ b/src/leased/dispatch/runners.rs
@@ -100,6 +100,25 @@
     pub number: u64,
 }
 
+/// What shows that a run has ended or never starts.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Evidence {
+    /// The runner reported the end.
+    Reported,
+    /// The runner refused the order.
+    Refused,
+    /// The order was certainly not sent.
+    Unsent,
+    /// The runner held the run and no longer does.
+    NoLongerHeld,
+    /// The runner does not hold the run, and its order is no longer valid.
+    NeverHeld,
+    /// The next incarnation of the runner is ready, so that nothing of the former one is left.
+    NextIncarnation,
+    /// All leases have expired.
+    LeaseExpired,
+}
+
 /// Run that has ended or never started.
 #[derive(Clone, Debug)]
 pub struct EndedRun {
@@ -111,6 +130,8 @@
     pub how: messages::RunOutcome,
     /// Run time, in milliseconds.
     pub ran_ms: u64,
+    /// What shows the end.
+    pub evidence: Evidence,
 }
 
 /// Status of a runner in the store's list.
@@ -450,7 +471,7 @@
         let mut ended = Vec::new();
         for (id, _) in reply.refused {
             if self.is_refusal_proof(&id, reply.runner) {
-                ended.extend(self.end_run(&id, messages::RunOutcome::NotStarted, 0));
+                ended.extend(self.end_not_started(&id, Evidence::Refused));
             } else {
                 log::info!(event = "order.unproven", job = id.job.as_str(), run:% = id, runner = self.address().as_str(); "another incarnation of the runner refused the resent order; keeping the run placed");
             }
@@ -462,7 +483,7 @@
     pub fn order_unsent(&mut self, order: &messages::Order) -> Vec<EndedRun> {
         let starts = order.starts.iter();
         starts
-            .filter_map(|start| self.end_run(&start.id, messages::RunOutcome::NotStarted, 0))
+            .filter_map(|start| self.end_not_started(&start.id, Evidence::Unsent))
             .collect()
     }
 
@@ -484,7 +505,7 @@
         for end in report.ends {
             if end.number > self.acked {
                 self.acked = end.number;
-                ended.extend(self.end_run(&end.id, end.how, end.ran_ms));
+                ended.extend(self.end_run(&end.id, end.how, end.ran_ms, Evidence::Reported));
             }
         }
         if is_newer {
@@ -534,21 +555,21 @@
         for (id, placed) in &mut self.placed {
             if Some(placed.incarnation) != incarnation {
                 if is_ready {
-                    lost.push(id.clone());
+                    lost.push((id.clone(), Evidence::NextIncarnation));
                 }
             } else if held.contains(id) {
                 placed.first_sequence.get_or_insert(sequence);
             } else if let Some(first_sequence) = placed.first_sequence {
                 if first_sequence < sequence {
-                    lost.push(id.clone());
+                    lost.push((id.clone(), Evidence::NoLongerHeld));
                 }
             } else if is_settled && now_ms > placed.valid_until_ms + ORDER_VALID_MS {
-                lost.push(id.clone());
+                lost.push((id.clone(), Evidence::NeverHeld));
             }
         }
         let ended = lost
             .iter()
-            .filter_map(|id| self.end_run(id, messages::RunOutcome::Stopped, 0));
+            .filter_map(|(id, evidence)| self.end_stopped(id, *evidence));
         ended.collect()
     }
 
@@ -569,15 +590,24 @@
         let expired: Vec<_> = expired.map(|(id, _)| id.clone()).collect();
         let ended = expired
             .iter()
-            .filter_map(|id| self.end_run(id, messages::RunOutcome::Stopped, 0));
+            .filter_map(|id| self.end_stopped(id, Evidence::LeaseExpired));
         ended.collect()
     }
 
+    fn end_not_started(&mut self, id: &messages::RunId, evidence: Evidence) -> Option<EndedRun> {
+        self.end_run(id, messages::RunOutcome::NotStarted, 0, evidence)
+    }
+
+    fn end_stopped(&mut self, id: &messages::RunId, evidence: Evidence) -> Option<EndedRun> {
+        self.end_run(id, messages::RunOutcome::Stopped, 0, evidence)
+    }
+
     fn end_run(
         &mut self,
         id: &messages::RunId,
         how: messages::RunOutcome,
         ran_ms: u64,
+        evidence: Evidence,
     ) -> Option<EndedRun> {
         let placed = self.placed.remove(id)?;
         Some(EndedRun {
@@ -585,6 +615,7 @@
             placed,
             how,
             ran_ms,
+            evidence,
         })
     }
 }
