Show that a report read late ends a run whose order may still arrive

An order arrives up to 300 ms after it was built. A report that the runner wrote before that lacks the run. If the entry reads it more than 600 ms after it built the order, because it lags or because the report was held up on its way, it takes the run as never started and orders the task again, while the first run is at work.

--- a/tests/unit/leased.rs
+++ b/tests/unit/leased.rs
@@ -14,6 +14,7 @@
 mod headroom;
 mod jobs;
 mod labels;
+mod late_reports;
 mod max_per_server;
 mod pacing;
 mod placement;
