Take a run as never started only by the runner's clock in its report

Cause: an order whose arrival wasn't confirmed counted as never started if the entry read a report without its run more than 600 ms after it had built the order, by its own clock. The runner may have written the report before the order arrived: the entry lags, or the report is held up. A time limit of this process stood for proof about another.

Change: the entry keeps the time on the runner's clock until which the order is valid, as sent in the order. A report without the run is proof if the runner wrote it later than that, by the clock reading in the report. The runner makes reports and handles orders on one thread with one clock that never goes back, accepts an order up to and including that millisecond, and refuses any copy later. So a copy that is sent again needs nothing of its own, an equal reading proves nothing, and it doesn't matter when the report is read: the delay after a suspension isn't needed here. Runs of a former incarnation, with another clock, and runs that a message has confirmed are decided before, as they were; a report that isn't the newest still decides nothing.

Two tests gave reports a clock that stood still; they now give the clock readings of their story, with the last valid millisecond as the limit in place of 600 ms, and the one on a suspension also expects that an old report ends no run once the entry has settled.

--- a/src/leased/dispatch/mod.rs
+++ b/src/leased/dispatch/mod.rs
@@ -496,8 +496,7 @@
         let mut report = report;
         let notice = report.notice.take();
         let holder = report.holder.take();
-        let is_settled = now_ms >= self.settles_at_ms;
-        let ended = runner.report_received(now_ms, report, is_settled);
+        let ended = runner.report_received(now_ms, report);
         if was_usable != runner.is_usable(now_ms) {
             log::info!(event = "runner.changed", runner = runner.address().as_str(), readiness:? = runner.load.readiness, zone = runner.load.zone.as_str(), silence_ms = silence_ms; "runner started or stopped accepting work");
         }
--- a/src/leased/dispatch/runners.rs
+++ b/src/leased/dispatch/runners.rs
@@ -65,7 +65,7 @@
     incarnation: ids::Incarnation,
     /// Whether it waits at the runner for capacity, according to the last report.
     pub waits: bool,
-    /// Time after which the order starts nothing.
+    /// Time on the runner's clock after which the order starts nothing.
     valid_until_ms: u64,
     /// Whether the order was sent a second time.
     is_resent: bool,
@@ -111,7 +111,7 @@
     Unsent,
     /// The runner held the run and no longer does.
     NoLongerHeld,
-    /// The runner does not hold the run, and its order is no longer valid.
+    /// The runner did not hold the run when its order was no longer valid there.
     NeverHeld,
     /// The next incarnation of the runner is ready, so that nothing of the former one is left.
     NextIncarnation,
@@ -328,6 +328,7 @@
         self.unconfirmed_stops
             .retain(|id| self.placed.contains_key(id));
         self.unconfirmed_stops.extend(stops);
+        let valid_until_ms = clock_ms + ORDER_VALID_MS;
         for planned in &starts {
             let placed = PlacedRun {
                 job: planned.job,
@@ -335,7 +336,7 @@
                 need: planned.start.need,
                 incarnation,
                 waits: planned.waits,
-                valid_until_ms: now_ms + ORDER_VALID_MS,
+                valid_until_ms,
                 is_resent: false,
                 first_sequence: None,
                 ordered_ms: now_ms,
@@ -351,7 +352,7 @@
             runner: incarnation,
             number: self.orders,
             alive_at_ms,
-            valid_until_ms: clock_ms + ORDER_VALID_MS,
+            valid_until_ms,
             starts: starts.into_iter().map(|planned| planned.start).collect(),
             stops: self.unconfirmed_stops.clone(),
         })
@@ -488,14 +489,7 @@
     }
 
     /// Processes the answer to a watch and returns the runs that have ended.
-    ///
-    /// `is_settled` states that the report was not read late because this process was suspended.
-    pub fn report_received(
-        &mut self,
-        now_ms: u64,
-        report: messages::Report,
-        is_settled: bool,
-    ) -> Vec<EndedRun> {
+    pub fn report_received(&mut self, now_ms: u64, report: messages::Report) -> Vec<EndedRun> {
         if self.former.contains(&report.runner) {
             return Vec::new();
         }
@@ -511,7 +505,7 @@
         if is_newer {
             self.load = report.load;
             self.update_waiting(now_ms, &report.runs, &report.waiting);
-            ended.extend(self.reconcile(now_ms, report.sequence, &report.runs, is_settled));
+            ended.extend(self.reconcile(report.clock_ms, report.sequence, &report.runs));
         }
         ended
     }
@@ -541,12 +535,15 @@
     ///
     /// The answer to an order may be lost, or the runner may have restarted and lost its state.
     /// A new incarnation accepts work only when no run of the previous one is left.
+    ///
+    /// `clock_ms` is the time on the runner's clock at which it wrote the report. The runner accepts
+    /// an order up to its last valid millisecond, so only a report written after that shows that no
+    /// copy of the order is still to arrive.
     fn reconcile(
         &mut self,
-        now_ms: u64,
+        clock_ms: u64,
         sequence: u64,
         held: &[messages::RunId],
-        is_settled: bool,
     ) -> Vec<EndedRun> {
         let held: collections::HashSet<_> = held.iter().collect();
         let is_ready = self.load.readiness == messages::Readiness::Ready;
@@ -563,7 +560,7 @@
                 if first_sequence < sequence {
                     lost.push((id.clone(), Evidence::NoLongerHeld));
                 }
-            } else if is_settled && now_ms > placed.valid_until_ms + ORDER_VALID_MS {
+            } else if clock_ms > placed.valid_until_ms {
                 lost.push((id.clone(), Evidence::NeverHeld));
             }
         }
--- a/src/leased/entry/calls.rs
+++ b/src/leased/entry/calls.rs
@@ -64,7 +64,7 @@
 /// Sends an order, and resends it once on a new connection if no answer is received.
 ///
 /// If a connection is reset or silent, either the order or only its answer may be lost. Without
-/// a second attempt, it would be unknown until the order has expired, 600 ms later, whether its
+/// a second attempt, it would be unknown until the order has expired, 300 ms later, whether its
 /// runs are running, which makes all their jobs late. The runner recognises a repeated order by
 /// its number.
 async fn send_with_retry(
--- a/tests/unit/leased/dispatch.rs
+++ b/tests/unit/leased/dispatch.rs
@@ -145,12 +145,13 @@
     let order = fixtures::orders(&submit(&mut entry, START_MS, 1, 1)).remove(0);
     entry.order_lost(START_MS + 250, key, &order, false);
 
-    let early = entry.report_received(START_MS + 260, key, fixtures::report(2, 0, &[]));
-    let late = entry.report_received(
-        START_MS + 2 * runners::ORDER_VALID_MS + 1,
-        key,
-        fixtures::report(3, 0, &[]),
-    );
+    let written_at = |clock_ms, sequence| messages::Report {
+        clock_ms,
+        ..fixtures::report(sequence, 0, &[])
+    };
+    let expiry_ms = START_MS + runners::ORDER_VALID_MS;
+    let early = entry.report_received(expiry_ms, key, written_at(order.valid_until_ms, 2));
+    let late = entry.report_received(expiry_ms + 1, key, written_at(order.valid_until_ms + 1, 3));
 
     assert!(fixtures::orders(&early).is_empty());
     assert_eq!(
--- a/tests/unit/leased/late_reports.rs
+++ b/tests/unit/leased/late_reports.rs
@@ -34,3 +34,17 @@
 
     assert!(fixtures::orders(&actions).is_empty(), "{actions:?}");
 }
+
+/// Guards against a task that waits for nothing: no copy of its order is accepted any more.
+#[test]
+fn report_written_after_the_order_has_expired_frees_its_task_at_once() {
+    let (mut entry, key, order) = entry_with_order();
+    let read_ms = START_MS + runners::ORDER_VALID_MS + 1;
+
+    let actions = entry.report_received(read_ms, key, written_at(order.valid_until_ms + 1));
+
+    assert_eq!(
+        fixtures::orders(&actions)[0].starts[0].id,
+        fixtures::run_id(1, 0, 2)
+    );
+}
--- a/tests/unit/leased/suspension.rs
+++ b/tests/unit/leased/suspension.rs
@@ -61,12 +61,18 @@
 /// read long after the order has expired.
 #[test]
 fn old_report_read_by_a_resumed_entry_ends_no_run() {
-    let (mut entry, key, _order) = resumed_entry();
+    let (mut entry, key, order) = resumed_entry();
 
     let early = entry.report_received(RESUMED_MS, key, fixtures::report(2, 0, &[]));
-    let late = entry.report_received(SETTLED_MS, key, fixtures::report(3, 0, &[]));
+    let settled = entry.report_received(SETTLED_MS, key, fixtures::report(3, 0, &[]));
+    let recent = messages::Report {
+        clock_ms: order.valid_until_ms + 1,
+        ..fixtures::report(4, 0, &[])
+    };
+    let late = entry.report_received(SETTLED_MS + 1, key, recent);
 
     assert!(fixtures::orders(&early).is_empty(), "{early:?}");
+    assert!(fixtures::orders(&settled).is_empty(), "{settled:?}");
     assert_eq!(
         fixtures::orders(&late)[0].starts[0].id,
         fixtures::run_id(1, 0, 2)
