--- a/src/leased/dispatch/ejection.rs
+++ b/src/leased/dispatch/ejection.rs
@@ -9,6 +9,7 @@
 use crate::health;
 use crate::leased::dispatch;
 use crate::leased::dispatch::runners;
+use crate::leased::dispatch::runners::runs;
 use crate::leased::messages;
 
 /// Interval between checks of running tasks, in milliseconds.
@@ -70,7 +71,7 @@
         &mut self,
         now_ms: u64,
         key: runners::RunnerKey,
-        run: &runners::EndedRun,
+        run: &runs::EndedRun,
     ) -> Vec<dispatch::Action> {
         let code = match run.how {
             messages::RunOutcome::Done => codes::Code::Complete,
@@ -128,7 +129,7 @@
             return Vec::new();
         };
         log::warn!(event = "runner.ejected", runner = runner.address().as_str(), usable = usable, runs = runner.placed(); "tasks fail, hang or are slow on this runner; sending it no work for now");
-        let is_overrunning = |placed: &runners::PlacedRun| {
+        let is_overrunning = |placed: &runs::PlacedRun| {
             !placed.waits
                 && now_ms.saturating_sub(placed.ordered_ms) > RELOCATE_FACTOR * placed.expected_ms
         };
@@ -146,7 +147,7 @@
     }
 }
 
-fn observation(placed: &runners::PlacedRun, run_ms: u64, code: codes::Code) -> health::Observation {
+fn observation(placed: &runs::PlacedRun, run_ms: u64, code: codes::Code) -> health::Observation {
     health::Observation {
         attempt: placed.number,
         job: placed.job.data().as_ffi(),
--- a/src/leased/dispatch/mod.rs
+++ b/src/leased/dispatch/mod.rs
@@ -550,7 +550,7 @@
         &mut self,
         now_ms: u64,
         key: runners::RunnerKey,
-        starts: Vec<runners::PlannedRun>,
+        starts: Vec<runners::runs::PlannedRun>,
         stops: Vec<messages::RunId>,
     ) -> Option<Action> {
         if !starts.is_empty() {
--- a/src/leased/dispatch/run_ends.rs
+++ b/src/leased/dispatch/run_ends.rs
@@ -3,6 +3,7 @@
 use crate::leased::dispatch;
 use crate::leased::dispatch::jobs;
 use crate::leased::dispatch::runners;
+use crate::leased::dispatch::runners::runs;
 use crate::leased::messages;
 
 impl dispatch::Dispatcher {
@@ -10,7 +11,7 @@
         &mut self,
         now_ms: u64,
         key: runners::RunnerKey,
-        ended: Vec<runners::EndedRun>,
+        ended: Vec<runs::EndedRun>,
     ) -> Vec<dispatch::Action> {
         let mut actions = Vec::new();
         for end in ended {
@@ -24,7 +25,7 @@
     pub(super) fn apply_end(
         &mut self,
         now_ms: u64,
-        ended: &runners::EndedRun,
+        ended: &runs::EndedRun,
     ) -> Vec<dispatch::Action> {
         let Some(open) = self.jobs.get_mut(ended.placed.job) else {
             return Vec::new();
--- a/src/leased/dispatch/runners.rs
+++ b/src/leased/dispatch/runners.rs
@@ -1,5 +1,8 @@
 //! An entry's view of one runner.
 
+mod run_ends;
+pub mod runs;
+
 use std::collections;
 use std::hash;
 use std::hash::Hash as _;
@@ -7,12 +10,10 @@
 
 use smol_str::SmolStr;
 
-use crate::health;
 use crate::ids;
 use crate::leased::capacity;
 use crate::leased::capacity::wait_queue;
 use crate::leased::clock_estimate;
-use crate::leased::dispatch::jobs;
 use crate::leased::dispatch::watching;
 use crate::leased::messages;
 use crate::leased::ports;
@@ -52,88 +53,6 @@
     hasher.finish()
 }
 
-/// Run that was ordered and is not known to have ended.
-#[derive(Clone, Debug)]
-pub struct PlacedRun {
-    /// Key of its job.
-    pub job: jobs::JobKey,
-    /// Index of its task in the job.
-    pub task: usize,
-    /// Resources that it takes.
-    pub need: wire::Resources,
-    /// Incarnation of the runner that received the order.
-    incarnation: ids::Incarnation,
-    /// Whether it waits at the runner for capacity, according to the last report.
-    pub waits: bool,
-    /// Time on the runner's clock after which the order starts nothing.
-    valid_until_ms: u64,
-    /// Whether the order was sent a second time.
-    is_resent: bool,
-    /// Sequence number of the runner's first message that confirms the run.
-    first_sequence: Option<u64>,
-    /// Time of the order; for a run that had to wait, time of the first report that it runs.
-    pub ordered_ms: u64,
-    /// Declared run time, in milliseconds.
-    pub expected_ms: u64,
-    /// Kind of the task, by which runners are compared.
-    pub kind: health::Kind,
-    /// Sequence number among this entry's runs.
-    pub number: u64,
-}
-
-/// Run to be added to an order.
-#[derive(Clone, Debug)]
-pub struct PlannedRun {
-    /// Start request for the runner.
-    pub start: messages::Start,
-    /// Whether the run has to wait there for capacity.
-    pub waits: bool,
-    /// Key of its job.
-    pub job: jobs::JobKey,
-    /// Index of its task in the job.
-    pub task: usize,
-    /// Declared run time, in milliseconds.
-    pub expected_ms: u64,
-    /// Kind of the task, by which runners are compared.
-    pub kind: health::Kind,
-    /// Sequence number among this entry's runs.
-    pub number: u64,
-}
-
-/// What shows that a run has ended or never starts.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Evidence {
-    /// The runner reported the end.
-    Reported,
-    /// The runner refused the order.
-    Refused,
-    /// The order was certainly not sent.
-    Unsent,
-    /// The runner held the run and no longer does.
-    NoLongerHeld,
-    /// The runner did not hold the run when its order was no longer valid there.
-    NeverHeld,
-    /// The next incarnation of the runner is ready, so that nothing of the former one is left.
-    NextIncarnation,
-    /// All leases have expired.
-    LeaseExpired,
-}
-
-/// Run that has ended or never started.
-#[derive(Clone, Debug)]
-pub struct EndedRun {
-    /// Id of the run.
-    pub id: messages::RunId,
-    /// Placement of the run.
-    pub placed: PlacedRun,
-    /// Outcome of the run.
-    pub how: messages::RunOutcome,
-    /// Run time, in milliseconds.
-    pub ran_ms: u64,
-    /// What shows the end.
-    pub evidence: Evidence,
-}
-
 /// Status of a runner in the store's list.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Listing {
@@ -178,7 +97,7 @@
     /// Time of the last lease renewal at a former incarnation.
     former_renewed_ms: u64,
     added_ms: u64,
-    placed: collections::BTreeMap<messages::RunId, PlacedRun>,
+    placed: collections::BTreeMap<messages::RunId, runs::PlacedRun>,
     /// Runs whose stop the runner has not confirmed.
     unconfirmed_stops: Vec<messages::RunId>,
 }
@@ -255,7 +174,7 @@
     }
 
     /// Returns this entry's runs that the runner holds or may hold.
-    pub fn placed_runs(&self) -> impl Iterator<Item = (&messages::RunId, &PlacedRun)> {
+    pub fn placed_runs(&self) -> impl Iterator<Item = (&messages::RunId, &runs::PlacedRun)> {
         self.placed.iter()
     }
 
@@ -318,7 +237,7 @@
         now_ms: u64,
         alive_ms: u64,
         entry: ids::Incarnation,
-        starts: Vec<PlannedRun>,
+        starts: Vec<runs::PlannedRun>,
         stops: Vec<messages::RunId>,
     ) -> Option<messages::Order> {
         let incarnation = self.incarnation?;
@@ -330,7 +249,7 @@
         self.unconfirmed_stops.extend(stops);
         let valid_until_ms = clock_ms + ORDER_VALID_MS;
         for planned in &starts {
-            let placed = PlacedRun {
+            let placed = runs::PlacedRun {
                 job: planned.job,
                 task: planned.task,
                 need: planned.start.need,
@@ -364,7 +283,7 @@
         now_ms: u64,
         alive_ms: u64,
         entry: ids::Incarnation,
-        wanted: impl Fn(&PlacedRun) -> bool,
+        wanted: impl Fn(&runs::PlacedRun) -> bool,
     ) -> messages::Watch {
         let alive_at_ms = self.lease_renewal_ms(now_ms, alive_ms);
         let wanted = self.placed.iter().filter(|(_, placed)| wanted(placed));
@@ -456,7 +375,7 @@
         now_ms: u64,
         order: &messages::Order,
         reply: messages::OrderReply,
-    ) -> Vec<EndedRun> {
+    ) -> Vec<runs::EndedRun> {
         if self.receive(now_ms, reply.runner, reply.clock_ms, reply.sequence) {
             self.load = reply.load;
         }
@@ -472,7 +391,7 @@
         let mut ended = Vec::new();
         for (id, _) in reply.refused {
             if self.is_refusal_proof(&id, reply.runner) {
-                ended.extend(self.end_not_started(&id, Evidence::Refused));
+                ended.extend(self.end_not_started(&id, runs::Evidence::Refused));
             } else {
                 log::info!(event = "order.unproven", job = id.job.as_str(), run:% = id, runner = self.address().as_str(); "another incarnation of the runner refused the resent order; keeping the run placed");
             }
@@ -481,15 +400,19 @@
     }
 
     /// Returns the runs of an order that was certainly not sent.
-    pub fn order_unsent(&mut self, order: &messages::Order) -> Vec<EndedRun> {
+    pub fn order_unsent(&mut self, order: &messages::Order) -> Vec<runs::EndedRun> {
         let starts = order.starts.iter();
         starts
-            .filter_map(|start| self.end_not_started(&start.id, Evidence::Unsent))
+            .filter_map(|start| self.end_not_started(&start.id, runs::Evidence::Unsent))
             .collect()
     }
 
     /// Processes the answer to a watch and returns the runs that have ended.
-    pub fn report_received(&mut self, now_ms: u64, report: messages::Report) -> Vec<EndedRun> {
+    pub fn report_received(
+        &mut self,
+        now_ms: u64,
+        report: messages::Report,
+    ) -> Vec<runs::EndedRun> {
         if self.former.contains(&report.runner) {
             return Vec::new();
         }
@@ -499,7 +422,7 @@
         for end in report.ends {
             if end.number > self.acked {
                 self.acked = end.number;
-                ended.extend(self.end_run(&end.id, end.how, end.ran_ms, Evidence::Reported));
+                ended.extend(self.end_run(&end.id, end.how, end.ran_ms, runs::Evidence::Reported));
             }
         }
         if is_newer {
@@ -530,89 +453,4 @@
             placed.waits = waits;
         }
     }
-
-    /// Ends the runs that the runner neither holds nor reported as ended.
-    ///
-    /// The answer to an order may be lost, or the runner may have restarted and lost its state.
-    /// A new incarnation accepts work only when no run of the previous one is left.
-    ///
-    /// `clock_ms` is the time on the runner's clock at which it wrote the report. The runner accepts
-    /// an order up to its last valid millisecond, so only a report written after that shows that no
-    /// copy of the order is still to arrive.
-    fn reconcile(
-        &mut self,
-        clock_ms: u64,
-        sequence: u64,
-        held: &[messages::RunId],
-    ) -> Vec<EndedRun> {
-        let held: collections::HashSet<_> = held.iter().collect();
-        let is_ready = self.load.readiness == messages::Readiness::Ready;
-        let incarnation = self.incarnation;
-        let mut lost = Vec::new();
-        for (id, placed) in &mut self.placed {
-            if Some(placed.incarnation) != incarnation {
-                if is_ready {
-                    lost.push((id.clone(), Evidence::NextIncarnation));
-                }
-            } else if held.contains(id) {
-                placed.first_sequence.get_or_insert(sequence);
-            } else if let Some(first_sequence) = placed.first_sequence {
-                if first_sequence < sequence {
-                    lost.push((id.clone(), Evidence::NoLongerHeld));
-                }
-            } else if clock_ms > placed.valid_until_ms {
-                lost.push((id.clone(), Evidence::NeverHeld));
-            }
-        }
-        let ended = lost
-            .iter()
-            .filter_map(|(id, evidence)| self.end_stopped(id, *evidence));
-        ended.collect()
-    }
-
-    /// Ends the runs whose last lease renewal is older than [`RUN_EXPIRY_MS`].
-    ///
-    /// A watch at the present incarnation renews no lease of a former one.
-    pub fn expire_runs(&mut self, now_ms: u64) -> Vec<EndedRun> {
-        let is_expired = |(_, placed): &(&messages::RunId, &PlacedRun)| {
-            let is_present = Some(placed.incarnation) == self.incarnation;
-            let renewed_ms = if is_present {
-                self.renewed_ms
-            } else {
-                self.former_renewed_ms
-            };
-            now_ms > renewed_ms + RUN_EXPIRY_MS
-        };
-        let expired = self.placed.iter().filter(is_expired);
-        let expired: Vec<_> = expired.map(|(id, _)| id.clone()).collect();
-        let ended = expired
-            .iter()
-            .filter_map(|id| self.end_stopped(id, Evidence::LeaseExpired));
-        ended.collect()
-    }
-
-    fn end_not_started(&mut self, id: &messages::RunId, evidence: Evidence) -> Option<EndedRun> {
-        self.end_run(id, messages::RunOutcome::NotStarted, 0, evidence)
-    }
-
-    fn end_stopped(&mut self, id: &messages::RunId, evidence: Evidence) -> Option<EndedRun> {
-        self.end_run(id, messages::RunOutcome::Stopped, 0, evidence)
-    }
-
-    fn end_run(
-        &mut self,
-        id: &messages::RunId,
-        how: messages::RunOutcome,
-        ran_ms: u64,
-        evidence: Evidence,
-    ) -> Option<EndedRun> {
-        let placed = self.placed.remove(id)?;
-        Some(EndedRun {
-            id: id.clone(),
-            placed,
-            how,
-            ran_ms,
-            evidence,
-        })
-    }
 }
--- a/src/leased/dispatch/scheduling.rs
+++ b/src/leased/dispatch/scheduling.rs
@@ -11,6 +11,7 @@
 use crate::leased::dispatch::jobs;
 use crate::leased::dispatch::placement;
 use crate::leased::dispatch::runners;
+use crate::leased::dispatch::runners::runs;
 use crate::leased::dispatch::urgency;
 use crate::leased::dispatch::watching;
 use crate::leased::messages;
@@ -86,7 +87,7 @@
 }
 
 /// Runs to order at each runner.
-type Starts = collections::BTreeMap<runners::RunnerKey, Vec<runners::PlannedRun>>;
+type Starts = collections::BTreeMap<runners::RunnerKey, Vec<runs::PlannedRun>>;
 
 impl dispatch::Dispatcher {
     /// Places the tasks of waiting jobs, the most urgent job first.
@@ -322,7 +323,7 @@
             open.tasks[index].state = jobs::State::Assigned(runner);
             let step = &open.job.steps[usize::from(open.tasks[index].step)];
             self.counts.ordered += 1;
-            let planned = runners::PlannedRun {
+            let planned = runs::PlannedRun {
                 start: messages::Start {
                     id,
                     spec: sync::Arc::clone(&open.job.spec),
