End the wait of a caller whose request is dropped before it has its job's handle

Cause: the guard that tells the control thread of a disconnect was made after the handle of the job had come back. When a connection is reset, the HTTP library drops the pending request before it polls it again. If the control thread had accepted the job by then, the handle was dropped unread, nobody told the control thread, and the job went on with its leases renewed until its deadline, while the caller came again after 1,300 ms. The window grows with the lag of the callers' threads.

Change: the control thread makes the guard with the wait and hands it out in the handle, so that the wait ends wherever the handle is lost. The same for jobs of other entries. A job that the control thread hasn't handled yet needs nothing: actix skips a message whose sender has gone.

Not shown: the whole chain with real processes, as the two threads of a process can't be held apart from outside.

--- a/src/leased/entry.rs
+++ b/src/leased/entry.rs
@@ -276,8 +276,8 @@
 /// Handle of a submitted job.
 #[derive(Debug)]
 pub struct Submitted {
-    /// Identifies this wait for the answer.
-    pub waiter: jobs::Waiter,
+    /// Ends the wait when it is dropped.
+    pub guard: disconnects::DisconnectGuard,
     /// Yields the outcome of the job.
     pub answer: oneshot::Receiver<dispatch::Outcome>,
 }
@@ -288,9 +288,10 @@
     fn handle(&mut self, submit: Submit, cx: &mut Self::Context) -> Self::Result {
         let now_ms = self.now_ms();
         let (waiter, answer) = self.add_waiter();
+        let guard = Self::disconnect_guard(cx, &submit.job.id, waiter);
         if self.intercept_cancelled(cx, now_ms, &submit.job.id) {
             self.answer(waiter, dispatch::Outcome::Cancelled);
-            return actix::MessageResult(Submitted { waiter, answer });
+            return actix::MessageResult(Submitted { guard, answer });
         }
         if let Some(submit) = self.hand_over(cx, now_ms, submit, waiter) {
             let Submit {
@@ -303,7 +304,7 @@
                 .submit(now_ms, job, &queue, timeout_ms, waiter);
             self.act(cx, actions);
         }
-        actix::MessageResult(Submitted { waiter, answer })
+        actix::MessageResult(Submitted { guard, answer })
     }
 }
 
--- a/src/leased/entry/taken_jobs.rs
+++ b/src/leased/entry/taken_jobs.rs
@@ -10,6 +10,7 @@
 use crate::leased::dispatch;
 use crate::leased::dispatch::jobs;
 use crate::leased::entry;
+use crate::leased::entry::disconnects;
 use crate::leased::handover::messages;
 use crate::leased::handover::taken;
 use crate::leased::job;
@@ -72,8 +73,8 @@
 /// Handle of a job that was taken in.
 #[derive(Debug)]
 pub struct Taken {
-    /// Identifies the wait of the origin.
-    pub waiter: jobs::Waiter,
+    /// Ends the wait of the origin when it is dropped.
+    pub guard: disconnects::DisconnectGuard,
     /// Yields the outcome of the job, unless it is withdrawn.
     pub answer: oneshot::Receiver<dispatch::Outcome>,
     /// Describes this entry in the answer.
@@ -110,10 +111,11 @@
         let queue = queue.ok_or(messages::Decline::Configuration)?;
         let job = job::Job::try_from(handover).map_err(|_invalid| messages::Decline::Unreadable)?;
         let (waiter, answer) = self.add_waiter();
+        let guard = Self::disconnect_guard(cx, &handover.job, waiter);
         if self.intercept_cancelled(cx, now_ms, &handover.job) {
             self.answer(waiter, dispatch::Outcome::Cancelled);
             return Ok(Taken {
-                waiter,
+                guard,
                 answer,
                 reporter: self.reporter.clone(),
             });
@@ -131,7 +133,7 @@
         let actions = self.dispatcher.submit_waited(now_ms, job, queue, wait);
         self.act(cx, actions);
         Ok(Taken {
-            waiter,
+            guard,
             answer,
             reporter: self.reporter.clone(),
         })
--- a/src/leased/peers.rs
+++ b/src/leased/peers.rs
@@ -9,7 +9,6 @@
 use crate::leased::cancels;
 use crate::leased::entry;
 use crate::leased::entry::cancel_calls;
-use crate::leased::entry::disconnects;
 use crate::leased::entry::taken_jobs;
 use crate::leased::handover;
 use crate::leased::messages;
@@ -84,18 +83,14 @@
     if hangup.is_some_and(hangup::Hangup::is_closed) {
         return incoming::refuse(codes::Code::BadBody);
     }
-    let id = handover.job.clone();
-    let taken = match control.send(taken_jobs::TakeIn(handover)).await {
+    let mut taken = match control.send(taken_jobs::TakeIn(handover)).await {
         Ok(taken_jobs::TakeInResult::Taken(taken)) => taken,
         Ok(taken_jobs::TakeInResult::Declined(reply)) => return incoming::message(&reply),
         Err(_stopped) => return incoming::refuse(codes::Code::Leaving),
     };
-    let waiter = taken.waiter;
-    let notice = entry::CallerGone { id, waiter };
-    let mut guard = disconnects::DisconnectGuard::new(control.get_ref().clone(), notice);
     let end = tokio::select! {
         outcome = taken.answer => {
-            guard.disarm();
+            taken.guard.disarm();
             outcome.map_or(handover::messages::JobEnd::Withdrawn, Into::into)
         }
         () = hangup::closed(hangup) => handover::messages::JobEnd::Withdrawn,
--- a/tests/unit/leased.rs
+++ b/tests/unit/leased.rs
@@ -6,6 +6,7 @@
 mod cancels;
 mod capacity;
 mod directives;
+mod disconnects;
 mod dispatch;
 mod entry_list;
 mod expired_leases;
