--- a/src/clock.rs
+++ b/src/clock.rs
@@ -32,7 +32,7 @@
 }
 
 /// Returns the milliseconds since the instance booted, including suspended time.
-fn boot_ms() -> u64 {
+pub fn boot_ms() -> u64 {
     let now = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
     let seconds = u64::try_from(now.tv_sec).unwrap_or(0);
     let nanos = u64::try_from(now.tv_nsec).unwrap_or(0);
--- a/src/hangup.rs
+++ b/src/hangup.rs
@@ -5,6 +5,7 @@
 //! tasks would occupy capacity and run alongside those of its retry.
 
 use std::any;
+use std::cell;
 use std::io;
 use std::os::fd::AsFd as _;
 use std::rc;
@@ -13,9 +14,15 @@
 use actix_web::rt::net;
 use tokio::io::Interest;
 
+use crate::clock;
+
 /// A duplicate handle to a caller's connection that only detects its closing.
 #[derive(Clone, Debug)]
-pub struct Hangup(rc::Rc<tokio::net::TcpStream>);
+pub struct Hangup {
+    stream: rc::Rc<tokio::net::TcpStream>,
+    /// When the connection was accepted, or the last response on it was ready.
+    last_used_ms: rc::Rc<cell::Cell<u64>>,
+}
 
 impl Hangup {
     /// Attaches a handle to the data of a new connection.
@@ -25,12 +32,25 @@
         };
         match duplicate(stream) {
             Ok(stream) => {
-                data.insert(Self(rc::Rc::new(stream)));
+                data.insert(Self {
+                    stream: rc::Rc::new(stream),
+                    last_used_ms: rc::Rc::new(cell::Cell::new(clock::boot_ms())),
+                });
             }
             Err(e) => log::warn!(event = "connection.unwatched"; "cannot watch for hang-ups: {e}"),
         }
     }
 
+    /// Records that a response is ready; the next request is sent later.
+    pub fn record_response(&self) {
+        self.last_used_ms.set(clock::boot_ms());
+    }
+
+    /// Returns the longest time since the caller may have sent its request, in milliseconds.
+    pub fn max_request_age_ms(&self) -> u64 {
+        clock::boot_ms().saturating_sub(self.last_used_ms.get())
+    }
+
     /// Returns whether the connection is closed by the caller or broken at this moment.
     ///
     /// If a connection breaks while a request is in flight, the request and the reset arrive
@@ -40,7 +60,7 @@
     pub fn is_closed(&self) -> bool {
         let mut peeked = [0_u8; 1];
         let flags = rustix::net::RecvFlags::PEEK | rustix::net::RecvFlags::DONTWAIT;
-        match rustix::net::recv(&*self.0, &mut peeked, flags) {
+        match rustix::net::recv(&*self.stream, &mut peeked, flags) {
             Ok((_, received)) => received == 0,
             Err(e) => e != rustix::io::Errno::WOULDBLOCK && e != rustix::io::Errno::INTR,
         }
@@ -49,7 +69,7 @@
     /// Waits until the caller closes the connection or it breaks.
     pub async fn closed(&self) {
         loop {
-            let Ok(ready) = self.0.ready(Interest::READABLE).await else {
+            let Ok(ready) = self.stream.ready(Interest::READABLE).await else {
                 return;
             };
             if ready.is_read_closed() || ready.is_error() {
@@ -57,7 +77,7 @@
             }
             // The data is left for the HTTP library; this only clears the readiness.
             let cleared: io::Result<()> = self
-                .0
+                .stream
                 .try_io(Interest::READABLE, || Err(io::ErrorKind::WouldBlock.into()));
             debug_assert!(cleared.is_err(), "the readiness is cleared without reading");
         }
