Wait for the end of a connection only after a silence of the caller's address

Change: a link that is cut holds up all requests behind it. So a request can have been held up only if its caller's address was silent for 1,222 ms. Afterwards requests may still arrive late, as the intervals between retransmissions double: for twice the silence.

Ways weighed: one silence for all callers (nearly no wait, but a cut to one caller isn't seen); 10 ms for every idle connection (shorter than a round trip on a busy machine). A connection that alone is held up, beside others of its address that are not, is left.

--- a/src/leased/mod.rs
+++ b/src/leased/mod.rs
@@ -29,5 +29,6 @@
 pub mod process;
 pub mod queues;
 pub mod runner;
+pub mod silences;
 pub mod suspension;
 pub mod traffic;
