Keep runs at a backend server's next life until they are stopped

A task could run at two backend servers at once. Read in the code and shown by a unit test, not seen on a site.

Cause: a backend server crashes and comes back under its name, and carries out a start that was meant for its former life. The runner keeps such a run to stop it there, but begins a new account of leases, in which nothing was granted. The first listing of the new life made all leases count as expired. Then no stop was sent, as runs whose leases are over aren't stopped, and after two calls without an answer the run was reported as stopped although its lease, of up to a second, was still running.

Change: leases count as expired only if some were granted; a run that may be at the next life is stopped there in any case, and it isn't ended by expired leases until its stop is acknowledged. A listing of any life that answers ends it, so that its room comes free.

Ways tried: an estimate of the longest lease at the new life: the start may be carried out late, so no bound from here holds; only the acknowledged stop and the greater fence of the next listing do.

--- a/src/leased/capacity/backend_clock.rs
+++ b/src/leased/capacity/backend_clock.rs
@@ -7,7 +7,8 @@
 pub struct BackendClock {
     /// Absent until a reading has been received.
     estimate: Option<clock_estimate::ClockEstimate>,
-    latest_until_ms: u64,
+    /// Absent until a lease has been granted.
+    latest_until_ms: Option<u64>,
 }
 
 impl BackendClock {
@@ -32,16 +33,18 @@
     /// Grants a lease for `lease_ms` and returns its end on the backend server's clock.
     pub fn grant(&mut self, now_ms: u64, lease_ms: u64) -> u64 {
         let until_ms = self.estimate_ms(now_ms) + lease_ms;
-        self.latest_until_ms = self.latest_until_ms.max(until_ms);
+        self.latest_until_ms = self.latest_until_ms.max(Some(until_ms));
         until_ms
     }
 
-    /// Returns whether every granted lease has expired, even if the backend server's clock runs
-    /// as slow as allowed.
+    /// Returns whether leases have been granted and all of them have expired, even if the backend
+    /// server's clock runs as slow as allowed.
     ///
     /// An unreachable backend server may continue to run tasks, and a refused connection does
     /// not prove otherwise. Only the end of the lease does.
     pub fn has_expired(&self, now_ms: u64) -> bool {
-        self.is_known() && self.estimate_ms(now_ms) > self.latest_until_ms
+        let latest_until_ms = self.latest_until_ms;
+        self.is_known()
+            && latest_until_ms.is_some_and(|until_ms| self.estimate_ms(now_ms) > until_ms)
     }
 }
--- a/src/leased/capacity/expiry.rs
+++ b/src/leased/capacity/expiry.rs
@@ -38,12 +38,25 @@
             return;
         }
         if self.unanswered_listings >= capacity::MAX_UNANSWERED_LISTINGS {
-            self.end_incarnation(now_ms, "all leases have expired");
+            self.end_expired(now_ms);
         } else if self.expired_at_ms.is_none() {
             self.await_ends(now_ms);
         }
     }
 
+    /// Ends the runs whose leases have expired.
+    ///
+    /// A start that was meant for a former incarnation of the backend server may run under a lease
+    /// that was not granted to the present one, so its run is kept until its stop is acknowledged.
+    fn end_expired(&mut self, now_ms: u64) {
+        let (unsure, expired): (collections::BTreeMap<_, _>, _) = std::mem::take(&mut self.runs)
+            .into_iter()
+            .partition(|(_, run)| run.must_stop && !run.is_stop_acknowledged());
+        self.runs = expired;
+        self.end_incarnation(now_ms, "all leases have expired");
+        self.runs.extend(unsure);
+    }
+
     /// Keeps the runs, none of which can still be running, until a listing shows their ends.
     fn await_ends(&mut self, now_ms: u64) {
         log::warn!(event = "backend.leases_expired", runs = self.runs.len(), unseen_ms = now_ms - self.last_seen_ms.unwrap_or(now_ms), unanswered = self.unanswered_listings; "none of the runs can still be running at the backend server; requesting the listing of their ends");
@@ -70,14 +83,14 @@
                 .is_due(now_ms)
                 .then(|| (id.clone(), "stop not acknowledged"));
         }
+        if run.must_stop {
+            return Some((id.clone(), "meant for a former incarnation"));
+        }
         if self.expired_at_ms.is_some() {
             return None;
         }
         let is_silent =
             now_ms >= self.settles_at_ms && now_ms > run.alive_at_ms + capacity::OWNER_TIMEOUT_MS;
-        if run.must_stop {
-            return Some((id.clone(), "meant for a former incarnation"));
-        }
         is_silent.then(|| (id.clone(), "entry silent"))
     }
 
--- a/src/leased/capacity/mod.rs
+++ b/src/leased/capacity/mod.rs
@@ -94,6 +94,11 @@
     const fn may_start_again(&self) -> bool {
         self.queued.is_none() && (!self.was_listed || self.has_lost_start)
     }
+
+    /// Returns whether the backend server has acknowledged the last stop.
+    fn is_stop_acknowledged(&self) -> bool {
+        self.stop.is_some_and(|stop| stop.is_acknowledged)
+    }
 }
 
 /// The last stop sent for a run.
--- a/tests/unit/leased/capacity.rs
+++ b/tests/unit/leased/capacity.rs
@@ -718,3 +718,29 @@
     assert_eq!(before, None);
     assert!(contested.is_some());
 }
+
+/// Guards against a task that runs twice at a time: the next incarnation of the backend server has
+/// executed its start, under a lease that the runner did not grant there, and answers no listings.
+#[test]
+fn run_at_the_new_backend_incarnation_is_not_ended_by_expired_leases() {
+    let (mut manager, id) = manager_with_run();
+    manager.announced(START_MS + 50, fixtures::announcement(900, 1));
+
+    let running = listing_of_next_incarnation(std::slice::from_ref(&id));
+    let actions = manager.listed(START_MS + 52, START_MS + 51, running);
+    manager.next_list(START_MS + 53);
+    manager.listed(START_MS + 80, START_MS + 53, ports::ListAnswer::Lost);
+    manager.listed(START_MS + 110, START_MS + 81, ports::ListAnswer::Lost);
+    let repeated = manager.tick(START_MS + 2_000);
+    let unanswered = manager.report(START_MS + 2_001, ENTRY);
+    manager.stop_answered(START_MS + 2_002, &id, true);
+    let listed = listing_of_next_incarnation(&[]);
+    manager.listed(START_MS + 2_010, START_MS + 2_005, listed);
+    let stopped = manager.report(START_MS + 2_011, ENTRY);
+
+    assert_eq!(fixtures::stopped(&actions), std::slice::from_ref(&id));
+    assert_eq!(fixtures::stopped(&repeated), std::slice::from_ref(&id));
+    assert!(unanswered.ends.is_empty(), "{:?}", unanswered.ends);
+    assert_eq!(stopped.ends.len(), 1);
+    assert_eq!(stopped.load.used, fixtures::cores(0));
+}
