Let no late answer replace a runner's present incarnation

A task could run at two backend servers at once, or a runner got no more work from an entry until its next restart. Read in the code and shown by unit tests, not seen on a site.

Cause: an entry passed over the messages of former incarnations that it had heard. A process of a runner that was killed before anything of it was read was unknown. Its answer, read after that of the next process over another connection, counted as a newer incarnation: what the next one ran was ordered again as soon as that late report said ready, and all later messages of the next one were passed over as those of a former incarnation.

Change: an answer makes another incarnation known only if no other one became known since the order or watch was built. An entry has one watch a runner, so it keeps which incarnation was known when it built the last one.

Ways tried: to order incarnations by their start times, which fails when the time of day is set back.

--- a/src/leased/dispatch/runners.rs
+++ b/src/leased/dispatch/runners.rs
@@ -162,6 +162,8 @@
     /// Position in the store up to which the runner knows the directives.
     pub directives_position: u64,
     incarnation: Option<ids::Incarnation>,
+    /// Incarnation that was known when the last watch was built; absent at the first contact.
+    watched: Option<ids::Incarnation>,
     /// Former incarnations, the last one at the end.
     former: collections::VecDeque<ids::Incarnation>,
     /// Estimate of the runner's clock; absent until a reading has been received.
@@ -194,6 +196,7 @@
             load: messages::Load::default(),
             directives_position: 0,
             incarnation: None,
+            watched: None,
             former: collections::VecDeque::new(),
             clock: None,
             sequence: 0,
@@ -366,6 +369,7 @@
         wanted: impl Fn(&PlacedRun) -> bool,
     ) -> messages::Watch {
         let alive_at_ms = self.lease_renewal_ms(now_ms, alive_ms);
+        self.watched = self.incarnation;
         let wanted = self.placed.iter().filter(|(_, placed)| wanted(placed));
         messages::Watch {
             version: wire::VERSION,
@@ -385,10 +389,18 @@
         }
     }
 
-    /// Records a message from the runner; returns whether it is newer than all earlier ones.
+    /// Returns whether a message is from an incarnation that the present one has replaced.
     ///
     /// The last answer of a killed incarnation may be retransmitted, or wait in the socket of this
-    /// process while it is suspended, and be read after the next incarnation has answered.
+    /// process while it is suspended, and be read after the next incarnation has answered. The answer
+    /// to a request doesn't replace an incarnation that became known after the request was built;
+    /// `asked` is the one that was known then.
+    fn is_replaced(&self, sender: ids::Incarnation, asked: Option<ids::Incarnation>) -> bool {
+        let is_outdated = asked.is_some() && asked != self.incarnation;
+        self.former.contains(&sender) || (is_outdated && self.incarnation != Some(sender))
+    }
+
+    /// Records a message from the runner; returns whether it is newer than all earlier ones.
     fn receive(
         &mut self,
         now_ms: u64,
@@ -396,9 +408,6 @@
         clock_ms: u64,
         sequence: u64,
     ) -> bool {
-        if self.former.contains(&incarnation) {
-            return false;
-        }
         let is_new_incarnation = self.incarnation != Some(incarnation);
         if is_new_incarnation {
             self.supersede_incarnation();
@@ -456,7 +465,9 @@
         order: &messages::Order,
         reply: messages::OrderReply,
     ) -> Vec<EndedRun> {
-        if self.receive(now_ms, reply.runner, reply.clock_ms, reply.sequence) {
+        if !self.is_replaced(reply.runner, Some(order.runner))
+            && self.receive(now_ms, reply.runner, reply.clock_ms, reply.sequence)
+        {
             self.load = reply.load;
         }
         if reply.runner == order.runner {
@@ -496,7 +507,7 @@
         report: messages::Report,
         is_settled: bool,
     ) -> Vec<EndedRun> {
-        if self.former.contains(&report.runner) {
+        if self.is_replaced(report.runner, self.watched) {
             return Vec::new();
         }
         let is_newer = self.receive(now_ms, report.runner, report.clock_ms, report.sequence);
--- a/tests/unit/leased/dispatch.rs
+++ b/tests/unit/leased/dispatch.rs
@@ -598,3 +598,47 @@
         fixtures::run_id(1, 0, 2)
     );
 }
+
+/// Guards against a runner that is passed over until its next restart because an answer of a killed
+/// incarnation, of which nothing was read before, is read after the next one has reported.
+#[test]
+fn late_answer_of_an_unknown_former_incarnation_changes_nothing() {
+    let (mut entry, key) = fixtures::entry();
+    let order = fixtures::orders(&submit(&mut entry, START_MS, 1, 1)).remove(0);
+    entry.order_resent(key, &order);
+    let next = next_report(1, messages::Readiness::Ready);
+    entry.report_received(START_MS + 280, key, next);
+
+    let late = messages::OrderReply {
+        runner: ids::Incarnation(70),
+        ..refusal_by_next_incarnation(&order)
+    };
+    entry.order_answered(START_MS + 290, key, &order, late);
+    let next = next_report(2, messages::Readiness::Ready);
+    entry.report_received(START_MS + 300, key, next);
+    let later = submit(&mut entry, START_MS + 310, 2, 1);
+
+    assert_eq!(fixtures::orders(&later)[0].runner, NEXT_RUNNER);
+}
+
+/// Guards against a task that runs twice at a time because a killed incarnation, of which nothing
+/// was read before, is taken for the successor of the one that runs it.
+#[test]
+fn late_report_of_an_unknown_former_incarnation_ends_no_run() {
+    let (mut entry, key) = fixtures::entry();
+    let order = fixtures::orders(&submit(&mut entry, START_MS, 1, 1)).remove(0);
+    entry.next_watch(START_MS + 1, key);
+    entry.order_resent(key, &order);
+    let refusal = refusal_by_next_incarnation(&order);
+    entry.order_answered(START_MS + 260, key, &order, refusal);
+    let placed = fixtures::orders(&submit(&mut entry, START_MS + 270, 2, 1)).remove(0);
+
+    let late = messages::Report {
+        runner: ids::Incarnation(70),
+        ..next_report(2, messages::Readiness::Ready)
+    };
+    let freed = entry.report_received(START_MS + 280, key, late);
+
+    assert_eq!(placed.runner, NEXT_RUNNER);
+    assert!(fixtures::orders(&freed).is_empty(), "{freed:?}");
+}
