Refuse nothing by silence right after a suspension

What callers saw: 503 for a job of one task beside an idle backend server.

Cause: two decisions by silence did not wait for what had arrived during a suspension. An entry refused, at its first tick, jobs whose time to wait was over, before it had read the reports in its sockets. A runner called its backend server unreachable at its first tick, before it had read the listing in its socket, and told the entries so.

Change: for 150 ms after a suspension, as for runs already, an entry refuses no job for want of room and a runner takes no backend server for unreachable. A caller's deadline ends a job as before.

The log: the entry stood still for 1,955 ms and took the job in the same millisecond, the runner's first report said Unreachable and the next, 5 ms later, Ready; the entry had no processor for 297 ms more and refused at its next tick. The two unit tests failed before.

--- a/src/leased/capacity/mod.rs
+++ b/src/leased/capacity/mod.rs
@@ -198,7 +198,7 @@
     }
 
     /// Records that this process was suspended: until `settles_at_ms`, no run is stopped because its
-    /// entry seems silent. The leases end in time nevertheless, see [`OWNER_LEASE_MS`].
+    /// entry seems silent, and the backend server doesn't count as unreachable. The leases end in time nevertheless, see [`OWNER_LEASE_MS`].
     pub const fn resume(&mut self, settles_at_ms: u64) {
         self.settles_at_ms = settles_at_ms;
     }
@@ -229,7 +229,8 @@
             return messages::Readiness::Starting;
         }
         let last_seen_ms = self.last_seen_ms.unwrap_or(0);
-        if now_ms.saturating_sub(last_seen_ms) > UNREACHABLE_AFTER_MS {
+        let is_settled = now_ms >= self.settles_at_ms;
+        if is_settled && now_ms.saturating_sub(last_seen_ms) > UNREACHABLE_AFTER_MS {
             return messages::Readiness::Unreachable;
         }
         messages::Readiness::Ready
--- a/src/leased/dispatch/expiry.rs
+++ b/src/leased/dispatch/expiry.rs
@@ -45,10 +45,16 @@
         actions
     }
 
+    /// Ends the jobs that are overdue, and refuses those that can't complete in time.
+    ///
+    /// After a suspension of this process, the free capacity is known only once the messages that
+    /// arrived meanwhile have been read.
     fn end_expired_jobs(&mut self, now_ms: u64) -> Vec<dispatch::Action> {
+        let is_settled = now_ms >= self.settles_at_ms;
         let is_expired = |open: &jobs::OpenJob| {
             now_ms >= open.deadline_ms
-                || (!open.has_started()
+                || (is_settled
+                    && !open.has_started()
                     && urgency::is_infeasible(&dispatch::urgency_view(open), now_ms))
         };
         let expired = self.jobs.iter().filter(|(_, open)| is_expired(open));
--- a/src/leased/dispatch/mod.rs
+++ b/src/leased/dispatch/mod.rs
@@ -182,8 +182,8 @@
         self
     }
 
-    /// Records that this process was suspended: until `settles_at_ms`, no run counts as lost because
-    /// its runner seems silent.
+    /// Records that this process was suspended: until `settles_at_ms`, no job is refused for lack of
+    /// capacity, and no run counts as lost because its runner seems silent.
     pub const fn resume(&mut self, settles_at_ms: u64) {
         self.settles_at_ms = settles_at_ms;
     }
--- a/tests/unit/leased/suspension.rs
+++ b/tests/unit/leased/suspension.rs
@@ -73,6 +73,65 @@
     );
 }
 
+/// Submits a job that can wait for less than 100 ms to an entry that resumes.
+fn submit_at_resume() -> (dispatch::Dispatcher, runners::RunnerKey) {
+    let (mut entry, key) = fixtures::entry();
+    let job = fixtures::job(2, 1, 1_600, 20);
+    let actions = entry.submit(RESUMED_MS, job, &fixtures::queue(), Some(4_000), 1);
+    assert!(fixtures::orders(&actions).is_empty(), "{actions:?}");
+    entry.resume(SETTLED_MS);
+    (entry, key)
+}
+
+fn is_refused(actions: &[dispatch::Action]) -> bool {
+    let mut actions = actions.iter();
+    actions.any(|action| {
+        matches!(
+            action,
+            dispatch::Action::Answer(_, dispatch::Outcome::NotRun { .. })
+        )
+    })
+}
+
+/// Guards against a job that is refused although there is capacity, because its entry has not yet
+/// read the reports that arrived while it was suspended.
+#[test]
+fn job_is_not_refused_before_a_resumed_entry_has_read_the_reports() {
+    let (mut entry, key) = submit_at_resume();
+
+    let ticked = entry.tick(SETTLED_MS - 1);
+    let reported = entry.report_received(SETTLED_MS - 1, key, fixtures::report(2, 0, &[]));
+    let placed = entry.tick(SETTLED_MS);
+
+    assert!(!is_refused(&ticked), "{ticked:?}");
+    let orders = fixtures::orders(&[reported, placed].concat());
+    assert_eq!(orders.len(), 1);
+}
+
+/// Guards against a job that waits until its deadline because its entry was suspended once.
+#[test]
+fn job_without_capacity_is_refused_once_a_resumed_entry_has_settled() {
+    let (mut entry, _) = submit_at_resume();
+
+    let ticked = entry.tick(SETTLED_MS);
+
+    assert!(is_refused(&ticked), "{ticked:?}");
+}
+
+/// Guards against a runner that refuses work because it has not yet read the answer of its backend
+/// server that arrived while it was suspended.
+#[test]
+fn backend_server_is_not_unreachable_before_a_resumed_runner_has_settled() {
+    let mut manager = fixtures::ready_manager();
+    manager.resume(SETTLED_MS);
+
+    let before = manager.readiness(SETTLED_MS - 1);
+    let after = manager.readiness(SETTLED_MS);
+
+    assert_eq!(before, messages::Readiness::Ready);
+    assert_eq!(after, messages::Readiness::Unreachable);
+}
+
 /// Returns a runner that was suspended for 600 ms while it had one run of an entry.
 fn resumed_runner() -> (capacity::CapacityManager, messages::RunId, u64) {
     let mut manager = fixtures::ready_manager();
