Ask a silent runner to answer a watch at once

What callers saw: 503 for a job of one task beside an idle backend server, on a busy machine.

Cause: after a watch without an answer the next one waited 150 ms at the runner like any other, although the runner gets no work until it answers. A job of 20 ms is refused after 72 ms.

Change: the watch of a runner that has been silent for over 450 ms has no wait.

The log: the entry's control thread put 1,401 queues in force, the watch of before was given up after its 600 ms, the job came in the same millisecond and was refused 83 ms later with the runner counted as silent; the next watch, sent 50 ms after the lost one, was answered 237 ms after the lost one.

Ways tried: none other.

--- a/src/leased/dispatch/mod.rs
+++ b/src/leased/dispatch/mod.rs
@@ -469,7 +469,10 @@
         watch.wants_room = wants_room;
         watch.wanted_milli = wanted_milli;
         let is_idle = runner.placed() == 0 && !wants_room;
-        watch.wait_ms = if is_idle {
+        watch.wait_ms = if runner.silence_ms(now_ms) > runners::SILENT_MS {
+            // Until it answers, the runner gets no work.
+            0
+        } else if is_idle {
             IDLE_WATCH_WAIT_MS
         } else {
             WATCH_WAIT_MS
--- a/tests/unit/leased.rs
+++ b/tests/unit/leased.rs
@@ -21,6 +21,7 @@
 mod queues;
 mod resumed_entry;
 mod resumed_runner;
+mod silent_runners;
 mod simulation;
 mod starting;
 mod suspension;
