Let a stopping runner wait for no watch

What operators saw: an idle runner exits up to 6 s after SIGTERM, once with its time for draining used up although it has no runs.

Cause: a watch opened at a stopping runner waited up to 350 ms; the stop looked every 50 ms for a moment without any open request, of which the watches of eight entries leave few; and the HTTP library looks only once a second whether the last connection has closed.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -21,6 +21,7 @@
 use crate::hangup;
 use crate::heartbeats;
 use crate::ids;
+use crate::open_connections;
 use crate::open_requests;
 use crate::operators;
 use crate::outgoing;
@@ -117,11 +118,28 @@
     cfg: config::Config,
 }
 
+/// What a stopping process waits for.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct OpenWork {
+    requests: open_requests::OpenRequests,
+    connections: open_connections::OpenConnections,
+}
+
+impl OpenWork {
+    /// Returns what to track for a port whose requests delay no stop.
+    pub(crate) fn without_delay(&self) -> Self {
+        Self {
+            requests: self.requests.without_delay(),
+            connections: self.connections.clone(),
+        }
+    }
+}
+
 /// The ports are open.
 struct Serving {
     servers: Vec<dev::ServerHandle>,
     shutdown: ShutdownHandles,
-    open_requests: open_requests::OpenRequests,
+    open: OpenWork,
     signals: Signals,
 }
 
@@ -129,7 +147,7 @@
 struct Draining {
     servers: Vec<dev::ServerHandle>,
     shutdown: ShutdownHandles,
-    open_requests: open_requests::OpenRequests,
+    open: OpenWork,
     drain: time::Duration,
     signals: Signals,
 }
@@ -183,7 +201,7 @@
         Ok(Serving {
             servers: opened.servers,
             shutdown: opened.shutdown_handles,
-            open_requests: opened.open_requests,
+            open: opened.open,
             signals,
         })
     }
@@ -230,12 +248,12 @@
             incarnation,
         };
         let handles = control_handles(&control);
-        let open_requests = open_requests::OpenRequests::default();
+        let open = OpenWork::default();
         let public = serve(
             listener,
             self.cfg.threads,
             Bounds::with_defaults(None),
-            &open_requests,
+            &open,
             {
                 let (shared, handles) = (shared.clone(), handles.clone());
                 move |cfg| {
@@ -249,7 +267,7 @@
             peer_listener,
             self.cfg.threads,
             Bounds::with_defaults(None),
-            &open_requests,
+            &open,
             move |cfg| {
                 cfg.app_data(web::Data::new(shared.clone()));
                 cfg.app_data(web::Data::new(handles.clone()));
@@ -260,7 +278,7 @@
         Ok(Opened {
             servers: vec![public, peers],
             shutdown_handles: shutdown_handles(&control),
-            open_requests,
+            open,
         })
     }
 
@@ -297,24 +315,18 @@
             control: control.clone(),
         };
         let handles = control_handles(&control);
-        let open_requests = open_requests::OpenRequests::default();
+        let open = OpenWork::default();
         let bounds = Bounds::with_defaults(Some(*connections));
-        let server = serve(
-            listener,
-            self.cfg.threads,
-            bounds,
-            &open_requests,
-            move |cfg| {
-                cfg.app_data(web::Data::new(shared.clone()));
-                cfg.app_data(web::Data::new(handles.clone()));
-                runner::http::routes(cfg);
-            },
-        )?;
+        let server = serve(listener, self.cfg.threads, bounds, &open, move |cfg| {
+            cfg.app_data(web::Data::new(shared.clone()));
+            cfg.app_data(web::Data::new(handles.clone()));
+            runner::http::routes(cfg);
+        })?;
         announce(&[("listening", address)])?;
         Ok(Opened {
             servers: vec![server],
             shutdown_handles: shutdown_handles(&control),
-            open_requests,
+            open,
         })
     }
 }
@@ -322,7 +334,7 @@
 struct Opened {
     servers: Vec<dev::ServerHandle>,
     shutdown_handles: ShutdownHandles,
-    open_requests: open_requests::OpenRequests,
+    open: OpenWork,
 }
 
 /// Starts the control actor on a dedicated thread.
@@ -404,13 +416,16 @@
     listener: net::TcpListener,
     threads: usize,
     bounds: Bounds,
-    open_requests: &open_requests::OpenRequests,
+    open: &OpenWork,
     register_routes: F,
 ) -> std::io::Result<dev::ServerHandle>
 where
     F: Fn(&mut web::ServiceConfig) + Clone + Send + 'static,
 {
-    let open_requests = open_requests.clone();
+    let OpenWork {
+        requests: open_requests,
+        connections: open_connections,
+    } = open.clone();
     let factory = move || {
         let track = middleware::from_fn(open_requests::track);
         let app = actix_web::App::new().app_data(web::Data::new(open_requests.clone()));
@@ -422,9 +437,12 @@
         .client_request_timeout(bounds.head)
         .keep_alive(bounds.idle)
         .shutdown_timeout(CLOSE_TIMEOUT_SECONDS);
-    if bounds.detects_hangups {
-        server = server.on_connect(hangup::Hangup::attach);
-    }
+    server = server.on_connect(move |connection, data| {
+        open_connections.attach(data);
+        if bounds.detects_hangups {
+            hangup::Hangup::attach(connection, data);
+        }
+    });
     if let Some(connections) = bounds.connections {
         server = server.max_connections((connections as usize).div_ceil(threads));
     }
@@ -447,12 +465,12 @@
 pub(crate) async fn serve_until_drained(
     servers: Vec<dev::ServerHandle>,
     shutdown: ShutdownHandles,
-    open_requests: open_requests::OpenRequests,
+    open: OpenWork,
 ) -> Result<(), DaemonError> {
     let serving = Serving {
         servers,
         shutdown,
-        open_requests,
+        open,
         signals: Signals::listen()?,
     };
     serving.until_signal().await?.drain().await
@@ -462,19 +480,19 @@
     async fn until_signal(mut self) -> Result<Draining, DaemonError> {
         self.signals.next().await;
         log::info!(event = "daemon.leave"; "stop signal received; draining open work");
-        self.open_requests.start_leaving();
+        self.open.requests.start_leaving();
         let reply = self.shutdown.leave.send(control::Leave).await;
         let drain = reply.map_err(|_ended| DaemonError::Thread("control"))?;
         let Self {
             servers,
             shutdown,
-            open_requests,
+            open,
             signals,
         } = self;
         Ok(Draining {
             servers,
             shutdown,
-            open_requests,
+            open,
             drain,
             signals,
         })
@@ -484,10 +502,11 @@
 impl Draining {
     /// Serves until all work is done, the time limit expires or a second signal arrives.
     async fn drain(mut self) -> Result<(), DaemonError> {
+        let began = time::Instant::now();
         let is_drained = self.shutdown.is_drained;
         let drained = async {
             while !is_drained.send(control::IsDrained).await.unwrap_or(true)
-                || !self.open_requests.is_idle()
+                || !self.open.requests.is_idle()
             {
                 tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
             }
@@ -501,10 +520,16 @@
             let reply = self.shutdown.abandon.send(control::Abandon).await;
             reply.map_err(|_ended| DaemonError::Thread("control"))?;
         }
+        let drained_ms = began.elapsed().as_millis();
+        let connections = self.open.connections.count();
         // Stopped concurrently, since each server waits for its open connections.
         let stopped = self.servers.iter().map(|server| server.stop(true));
-        futures_util::future::join_all(stopped).await;
-        log::info!(event = "daemon.end"; "daemon stopped: {ended}");
+        tokio::select! {
+            _ = futures_util::future::join_all(stopped) => {}
+            () = self.open.connections.closed() => {}
+        }
+        let took_ms = began.elapsed().as_millis();
+        log::info!(event = "daemon.end", drained_ms = drained_ms, connections = connections, left = self.open.connections.count(), took_ms = took_ms; "daemon stopped: {ended}");
         log::logger().flush();
         Ok(())
     }
--- a/src/leased/capacity/mod.rs
+++ b/src/leased/capacity/mod.rs
@@ -214,6 +214,11 @@
         self.update_readiness(now_ms);
     }
 
+    /// Returns whether a graceful stop only waits for the entries to learn of it: no run is left.
+    pub fn is_idle_and_leaving(&self) -> bool {
+        self.is_leaving && self.runs.is_empty()
+    }
+
     /// Returns whether the runner and its backend server accept work.
     pub fn readiness(&self, now_ms: u64) -> messages::Readiness {
         if self.is_leaving {
--- a/src/leased/process.rs
+++ b/src/leased/process.rs
@@ -11,7 +11,6 @@
 use crate::daemon;
 use crate::incoming;
 use crate::metrics;
-use crate::open_requests;
 
 type Routes = sync::Arc<dyn Fn(&mut web::ServiceConfig) + Send + Sync>;
 
@@ -20,6 +19,8 @@
     address: net::SocketAddr,
     /// Whether the process exits if the port can't be opened.
     is_required: bool,
+    /// Whether a stop waits until no request is open.
+    is_awaited: bool,
     bounds: daemon::Bounds,
     routes: Routes,
 }
@@ -40,6 +41,7 @@
         Self {
             address,
             is_required: true,
+            is_awaited: true,
             bounds,
             routes: sync::Arc::new(routes),
         }
@@ -53,6 +55,18 @@
             ..self
         }
     }
+
+    /// Makes a stop complete the open requests only as the port closes.
+    ///
+    /// Otherwise a stop would wait for a moment without any request, which never comes while many
+    /// peers call again and again.
+    #[must_use]
+    pub fn unawaited(self) -> Self {
+        Self {
+            is_awaited: false,
+            ..self
+        }
+    }
 }
 
 /// Starts a control actor on its own thread.
@@ -98,7 +112,7 @@
         + actix::Handler<control::IsDrained>
         + actix::Handler<control::Abandon>,
 {
-    let open_requests = open_requests::OpenRequests::default();
+    let open = daemon::OpenWork::default();
     let mut servers = Vec::with_capacity(ports.len());
     for port in ports {
         let listener = match net::TcpListener::bind(port.address) {
@@ -109,15 +123,14 @@
                 continue;
             }
         };
+        let port_open = if port.is_awaited {
+            open.clone()
+        } else {
+            open.without_delay()
+        };
         let routes = port.routes;
         let routes = move |cfg: &mut web::ServiceConfig| routes(cfg);
-        servers.push(daemon::serve(
-            listener,
-            1,
-            port.bounds,
-            &open_requests,
-            routes,
-        )?);
+        servers.push(daemon::serve(listener, 1, port.bounds, &port_open, routes)?);
     }
-    daemon::serve_until_drained(servers, daemon::shutdown_handles(control), open_requests).await
+    daemon::serve_until_drained(servers, daemon::shutdown_handles(control), open).await
 }
--- a/src/leased/runner.rs
+++ b/src/leased/runner.rs
@@ -26,6 +26,10 @@
 /// that every entry receives the last ends.
 const DRAIN_IDLE_MS: u64 = 300;
 
+/// Longest wait of a watch at a stopping runner without runs, in milliseconds; an entry that still
+/// expects a run here repeats its watch at this interval.
+const LEAVING_WAIT_MS: u64 = 20;
+
 /// Dependencies and parameters of the control thread.
 #[derive(Debug)]
 pub struct Parts {
@@ -160,7 +164,13 @@
         let now_ms = self.read_clock();
         let (tx, rx) = oneshot::channel();
         let actions = self.capacity.watch(now_ms, &watch);
-        let until_ms = now_ms + watch.wait_ms;
+        // An open watch would delay the exit of this runner.
+        let most_ms = if self.capacity.is_idle_and_leaving() {
+            LEAVING_WAIT_MS
+        } else {
+            u64::MAX
+        };
+        let until_ms = now_ms + watch.wait_ms.min(most_ms);
         self.open_watches
             .insert(watch.entry, OpenWatch { tx, until_ms });
         self.act(cx, actions);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod leased;
 pub mod membership;
 pub mod metrics;
+pub mod open_connections;
 pub mod open_requests;
 pub mod operators;
 pub mod outgoing;
--- a/src/open_requests.rs
+++ b/src/open_requests.rs
@@ -31,6 +31,15 @@
         self.is_leaving.store(true, atomic::Ordering::SeqCst);
     }
 
+    /// Returns a tracker for requests that delay no stop; their connections close like others.
+    #[must_use]
+    pub fn without_delay(&self) -> Self {
+        Self {
+            count: sync::Arc::default(),
+            is_leaving: sync::Arc::clone(&self.is_leaving),
+        }
+    }
+
     /// Returns whether no request is open.
     ///
     /// An entry that forwarded a call to another entry has no open submission of its own,
--- a/tests/unit/leased.rs
+++ b/tests/unit/leased.rs
@@ -24,6 +24,7 @@
 mod silent_runners;
 mod simulation;
 mod starting;
+mod stopping_runner;
 mod suspension;
 mod urgency;
 mod wait_queue;
--- a/tests/unit/main.rs
+++ b/tests/unit/main.rs
@@ -25,6 +25,7 @@
 mod log_events;
 mod membership;
 mod metrics;
+mod open_requests;
 mod order;
 mod placement;
 mod queue;
