--- a/src/leased/capacity/mod.rs
+++ b/src/leased/capacity/mod.rs
@@ -203,7 +203,7 @@
     }
 
     /// Records that this process was suspended: until `settles_at_ms`, no run is stopped because its
-    /// entry seems silent. The leases end in time nevertheless, see [`OWNER_LEASE_MS`].
+    /// entry seems silent, and the backend server doesn't count as unreachable. The leases end in time nevertheless, see [`OWNER_LEASE_MS`].
     pub const fn resume(&mut self, settles_at_ms: u64) {
         self.settles_at_ms = settles_at_ms;
     }
@@ -219,6 +219,11 @@
         self.update_readiness(now_ms);
     }
 
+    /// Returns whether a graceful stop only waits for the entries to learn of it: no run is left.
+    pub fn is_idle_and_leaving(&self) -> bool {
+        self.is_leaving && self.runs.is_empty()
+    }
+
     /// Returns whether the runner and its backend server accept work.
     pub fn readiness(&self, now_ms: u64) -> messages::Readiness {
         if self.is_leaving {
@@ -234,7 +239,8 @@
             return messages::Readiness::Starting;
         }
         let last_seen_ms = self.last_seen_ms.unwrap_or(0);
-        if now_ms.saturating_sub(last_seen_ms) > UNREACHABLE_AFTER_MS {
+        let is_settled = now_ms >= self.settles_at_ms;
+        if is_settled && now_ms.saturating_sub(last_seen_ms) > UNREACHABLE_AFTER_MS {
             return messages::Readiness::Unreachable;
         }
         messages::Readiness::Ready
--- a/src/leased/dispatch/mod.rs
+++ b/src/leased/dispatch/mod.rs
@@ -182,8 +182,8 @@
         self
     }
 
-    /// Records that this process was suspended: until `settles_at_ms`, no run counts as lost because
-    /// its runner seems silent.
+    /// Records that this process was suspended: until `settles_at_ms`, no job is refused for lack of
+    /// capacity, and no run counts as lost because its runner seems silent.
     pub const fn resume(&mut self, settles_at_ms: u64) {
         self.settles_at_ms = settles_at_ms;
     }
@@ -469,7 +469,10 @@
         watch.wants_room = wants_room;
         watch.wanted_milli = wanted_milli;
         let is_idle = runner.placed() == 0 && !wants_room;
-        watch.wait_ms = if is_idle {
+        watch.wait_ms = if runner.silence_ms(now_ms) > runners::SILENT_MS {
+            // Until it answers, the runner gets no work.
+            0
+        } else if is_idle {
             IDLE_WATCH_WAIT_MS
         } else {
             WATCH_WAIT_MS
