Let the stand-ins say when a stop arrived, and carry orders out late

A case in which a task ran twice could not be read from the stand-in of a backend server: a run held no time at which its stop arrived and no incarnation, and every stop ended its run at once, where the platform allows 50 ms. The capacity was fixed at 16 cores.

A backend server now has a profile (clock rate, capacity, longest time from a stop to its end), leaves starts and stops unanswered and carries them out later, says that it drains, and leaves. The store can give readers further aliases, so that the processes of each availability zone reach the others by relays of their own.

--- a/standins/src/platform/backend.rs
+++ b/standins/src/platform/backend.rs
@@ -6,8 +6,11 @@
 use std::time;
 
 use actix_web::web;
+use rand::Rng as _;
 use serde::Deserialize;
 
+use crate::platform::profile;
+
 /// Interval between two checks for ended runs while a `/hold` call waits.
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(5);
 
@@ -17,6 +20,9 @@
 /// Delay of the answer to a start that is answered late.
 const LATE_ANSWER: time::Duration = time::Duration::from_millis(70);
 
+/// Time for which an order without an answer keeps its connection.
+const NO_ANSWER: time::Duration = time::Duration::from_secs(20);
+
 /// Record of one run.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -28,8 +34,28 @@
     pub began: time::Instant,
     /// End of the work, unless the run ends earlier.
     due: time::Instant,
-    /// End of the run and its outcome: `done`, `lapsed`, `stopped` or `crashed`.
+    /// When the first stop arrived.
+    pub stop_arrived: Option<time::Instant>,
+    /// End of the run because of a stop, unless the run ends earlier.
+    stop_due: Option<time::Instant>,
+    /// End of the run and its outcome: `done`, `lapsed`, `stopped`, `crashed` or `left`.
     pub ended: Option<(time::Instant, &'static str)>,
+    /// Start time of the incarnation that runs it, in milliseconds.
+    pub incarnation_ms: u64,
+}
+
+impl Run {
+    /// Returns when and how the run ends unless something else happens before.
+    fn next_end(&self, lease_until: time::Instant) -> (time::Instant, &'static str) {
+        let stopped = self.stop_due.map(|due| (due, "stopped"));
+        let ends = [
+            Some((self.due, "done")),
+            stopped,
+            Some((lease_until, "lapsed")),
+        ];
+        let first = ends.into_iter().flatten().min_by_key(|(at, _)| *at);
+        first.unwrap_or((self.due, "done"))
+    }
 }
 
 #[derive(Debug)]
@@ -44,6 +70,8 @@
     fence: u64,
     /// Number of the next starts that are executed at once and answered after [`LATE_ANSWER`].
     late_answers: usize,
+    late_orders: Option<profile::LateOrders>,
+    is_draining: bool,
 }
 
 /// One incarnation of the backend server.
@@ -57,8 +85,7 @@
 #[derive(Debug)]
 pub struct Backend {
     name: String,
-    /// Rate of the monotonic clock; 1 is real time.
-    clock_rate: f64,
+    profile: profile::Profile,
     state: sync::Mutex<State>,
     /// Addresses from which listings and starts came.
     connections: sync::Mutex<collections::HashSet<net::SocketAddr>>,
@@ -100,10 +127,19 @@
 
     /// Creates a backend server whose monotonic clock advances at `clock_rate`.
     pub fn with_clock(name: &str, started_at_ms: u64, clock_rate: f64) -> Self {
+        let profile = profile::Profile {
+            clock_rate,
+            ..profile::Profile::default()
+        };
+        Self::with_profile(name, started_at_ms, profile)
+    }
+
+    /// Creates a backend server with the given properties.
+    pub fn with_profile(name: &str, started_at_ms: u64, profile: profile::Profile) -> Self {
         let now = time::Instant::now();
         Self {
             name: name.to_owned(),
-            clock_rate,
+            profile,
             state: sync::Mutex::new(State {
                 incarnation: Incarnation {
                     started_at_ms,
@@ -115,6 +151,8 @@
                 lease_until: now,
                 fence: 0,
                 late_answers: 0,
+                late_orders: None,
+                is_draining: false,
             }),
             connections: sync::Mutex::default(),
         }
@@ -134,14 +172,42 @@
         crate::lock(&self.state).late_answers = count;
     }
 
+    /// Sets which orders get no answer and are carried out later.
+    pub fn set_late_orders(&self, late_orders: Option<profile::LateOrders>) {
+        crate::lock(&self.state).late_orders = late_orders;
+    }
+
+    /// Returns after which time an order is carried out without an answer, if it is one of those.
+    fn lateness(&self) -> Option<time::Duration> {
+        let late = crate::lock(&self.state).late_orders?;
+        let mut rng = rand::rng();
+        let delay_ms = rng.random_range(late.min_ms..=late.max_ms);
+        rng.random_bool(late.fraction)
+            .then(|| time::Duration::from_millis(delay_ms))
+    }
+
+    /// Announces from the next heartbeat on that the backend server is going to leave.
+    pub fn drain(&self) {
+        crate::lock(&self.state).is_draining = true;
+    }
+
+    /// Ends all runs, as the backend server leaves.
+    pub fn leave(&self) {
+        let mut state = crate::lock(&self.state);
+        state.advance();
+        state.end_all("left");
+    }
+
+    /// Returns the start time of the present incarnation, in milliseconds.
+    pub fn started_at_ms(&self) -> u64 {
+        crate::lock(&self.state).incarnation.started_at_ms
+    }
+
     /// Ends all runs as crashed and starts a new incarnation with the same name.
     pub fn crash(&self, started_at_ms: u64) {
         let mut state = crate::lock(&self.state);
         state.advance();
-        let now = time::Instant::now();
-        for run in &mut state.runs {
-            run.ended.get_or_insert((now, "crashed"));
-        }
+        let now = state.end_all("crashed");
         state.ends.clear();
         state.barred.clear();
         state.lease_until = now;
@@ -161,11 +227,14 @@
 
     /// Builds the body of a heartbeat.
     pub fn heartbeat(&self, sequence: u64, service: &str, zone: &str) -> serde_json::Value {
-        let incarnation = crate::lock(&self.state).incarnation;
+        let state = crate::lock(&self.state);
+        let (incarnation, is_draining) = (state.incarnation, state.is_draining);
+        drop(state);
+        let word = if is_draining { "draining" } else { "ready" };
         serde_json::json!({
             "service": service, "address": "127.0.0.1:1", "zone": zone, "version": "v1",
-            "slots": 8, "state": "ready", "cold_left_ms": 0,
-            "capacity": {"cpu": 16_000, "mem_mb": 32_768, "gpu": 0},
+            "slots": 8, "state": word, "cold_left_ms": 0,
+            "capacity": {"cpu": self.profile.cpu_milli, "mem_mb": 32_768, "gpu": 0},
             "labels": ["a", "r1-1"], "clock_ms": self.clock_ms(incarnation),
             "seq_no": sequence, "born": incarnation.started_at_ms,
         })
@@ -177,14 +246,15 @@
     }
 
     fn clock_ms(&self, incarnation: Incarnation) -> u64 {
-        let reading = incarnation.began.elapsed().mul_f64(self.clock_rate);
+        let reading = incarnation.began.elapsed().mul_f64(self.profile.clock_rate);
         u64::try_from(reading.as_millis()).unwrap_or(u64::MAX)
     }
 
     /// Converts a deadline on the server's clock, limited to [`MAX_LEASE`] from now.
     fn to_instant(&self, incarnation: Incarnation, clock_ms: u64) -> time::Instant {
-        let offset = time::Duration::from_millis(clock_ms).div_f64(self.clock_rate);
-        (incarnation.began + offset).min(time::Instant::now() + MAX_LEASE.div_f64(self.clock_rate))
+        let rate = self.profile.clock_rate;
+        let offset = time::Duration::from_millis(clock_ms).div_f64(rate);
+        (incarnation.began + offset).min(time::Instant::now() + MAX_LEASE.div_f64(rate))
     }
 
     fn conflict(&self, incarnation: Incarnation, reason: &str) -> actix_web::HttpResponse {
@@ -204,7 +274,7 @@
 }
 
 impl State {
-    /// Ends the runs whose work is done or whose lease has expired.
+    /// Ends the runs whose work is done, whose stop is due or whose lease has expired.
     fn advance(&mut self) {
         let now = time::Instant::now();
         for index in 0..self.runs.len() {
@@ -212,14 +282,22 @@
             if run.ended.is_some() {
                 continue;
             }
-            if run.due <= now.min(self.lease_until) {
-                self.end(index, run.due, "done");
-            } else if self.lease_until <= now {
-                self.end(index, self.lease_until, "lapsed");
+            let (when, outcome) = run.next_end(self.lease_until);
+            if when <= now {
+                self.end(index, when, outcome);
             }
         }
     }
 
+    /// Ends all runs now, without listing their ends, and returns the time.
+    fn end_all(&mut self, outcome: &'static str) -> time::Instant {
+        let now = time::Instant::now();
+        for run in &mut self.runs {
+            run.ended.get_or_insert((now, outcome));
+        }
+        now
+    }
+
     fn end(&mut self, index: usize, when: time::Instant, outcome: &'static str) {
         let run = &mut self.runs[index];
         run.ended = Some((when, outcome));
@@ -235,6 +313,25 @@
         is_current
     }
 
+    /// Executes a stop, or refuses it.
+    fn stop(&mut self, backend: &Backend, stop: &Stop) -> actix_web::HttpResponse {
+        if !self.admit_fence(stop.fence) {
+            return backend.conflict(self.incarnation, "fence");
+        }
+        let now = time::Instant::now();
+        let max_stop = backend.profile.max_stop;
+        let is_target =
+            |run: &&mut Run| run.task == stop.task && run.run == stop.run && run.ended.is_none();
+        if let Some(run) = self.runs.iter_mut().find(is_target) {
+            run.stop_arrived.get_or_insert(now);
+            let delay = max_stop.mul_f64(rand::rng().random_range(0.0..=1.0));
+            run.stop_due.get_or_insert(now + delay);
+        }
+        self.advance();
+        self.barred.insert((stop.task.clone(), stop.run));
+        backend.ok_response(self.incarnation)
+    }
+
     /// Executes a start, or refuses it.
     fn start(&mut self, backend: &Backend, start: Start) -> actix_web::HttpResponse {
         if !self.admit_fence(start.fence) {
@@ -264,7 +361,10 @@
             run: start.run,
             began: now,
             due: now + work,
+            stop_arrived: None,
+            stop_due: None,
             ended: None,
+            incarnation_ms: self.incarnation.started_at_ms,
         });
         backend.ok_response(self.incarnation)
     }
@@ -284,6 +384,10 @@
     start: web::Json<Start>,
 ) -> actix_web::HttpResponse {
     backend.record_connection(&req);
+    if let Some(delay) = backend.lateness() {
+        let start = start.into_inner();
+        return execute_late(delay, move || drop(execute_start(&backend, start))).await;
+    }
     let (response, is_late) = execute_start(&backend, start.into_inner());
     if is_late {
         tokio::time::sleep(LATE_ANSWER).await;
@@ -291,6 +395,19 @@
     response
 }
 
+/// Executes an order after a delay, and doesn't answer it.
+async fn execute_late(
+    delay: time::Duration,
+    order: impl FnOnce() + 'static,
+) -> actix_web::HttpResponse {
+    actix_rt::spawn(async move {
+        tokio::time::sleep(delay).await;
+        order();
+    });
+    tokio::time::sleep(NO_ANSWER).await;
+    actix_web::HttpResponse::GatewayTimeout().finish()
+}
+
 /// Executes a start; returns the answer and whether it is late.
 fn execute_start(backend: &Backend, start: Start) -> (actix_web::HttpResponse, bool) {
     let mut state = crate::lock(&backend.state);
@@ -301,17 +418,17 @@
 }
 
 async fn stop(backend: web::Data<Backend>, stop: web::Json<Stop>) -> actix_web::HttpResponse {
+    if let Some(delay) = backend.lateness() {
+        let stop = stop.into_inner();
+        return execute_late(delay, move || drop(execute_stop(&backend, &stop))).await;
+    }
+    execute_stop(&backend, &stop)
+}
+
+fn execute_stop(backend: &Backend, stop: &Stop) -> actix_web::HttpResponse {
     let mut state = crate::lock(&backend.state);
     state.advance();
-    if !state.admit_fence(stop.fence) {
-        return backend.conflict(state.incarnation, "fence");
-    }
-    let is_target = |run: &Run| run.task == stop.task && run.run == stop.run && run.ended.is_none();
-    if let Some(index) = state.runs.iter().position(is_target) {
-        state.end(index, time::Instant::now(), "stopped");
-    }
-    state.barred.insert((stop.task.clone(), stop.run));
-    backend.ok_response(state.incarnation)
+    state.stop(backend, stop)
 }
 
 async fn hold(
--- a/standins/src/platform/mod.rs
+++ b/standins/src/platform/mod.rs
@@ -3,4 +3,5 @@
 //! They follow the platform's published protocol.
 
 pub mod backend;
+pub mod profile;
 pub mod store;
--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -34,7 +34,30 @@
     appended_at: sync::Mutex<collections::HashMap<Partition, time::Instant>>,
     reads: atomic::AtomicU64,
     newest_records: atomic::AtomicU64,
-    aliases: sync::Mutex<Vec<(Vec<u8>, Vec<u8>)>>,
+    aliases: Aliases,
+}
+
+/// Strings that the store replaces in records.
+#[derive(Debug, Default)]
+pub struct Aliases(sync::Mutex<Vec<(Vec<u8>, Vec<u8>)>>);
+
+impl Aliases {
+    /// Replaces `from` by `to` from now on.
+    pub fn add(&self, from: &str, to: &str) {
+        let alias_pair = (from.as_bytes().to_vec(), to.as_bytes().to_vec());
+        crate::lock(&self.0).push(alias_pair);
+    }
+
+    fn apply(&self, record: &[u8]) -> Vec<u8> {
+        let mut record = record.to_vec();
+        for (from, to) in &*crate::lock(&self.0) {
+            let found = record.windows(from.len()).position(|at| at == from);
+            if let Some(at) = found {
+                record.splice(at..at + from.len(), to.iter().copied());
+            }
+        }
+        record
+    }
 }
 
 #[derive(Debug)]
@@ -109,19 +132,7 @@
     ///
     /// A test replaces the address of a process by that of a relay in front of it.
     pub fn alias(&self, from: &str, to: &str) {
-        let alias_pair = (from.as_bytes().to_vec(), to.as_bytes().to_vec());
-        crate::lock(&self.aliases).push(alias_pair);
-    }
-
-    fn apply_aliases(&self, record: &[u8]) -> Vec<u8> {
-        let mut record = record.to_vec();
-        for (from, to) in &*crate::lock(&self.aliases) {
-            let found = record.windows(from.len()).position(|at| at == from);
-            if let Some(at) = found {
-                record.splice(at..at + from.len(), to.iter().copied());
-            }
-        }
-        record
+        self.aliases.add(from, to);
     }
 
     fn end(&self, partition: &Partition) -> usize {
@@ -138,7 +149,17 @@
 
 /// Registers the routes of the store.
 pub fn configure(cfg: &mut web::ServiceConfig, store: &sync::Arc<Store>) {
+    configure_with(cfg, store, &sync::Arc::default());
+}
+
+/// Registers the routes of the store, for readers that get the records with further aliases.
+pub fn configure_with(
+    cfg: &mut web::ServiceConfig,
+    store: &sync::Arc<Store>,
+    aliases: &sync::Arc<Aliases>,
+) {
     cfg.app_data(web::Data::from(sync::Arc::clone(store)));
+    cfg.app_data(web::Data::from(sync::Arc::clone(aliases)));
     cfg.route("/log-append", web::post().to(append));
     cfg.route("/log-read", web::get().to(read));
     cfg.route("/log-newest", web::get().to(newest));
@@ -180,13 +201,17 @@
         let Some((record, after)) = after.split_at_checked(length) else {
             return actix_web::HttpResponse::BadRequest().finish();
         };
-        records.push(store.apply_aliases(record));
+        records.push(store.aliases.apply(record));
         rest = after;
     }
     actix_web::HttpResponse::Ok().json(serde_json::json!({"offset": offset, "end": records.len()}))
 }
 
-async fn read(store: web::Data<Store>, query: web::Query<Query>) -> actix_web::HttpResponse {
+async fn read(
+    store: web::Data<Store>,
+    aliases: web::Data<Aliases>,
+    query: web::Query<Query>,
+) -> actix_web::HttpResponse {
     let until = time::Instant::now() + time::Duration::from_millis(query.wait_ms);
     let partition = query.partition();
     while store.end(&partition) <= query.from && time::Instant::now() < until {
@@ -200,18 +225,23 @@
     let records = partitions.get(&partition).map_or(&[][..], Vec::as_slice);
     let mut body = (records.len() as u64).to_be_bytes().to_vec();
     body.extend_from_slice(&0_u64.to_be_bytes());
-    for record in records.iter().skip(query.from) {
+    let records = records.iter().skip(query.from);
+    for record in records.map(|record| aliases.apply(record)) {
         if body.len() + record.len() > MAX_PAGE_BYTES {
             break;
         }
         let length = u32::try_from(record.len()).unwrap_or(u32::MAX);
         body.extend_from_slice(&length.to_be_bytes());
-        body.extend_from_slice(record);
+        body.extend_from_slice(&record);
     }
     actix_web::HttpResponse::Ok().body(body)
 }
 
-async fn newest(store: web::Data<Store>, query: web::Query<Query>) -> actix_web::HttpResponse {
+async fn newest(
+    store: web::Data<Store>,
+    aliases: web::Data<Aliases>,
+    query: web::Query<Query>,
+) -> actix_web::HttpResponse {
     if let Some(response) = unavailable(&store) {
         return response;
     }
@@ -236,7 +266,7 @@
         .iter()
         .filter(|(key, _)| **key > query.depends_on)
         .map(|(key, (offset, value))| {
-            serde_json::json!({"key": key, "value": encode(value), "offset": offset})
+            serde_json::json!({"key": key, "value": encode(&aliases.apply(value)), "offset": offset})
         });
     let page: Vec<_> = items.by_ref().take(MAX_NEWEST_RECORDS).collect();
     let has_more = items.next().is_some();
