Let a relay refuse connections while its target is killed

A relay accepted connections to a killed process and closed them. The caller saw a reset after its request, which leaves open whether it was sent, where a killed process refuses the connection, which proves that it was not.

A relay can now be told that its target ends: it listens no longer until the target does. Its test binds the target's port again after it was refused.

--- a/standins/src/relay.rs
+++ b/standins/src/relay.rs
@@ -21,6 +21,7 @@
 use tokio::io::AsyncReadExt as _;
 use tokio::io::AsyncWriteExt as _;
 use tokio::net::tcp;
+use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::task;
 
@@ -33,6 +34,12 @@
 /// Maximum number of chunks buffered per connection and direction, delayed ones included.
 const CHUNKS_IN_FLIGHT: usize = 256;
 
+/// Interval at which a relay looks whether its target listens.
+const TARGET_INTERVAL: time::Duration = time::Duration::from_millis(5);
+
+/// Number of such intervals after which a target that still listens counts as running.
+const MAX_ENDING_INTERVALS: usize = 10;
+
 /// Direction of the bytes that a silent connection drops.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -202,6 +209,7 @@
     address: net::SocketAddr,
     shared: Shared,
     acceptor: task::JoinHandle<()>,
+    target_ends: sync::Arc<Notify>,
 }
 
 impl Relay {
@@ -210,11 +218,19 @@
         let listener = tokio::net::TcpListener::bind(listen).await?;
         let address = listener.local_addr()?;
         let shared = Shared::default();
-        let acceptor = tokio::spawn(accept(listener, to, sync::Arc::clone(&shared)));
+        let target_ends = sync::Arc::new(Notify::new());
+        let accepting = accept(
+            listener,
+            to,
+            sync::Arc::clone(&shared),
+            sync::Arc::clone(&target_ends),
+        );
+        let acceptor = tokio::spawn(accepting);
         Ok(Self {
             address,
             shared,
             acceptor,
+            target_ends,
         })
     }
 
@@ -228,6 +244,11 @@
         lock(&self.shared).set(behaviour);
     }
 
+    /// Refuses new connections, as the target has been killed, until it listens again.
+    pub fn refuse_until_target_listens(&self) {
+        self.target_ends.notify_one();
+    }
+
     /// Returns the current counters.
     pub fn counts(&self) -> Counts {
         lock(&self.shared).counts
@@ -265,11 +286,28 @@
     HttpResponse::Ok().json(lock(&shared).counts)
 }
 
-async fn accept(listener: tokio::net::TcpListener, to: net::SocketAddr, shared: Shared) {
+async fn accept(
+    mut listener: tokio::net::TcpListener,
+    to: net::SocketAddr,
+    shared: Shared,
+    target_ends: sync::Arc<Notify>,
+) {
     loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = target_ends.notified() => {
+                let Ok(address) = listener.local_addr() else {
+                    continue;
+                };
+                drop(listener);
+                wait_until_restarted(to).await;
+                listener = listen_again(address).await;
+                continue;
+            }
+        };
         // An accept fails if the client has closed the connection or if file descriptors
         // run out. Both are temporary.
-        let Ok((client, _)) = listener.accept().await else {
+        let Ok((client, _)) = accepted else {
             tokio::time::sleep(time::Duration::from_millis(1)).await;
             continue;
         };
@@ -277,6 +315,29 @@
     }
 }
 
+/// Waits until a target that is being killed has ended, and listens again.
+async fn wait_until_restarted(target: net::SocketAddr) {
+    for _ in 0..MAX_ENDING_INTERVALS {
+        if tokio::net::TcpStream::connect(target).await.is_err() {
+            break;
+        }
+        tokio::time::sleep(TARGET_INTERVAL).await;
+    }
+    while tokio::net::TcpStream::connect(target).await.is_err() {
+        tokio::time::sleep(TARGET_INTERVAL).await;
+    }
+}
+
+/// Listens on an address that another connection may hold for a moment.
+async fn listen_again(address: net::SocketAddr) -> tokio::net::TcpListener {
+    loop {
+        match tokio::net::TcpListener::bind(address).await {
+            Ok(listener) => return listener,
+            Err(_in_use) => tokio::time::sleep(TARGET_INTERVAL).await,
+        }
+    }
+}
+
 /// Registers and starts a connection under the lock, so that every change of behaviour applies
 /// to it.
 fn start_connection(client: tokio::net::TcpStream, to: net::SocketAddr, shared: &Shared) {
--- a/standins/tests/standins.rs
+++ b/standins/tests/standins.rs
@@ -410,6 +410,22 @@
     assert_eq!(relay.counts().open, 2);
 }
 
+/// Guards against a killed process that seems to have received what a relay accepted for it.
+#[actix_web::test]
+async fn connections_to_a_killed_target_are_refused_until_it_listens_again() {
+    let target = std::net::TcpListener::bind(command::ANY_PORT).unwrap();
+    let to = target.local_addr().unwrap();
+    let (relay, _) = relay_to(to).await;
+    let connect = async || tokio::net::TcpStream::connect(relay.address()).await;
+
+    drop(target);
+    relay.refuse_until_target_listens();
+
+    wait_until_async(async || connect().await.is_err()).await;
+    let _target = std::net::TcpListener::bind(to).unwrap();
+    wait_until_async(async || connect().await.is_ok()).await;
+}
+
 /// A dispatch reaches the worker and runs, but its answer never arrives: only the direction
 /// from the target is silent, also on new connections.
 #[actix_web::test]
