--- a/src/leased/dispatch/runners/run_ends.rs
+++ b/src/leased/dispatch/runners/run_ends.rs
@@ -46,7 +46,7 @@
         ended.collect()
     }
 
-    /// Ends the runs whose last lease renewal is older than [`RUN_EXPIRY_MS`].
+    /// Ends the runs whose last lease renewal is older than [`runners::RUN_EXPIRY_MS`].
     ///
     /// A watch at the present incarnation renews no lease of a former one.
     pub fn expire_runs(&mut self, now_ms: u64) -> Vec<runs::EndedRun> {
