Let a stop wait for its servers again

It ended once no connection was counted, first after 10 ms, and a connection counts only when its thread has taken it: one that was accepted and still queued would have been cut off, at an entry with its job submitted.

Change: the stop waits for the HTTP library's servers, as before, up to a second after the last connection has closed. The count is only logged.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -524,10 +524,7 @@
         let connections = self.open.connections.count();
         // Stopped concurrently, since each server waits for its open connections.
         let stopped = self.servers.iter().map(|server| server.stop(true));
-        tokio::select! {
-            _ = futures_util::future::join_all(stopped) => {}
-            () = self.open.connections.closed() => {}
-        }
+        futures_util::future::join_all(stopped).await;
         let took_ms = began.elapsed().as_millis();
         log::info!(event = "daemon.end", drained_ms = drained_ms, connections = connections, left = self.open.connections.count(), took_ms = took_ms; "daemon stopped: {ended}");
         log::logger().flush();
--- a/src/open_connections.rs
+++ b/src/open_connections.rs
@@ -2,13 +2,9 @@
 
 use std::sync;
 use std::sync::atomic;
-use std::time;
 
 use actix_web::dev;
 
-/// Interval at which a stopping process checks whether its connections are closed.
-const POLL_INTERVAL: time::Duration = time::Duration::from_millis(10);
-
 /// Number of connections that the servers of a process have open.
 #[derive(Clone, Debug, Default)]
 pub struct OpenConnections(sync::Arc<atomic::AtomicUsize>);
@@ -33,16 +29,4 @@
     pub fn count(&self) -> usize {
         self.0.load(atomic::Ordering::SeqCst)
     }
-
-    /// Waits until no connection is open.
-    ///
-    /// The HTTP library checks for this only once a second while it stops.
-    pub async fn closed(&self) {
-        loop {
-            tokio::time::sleep(POLL_INTERVAL).await;
-            if self.count() == 0 {
-                return;
-            }
-        }
-    }
 }
