--- a/src/leased/capacity/mod.rs
+++ b/src/leased/capacity/mod.rs
@@ -203,7 +203,8 @@
     }
 
     /// Records that this process was suspended: until `settles_at_ms`, no run is stopped because its
-    /// entry seems silent, and the backend server doesn't count as unreachable. The leases end in time nevertheless, see [`OWNER_LEASE_MS`].
+    /// entry seems silent, and the backend server doesn't count as unreachable. The leases end in time
+    /// nevertheless, see [`OWNER_LEASE_MS`].
     pub const fn resume(&mut self, settles_at_ms: u64) {
         self.settles_at_ms = settles_at_ms;
     }
