--- a/tests/unit/leased.rs
+++ b/tests/unit/leased.rs
@@ -13,6 +13,7 @@
 mod fixtures;
 mod handover;
 mod headroom;
+mod incarnations;
 mod jobs;
 mod labels;
 mod late_reports;
--- a/tests/unit/leased/fixtures.rs
+++ b/tests/unit/leased/fixtures.rs
@@ -157,6 +157,18 @@
     manager
 }
 
+/// Returns a runner with one started run of the entry.
+pub fn manager_with_run() -> (capacity::CapacityManager, messages::RunId) {
+    let mut manager = ready_manager();
+    let id = run_id(1, 0, 1);
+    let (reply, actions) =
+        manager.order(START_MS, order(ENTRY, 1, START_MS, &[(id.clone(), 1_600)]));
+    assert!(reply.refused.is_empty());
+    assert_eq!(started(&actions).len(), 1);
+    manager.start_answered(START_MS + 1, &id, ports::StartAnswer::Started);
+    (manager, id)
+}
+
 pub fn watch(
     entry: ids::Incarnation,
     alive_at_ms: u64,
