Replace a backend server's incarnation only once another one has answered at its address

Cause: a runner took a heartbeat of any other incarnation, and any answer with status 421, for proof that the runs of its own backend server had ended. It reported all of them as stopped, so that their entries started them elsewhere, while they worked on. A heartbeat shows that its sender lives somewhere: it may be late, or of an instance whose own runner is away. After the 421 the runner listed nothing until the next heartbeat of its backend server, up to 1.5 s later.

Change: another incarnation that announces itself is a candidate. The runner asks for a listing under its name, without a lease or an acknowledgement, and goes on renewing the leases of the known one. A listing of the candidate replaces the known incarnation and ends its runs as before; 421 drops the candidate. 421 to a call for the known incarnation ends nothing: no work is taken, and the runs end by a listing, by a candidate that answers, or with their leases. The order of start times, which could mislead after a clock was set back, decides nothing any more.

Ways tried: comparing the address in the heartbeat with that in the settings (an instance may be known by another one); taking a candidate at once if no runs are held (a runner without work for up to 1.5 s after a foreign heartbeat). Tests: heartbeat_of_another_backend_server_ends_no_run, answer_of_another_incarnation_ends_no_run, leases_are_renewed_while_..., runs_end_with_their_leases_... failed before, with new_backend_incarnation_ends_the_runs_of_the_former_one in its new form (5 of 21), and pass. Four older tests took the heartbeat itself for the end; in their place they have a listing of the next incarnation first, and assert that nothing ends before it.

--- a/src/leased/capacity/incarnations.rs
+++ b/src/leased/capacity/incarnations.rs
@@ -1,65 +1,279 @@
-//! Which incarnation of the backend server is the present one.
+//! Which incarnation of the backend server is at the address that the runner calls.
+//!
+//! A heartbeat shows that its sender was alive when it was sent, not that the sender is the backend
+//! server beside this runner: it may be late, or come from one whose own runner is away. Likewise, an
+//! answer of another incarnation shows who answered this time, and not that the runs of the known one
+//! have ended. An incarnation is replaced only once another one has answered a listing call.
 
 use std::collections;
 
+use crate::leased::capacity;
+use crate::leased::capacity::backend_clock;
+use crate::leased::capacity::leftovers;
+use crate::leased::messages;
 use crate::leased::ports;
 
-/// Number of former incarnations whose late heartbeats are recognised; it bounds the memory. More
-/// restarts within the lateness of a heartbeat are not expected.
-const MAX_FORMER: usize = 16;
-
-/// Evidence of the order of the incarnations of a backend server.
-///
-/// A later incarnation usually has a later start time, but not if the backend server's clock was set
-/// back before it started. A listing then shows which incarnation is present.
-#[derive(Clone, Debug, Default)]
-pub struct Incarnations {
-    /// Start times of former incarnations, the last one at the end.
-    former_ms: collections::VecDeque<u64>,
-    /// Start time in the last listing that was requested after the known incarnation announced
-    /// itself.
-    listed_ms: Option<u64>,
-    /// Whether another incarnation announced itself since, and no listing has shown which one is
-    /// present.
-    is_contested: bool,
+/// Time for which an announcement that could not be confirmed is kept, in milliseconds: two intervals
+/// between heartbeats.
+const CANDIDATE_RETENTION_MS: u64 = 3_000;
+
+/// An incarnation that announced itself and is not known to be at the backend server's address.
+#[derive(Clone, Debug)]
+pub struct Candidate {
+    announcement: ports::Announcement,
+    announced_at_ms: u64,
+    /// Whether the next listing call is for the known incarnation, as this one didn't answer.
+    is_postponed: bool,
+}
+
+/// Whom a listing call was meant for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Asked {
+    /// The known incarnation of the backend server.
+    Known,
+    /// The candidate.
+    Candidate,
+    /// An incarnation that is neither any more; its answer says nothing.
+    Former,
 }
 
-impl Incarnations {
-    /// Records the start time in a listing that was requested after the known incarnation announced
-    /// itself.
-    pub const fn record_listing(&mut self, started_at_ms: u64) {
-        self.listed_ms = Some(started_at_ms);
-        self.is_contested = false;
+impl Candidate {
+    const fn new(announcement: ports::Announcement, now_ms: u64) -> Self {
+        Self {
+            announcement,
+            announced_at_ms: now_ms,
+            is_postponed: false,
+        }
     }
 
-    /// Records that a heartbeat of another incarnation than the known one was ignored.
-    pub const fn record_ignored(&mut self) {
-        self.is_contested = true;
+    const fn incarnation(&self) -> &ports::BackendIncarnation {
+        &self.announcement.incarnation
     }
+}
 
-    /// Returns whether a listing has to show which incarnation is present.
-    pub const fn is_contested(&self) -> bool {
-        self.is_contested
+impl capacity::CapacityManager {
+    /// Handles a heartbeat; returns whether it is the latest one of the known incarnation of the
+    /// backend server.
+    ///
+    /// One of another incarnation ends no run. It only makes the runner ask at the backend server's
+    /// address which incarnation is there.
+    pub fn announced(&mut self, now_ms: u64, announcement: ports::Announcement) -> bool {
+        let Some(known) = &self.backend else {
+            log::info!(event = "backend.found", name = announcement.incarnation.name.as_str(), born_ms = announcement.incarnation.started_at_ms, cpu_milli = announcement.size.cpu_milli; "received the first heartbeat of the backend server");
+            self.backend = Some(announcement);
+            self.update_readiness(now_ms);
+            return true;
+        };
+        if announcement.incarnation != known.incarnation {
+            self.add_candidate(now_ms, announcement);
+            self.update_readiness(now_ms);
+            return false;
+        }
+        if announcement.sequence <= known.sequence {
+            log::info!(event = "backend.heartbeat_late", born_ms = announcement.incarnation.started_at_ms, sequence = announcement.sequence; "ignoring a heartbeat older than the last one");
+            return false;
+        }
+        self.backend = Some(announcement);
+        self.update_readiness(now_ms);
+        true
     }
 
-    /// Records that another incarnation than the known one has announced itself.
-    pub fn supersede(&mut self, known: &ports::BackendIncarnation) {
-        self.listed_ms = None;
-        self.is_contested = false;
-        if self.former_ms.len() == MAX_FORMER {
-            self.former_ms.pop_front();
+    /// Notes an incarnation beside the known one.
+    ///
+    /// If it is the next one, it has not seen any fence. A greater one keeps it from executing starts of
+    /// runs that ended before, as soon as it has received a call with it.
+    fn add_candidate(&mut self, now_ms: u64, announcement: ports::Announcement) {
+        if let Some(candidate) = &mut self.candidate
+            && *candidate.incarnation() == announcement.incarnation
+        {
+            candidate.announcement = announcement;
+            candidate.announced_at_ms = now_ms;
+            return;
         }
-        self.former_ms.push_back(known.started_at_ms);
+        let known = self.backend.as_ref().map(|known| &known.incarnation);
+        log::info!(event = "backend.contested", name = announcement.incarnation.name.as_str(), born_ms = announcement.incarnation.started_at_ms, known:? = known, runs = self.runs.len(); "another incarnation announced itself; asking which one is at the address of the backend server");
+        self.fence += 1;
+        self.candidate = Some(Candidate::new(announcement, now_ms));
     }
 
-    /// Returns whether the sender of a heartbeat is a later incarnation than the known one.
-    pub fn is_later(
-        &self,
-        sender: &ports::BackendIncarnation,
-        known: &ports::BackendIncarnation,
-    ) -> bool {
-        let is_listed = self.listed_ms == Some(sender.started_at_ms);
-        let is_former = self.former_ms.contains(&sender.started_at_ms);
-        is_listed || (!is_former && sender.started_at_ms >= known.started_at_ms)
+    /// Returns the call that asks whether the candidate is at the backend server's address, unless the
+    /// known incarnation is to be asked.
+    ///
+    /// It neither renews a lease nor acknowledges an end.
+    pub(super) fn next_candidate_list(&mut self, now_ms: u64) -> Option<ports::ListCall> {
+        let candidate = self.candidate.as_mut()?;
+        if now_ms > candidate.announced_at_ms + CANDIDATE_RETENTION_MS {
+            log::info!(event = "backend.unconfirmed", name = candidate.incarnation().name.as_str(), born_ms = candidate.incarnation().started_at_ms; "the incarnation that announced itself has not answered; forgetting it");
+            self.candidate = None;
+            return None;
+        }
+        if std::mem::take(&mut candidate.is_postponed) {
+            return None;
+        }
+        Some(ports::ListCall {
+            incarnation: Some(candidate.incarnation().clone()),
+            fence: self.fence,
+            lease_until_ms: None,
+            acked: 0,
+            wait_ms: 0,
+            timeout_ms: self.call_timeout.timeout_ms(),
+        })
+    }
+
+    /// Returns whom the listing call that was sent at `sent_at_ms` asked.
+    pub(super) fn asked(&self, sent_at_ms: u64) -> Asked {
+        let Some((incarnation, built_at_ms)) = &self.last_asked else {
+            return Asked::Known;
+        };
+        let candidate = self.candidate.as_ref().map(Candidate::incarnation);
+        if candidate == Some(incarnation) && sent_at_ms >= *built_at_ms {
+            return Asked::Candidate;
+        }
+        let known = self.backend.as_ref().map(|known| &known.incarnation);
+        if known == Some(incarnation) && sent_at_ms >= self.listing_sent_at_ms {
+            return Asked::Known;
+        }
+        Asked::Former
+    }
+
+    /// Handles the answer to a listing call for the candidate.
+    pub(super) fn candidate_listed(
+        &mut self,
+        now_ms: u64,
+        sent_at_ms: u64,
+        answer: ports::ListAnswer,
+    ) -> Vec<capacity::Action> {
+        match answer {
+            ports::ListAnswer::Listed(listing) if self.is_listing_of_candidate(&listing) => {
+                self.replace_incarnation(now_ms);
+                return self.apply_listing(now_ms, sent_at_ms, &listing);
+            }
+            ports::ListAnswer::Listed(_) | ports::ListAnswer::OtherIncarnation => {
+                if let Some(candidate) = self.candidate.take() {
+                    log::info!(event = "backend.foreign", name = candidate.incarnation().name.as_str(), born_ms = candidate.incarnation().started_at_ms; "the incarnation that announced itself is not at the address of the backend server; ignoring it");
+                }
+            }
+            ports::ListAnswer::Fenced => self.raise_fence(),
+            ports::ListAnswer::NoConnection | ports::ListAnswer::Lost => {
+                if let Some(candidate) = &mut self.candidate {
+                    candidate.is_postponed = true;
+                }
+            }
+        }
+        Vec::new()
+    }
+
+    fn is_listing_of_candidate(&self, listing: &ports::Listing) -> bool {
+        let candidate = self.candidate.as_ref().map(Candidate::incarnation);
+        candidate.is_some_and(|candidate| candidate.started_at_ms == listing.started_at_ms)
+    }
+
+    /// Handles a listing of another incarnation than the known one, which the call was meant for;
+    /// returns whether it shows that the candidate is there.
+    pub(super) fn is_replaced_by(&self, listing: &ports::Listing) -> bool {
+        let name = |incarnation: &ports::BackendIncarnation| incarnation.name.clone();
+        let known = self.backend.as_ref().map(|known| name(&known.incarnation));
+        let candidate = self.candidate.as_ref().map(|one| name(one.incarnation()));
+        known == candidate && self.is_listing_of_candidate(listing)
+    }
+
+    /// Notes that another incarnation than the known one answered.
+    ///
+    /// It ends no run: whoever answered may be gone with the next call. The runs end when another
+    /// incarnation has announced itself and answered, or with their leases.
+    pub(super) fn other_incarnation_answered(&mut self) {
+        self.unanswered_listings = self.unanswered_listings.saturating_add(1);
+        if !self.is_reconciled {
+            return;
+        }
+        let known = self.backend.as_ref().map(|known| &known.incarnation);
+        log::warn!(event = "backend.absent", known:? = known, runs = self.runs.len(); "another incarnation answered at the address of the backend server; taking no work, and keeping the runs until another incarnation is known or their leases have expired");
+        self.is_reconciled = false;
+    }
+
+    /// Restores the backend server's announcement that a former incarnation of the runner stored.
+    ///
+    /// Heartbeats arrive every 1.5 s, and until then a restarted runner would leave its backend
+    /// server idle. The announcement is used once a listing shows that the same incarnation is
+    /// still running; if it is not, the next heartbeat replaces the announcement.
+    pub fn restore_backend(&mut self, stored: ports::Announcement) {
+        if self.backend.is_some() {
+            return;
+        }
+        log::info!(event = "backend.recalled", name = stored.incarnation.name.as_str(), born_ms = stored.incarnation.started_at_ms, cpu_milli = stored.size.cpu_milli; "restored the announcement that a former incarnation of the runner stored");
+        self.backend = Some(ports::Announcement {
+            sequence: 0,
+            ..stored
+        });
+    }
+
+    /// Handles the message of a backend server that it stops for good: it receives no more work.
+    ///
+    /// The message counts only for an incarnation that has announced that it is leaving, or for the
+    /// one that it names: held up in a partition, it may arrive when a next incarnation is there
+    /// under the same name. It ends no run, as nothing shows that the runs have ended.
+    pub fn backend_left(&mut self, now_ms: u64, left: &ports::BackendLeft) {
+        let Some(known) = &self.backend else {
+            return;
+        };
+        let is_expected = left.started_at_ms.map_or(known.is_leaving, |at_ms| {
+            at_ms == known.incarnation.started_at_ms
+        });
+        if known.incarnation.name != left.name || !is_expected {
+            log::info!(event = "backend.leave_late", name = left.name.as_str(), born_ms = left.started_at_ms, known_born_ms = known.incarnation.started_at_ms; "ignoring a leave that is not of the present incarnation");
+            return;
+        }
+        log::info!(event = "backend.left", name = left.name.as_str(), born_ms = known.incarnation.started_at_ms, runs = self.runs.len(); "backend server has left; keeping its runs until a listing or the end of their leases shows that they have ended");
+        self.left = Some(known.incarnation.clone());
+        self.update_readiness(now_ms);
+    }
+
+    /// Returns whether the known incarnation of the backend server has left.
+    pub(super) fn has_left(&self) -> bool {
+        let known = self.backend.as_ref().map(|known| &known.incarnation);
+        known.is_some() && known == self.left.as_ref()
+    }
+
+    /// Makes the candidate the known incarnation, and ends the runs of the former one.
+    ///
+    /// A backend server may restart with the same name and address within milliseconds, and then
+    /// executes starts that were meant for its former incarnation. Only runs that a listing of the
+    /// former incarnation has shown, and of which every start was answered, are known to have
+    /// ended. Any other run may be running in the later incarnation, or start there, and ending it
+    /// here would let its task start elsewhere at the same time; it is stopped at the later
+    /// incarnation instead.
+    pub(super) fn replace_incarnation(&mut self, now_ms: u64) {
+        let Some(candidate) = self.candidate.take() else {
+            return;
+        };
+        let (unsure, known): (collections::BTreeMap<_, _>, _) = std::mem::take(&mut self.runs)
+            .into_iter()
+            .partition(|(_, run)| run.may_start_again());
+        self.runs = known;
+        self.end_incarnation(now_ms, "another incarnation is at its address");
+        self.backend = Some(candidate.announcement);
+        self.last_asked = None;
+        for (id, mut run) in unsure {
+            log::info!(event = "run.unsure", run:% = id, owner:% = run.owner; "the run may have started in the later incarnation; stopping it there");
+            run.settled_at_ms = None;
+            run.stop = None;
+            run.must_stop = true;
+            self.runs.insert(id, run);
+        }
+    }
+
+    /// Ends all runs of the known incarnation of the backend server.
+    pub(super) fn end_incarnation(&mut self, now_ms: u64, why: &'static str) {
+        log::warn!(event = "backend.life_over", runs = self.runs.len(), why = why; "none of the runs can still be running at the backend server; ending all of them");
+        let ids: Vec<_> = self.runs.keys().cloned().collect();
+        for id in ids {
+            self.end(now_ms, &id, messages::RunOutcome::Stopped);
+        }
+        self.backend_clock = backend_clock::BackendClock::default();
+        self.acked_end = 0;
+        self.expired_at_ms = None;
+        self.is_reconciled = false;
+        self.leftovers = leftovers::Leftovers::default();
+        self.listing_sent_at_ms = now_ms;
     }
 }
--- a/src/leased/capacity/listings.rs
+++ b/src/leased/capacity/listings.rs
@@ -3,6 +3,7 @@
 use std::collections;
 
 use crate::leased::capacity;
+use crate::leased::capacity::incarnations;
 use crate::leased::messages;
 use crate::leased::ports;
 
@@ -34,20 +35,28 @@
 impl capacity::CapacityManager {
     /// Returns the next listing call.
     pub fn next_list(&mut self, now_ms: u64) -> ports::ListCall {
+        let candidate_call = self.next_candidate_list(now_ms);
+        let call = candidate_call.unwrap_or_else(|| self.next_known_list(now_ms));
+        self.list_wait_ms = call.wait_ms;
+        let asked = call.incarnation.clone();
+        self.last_asked = asked.map(|incarnation| (incarnation, now_ms));
+        call
+    }
+
+    fn next_known_list(&mut self, now_ms: u64) -> ports::ListCall {
         let is_renewed =
             self.backend_clock.is_known() && self.expired_at_ms.is_none() && !self.runs.is_empty();
         let lease_ms = self.lease_ms(now_ms);
-        self.list_wait_ms = self.next_list_wait_ms(now_ms);
+        let lease_until_ms = is_renewed.then(|| self.backend_clock.grant(now_ms, lease_ms));
         // A backend server that has left without any run has nothing to list.
-        let is_needed =
-            !self.has_left() || !self.runs.is_empty() || self.incarnations.is_contested();
+        let is_needed = !self.has_left() || !self.runs.is_empty();
         let backend = self.backend.as_ref().filter(|_| is_needed);
         ports::ListCall {
             incarnation: backend.map(|backend| backend.incarnation.clone()),
             fence: self.fence,
-            lease_until_ms: is_renewed.then(|| self.backend_clock.grant(now_ms, lease_ms)),
+            lease_until_ms,
             acked: self.acked_end,
-            wait_ms: self.list_wait_ms,
+            wait_ms: self.next_list_wait_ms(now_ms),
             timeout_ms: self.call_timeout.timeout_ms(),
         }
     }
@@ -76,24 +85,10 @@
         sent_at_ms: u64,
         answer: ports::ListAnswer,
     ) -> Vec<capacity::Action> {
-        self.record_list_time(now_ms, sent_at_ms, &answer);
-        self.count_unanswered(&answer);
-        // The call was meant for a former incarnation, or carried the fence for it.
-        let is_outdated = sent_at_ms < self.listing_sent_at_ms;
-        let mut actions = match answer {
-            _ if is_outdated => Vec::new(),
-            ports::ListAnswer::Listed(listing) => self.apply_listing(now_ms, sent_at_ms, &listing),
-            ports::ListAnswer::Fenced => {
-                self.fence += FENCE_STEP_MS;
-                log::warn!(event = "backend.fenced", fence = self.fence; "backend server has accepted a greater fence; raised the fence of this runner");
-                Vec::new()
-            }
-            ports::ListAnswer::OtherIncarnation => {
-                self.end_incarnation(now_ms, "another incarnation answered");
-                self.backend = None;
-                Vec::new()
-            }
-            ports::ListAnswer::NoConnection | ports::ListAnswer::Lost => Vec::new(),
+        let mut actions = match self.asked(sent_at_ms) {
+            incarnations::Asked::Candidate => self.candidate_listed(now_ms, sent_at_ms, answer),
+            incarnations::Asked::Known => self.known_listed(now_ms, sent_at_ms, answer),
+            incarnations::Asked::Former => Vec::new(),
         };
         actions.extend(self.tick(now_ms));
         actions
@@ -110,18 +105,42 @@
         }
     }
 
-    const fn count_unanswered(&mut self, answer: &ports::ListAnswer) {
+    /// Handles the answer to a listing call for the known incarnation.
+    fn known_listed(
+        &mut self,
+        now_ms: u64,
+        sent_at_ms: u64,
+        answer: ports::ListAnswer,
+    ) -> Vec<capacity::Action> {
+        self.record_list_time(now_ms, sent_at_ms, &answer);
         match answer {
+            ports::ListAnswer::Listed(listing) => {
+                self.unanswered_listings = 0;
+                if self.is_replaced_by(&listing) {
+                    self.replace_incarnation(now_ms);
+                }
+                return self.apply_listing(now_ms, sent_at_ms, &listing);
+            }
+            ports::ListAnswer::Fenced => {
+                self.unanswered_listings = 0;
+                self.raise_fence();
+            }
+            ports::ListAnswer::OtherIncarnation => self.other_incarnation_answered(),
             ports::ListAnswer::NoConnection | ports::ListAnswer::Lost => {
                 self.unanswered_listings = self.unanswered_listings.saturating_add(1);
             }
-            ports::ListAnswer::Listed(_)
-            | ports::ListAnswer::Fenced
-            | ports::ListAnswer::OtherIncarnation => self.unanswered_listings = 0,
         }
+        Vec::new()
+    }
+
+    /// Raises the fence beyond the one that the backend server has accepted.
+    pub(super) fn raise_fence(&mut self) {
+        self.fence += FENCE_STEP_MS;
+        log::warn!(event = "backend.fenced", fence = self.fence; "backend server has accepted a greater fence; raised the fence of this runner");
     }
 
-    fn apply_listing(
+    /// Applies a listing, unless it is of another incarnation than the known one.
+    pub(super) fn apply_listing(
         &mut self,
         now_ms: u64,
         sent_at_ms: u64,
@@ -130,7 +149,6 @@
         let Some(backend) = &self.backend else {
             return Vec::new();
         };
-        self.incarnations.record_listing(listing.started_at_ms);
         if listing.started_at_ms != backend.incarnation.started_at_ms {
             return Vec::new();
         }
--- a/src/leased/capacity/mod.rs
+++ b/src/leased/capacity/mod.rs
@@ -131,7 +131,11 @@
     backend: Option<ports::Announcement>,
     /// Incarnation of the backend server that left last.
     left: Option<ports::BackendIncarnation>,
-    incarnations: incarnations::Incarnations,
+    /// Incarnation that announced itself beside the known one, until a listing call shows which one is
+    /// at the backend server's address.
+    candidate: Option<incarnations::Candidate>,
+    /// Incarnation that the last listing call was meant for, and when the call was built.
+    last_asked: Option<(ports::BackendIncarnation, u64)>,
     backend_clock: backend_clock::BackendClock,
     owners: collections::BTreeMap<ids::Incarnation, owners::Owner>,
     runs: collections::BTreeMap<messages::RunId, Run>,
@@ -152,7 +156,7 @@
     last_start_ms: u64,
     /// When the last valid listing was received.
     last_seen_ms: Option<u64>,
-    /// Number of listing calls in a row without an answer.
+    /// Number of listing calls in a row without an answer of the known incarnation.
     unanswered_listings: u32,
     /// When all leases were found expired, until a listing requested later shows how the runs
     /// ended.
@@ -176,7 +180,8 @@
             fence,
             backend: None,
             left: None,
-            incarnations: incarnations::Incarnations::default(),
+            candidate: None,
+            last_asked: None,
             backend_clock: backend_clock::BackendClock::default(),
             owners: collections::BTreeMap::new(),
             runs: collections::BTreeMap::new(),
@@ -233,10 +238,11 @@
         let Some(backend) = &self.backend else {
             return messages::Readiness::Starting;
         };
-        if backend.is_leaving || self.has_left() {
+        let is_replaced = self.candidate.is_some() && self.has_left();
+        if !is_replaced && (backend.is_leaving || self.has_left()) {
             return messages::Readiness::Leaving;
         }
-        if !self.is_reconciled {
+        if is_replaced || !self.is_reconciled {
             return messages::Readiness::Starting;
         }
         let last_seen_ms = self.last_seen_ms.unwrap_or(0);
@@ -260,125 +266,6 @@
         }
     }
 
-    /// Handles a heartbeat of the backend server; returns whether it is the latest one.
-    ///
-    /// A delayed heartbeat may arrive after its sender has crashed and a later incarnation has
-    /// announced itself. The earlier incarnation must not replace the later one, whichever start
-    /// time they have; see [`incarnations::Incarnations`].
-    pub fn announced(&mut self, now_ms: u64, announcement: ports::Announcement) -> bool {
-        if let Some(known) = &self.backend {
-            let is_same = announcement.incarnation == known.incarnation;
-            let is_newer = if is_same {
-                announcement.sequence > known.sequence
-            } else {
-                self.incarnations
-                    .is_later(&announcement.incarnation, &known.incarnation)
-            };
-            if !is_newer {
-                log::info!(event = "backend.heartbeat_late", born_ms = announcement.incarnation.started_at_ms, sequence = announcement.sequence; "ignoring a heartbeat older than the last one");
-                if !is_same {
-                    self.incarnations.record_ignored();
-                }
-                return false;
-            }
-            if !is_same {
-                self.incarnations.supersede(&known.incarnation);
-                self.supersede_incarnation(now_ms);
-            }
-        } else {
-            log::info!(event = "backend.found", name = announcement.incarnation.name.as_str(), born_ms = announcement.incarnation.started_at_ms, cpu_milli = announcement.size.cpu_milli; "received the first heartbeat of the backend server");
-        }
-        self.backend = Some(announcement);
-        self.update_readiness(now_ms);
-        true
-    }
-
-    /// Restores the backend server's announcement that a former incarnation of the runner stored.
-    ///
-    /// Heartbeats arrive every 1.5 s, and until then a restarted runner would leave its backend
-    /// server idle. The announcement is used once a listing shows that the same incarnation is
-    /// still running; if it is not, the next heartbeat replaces the announcement.
-    pub fn restore_backend(&mut self, stored: ports::Announcement) {
-        if self.backend.is_some() {
-            return;
-        }
-        log::info!(event = "backend.recalled", name = stored.incarnation.name.as_str(), born_ms = stored.incarnation.started_at_ms, cpu_milli = stored.size.cpu_milli; "restored the announcement that a former incarnation of the runner stored");
-        self.backend = Some(ports::Announcement {
-            sequence: 0,
-            ..stored
-        });
-    }
-
-    /// Handles the message of a backend server that it stops for good: it receives no more work.
-    ///
-    /// The message counts only for an incarnation that has announced that it is leaving, or for the
-    /// one that it names: held up in a partition, it may arrive when a next incarnation is there
-    /// under the same name. It ends no run, as nothing shows that the runs have ended.
-    pub fn backend_left(&mut self, now_ms: u64, left: &ports::BackendLeft) {
-        let Some(known) = &self.backend else {
-            return;
-        };
-        let is_expected = left.started_at_ms.map_or(known.is_leaving, |at_ms| {
-            at_ms == known.incarnation.started_at_ms
-        });
-        if known.incarnation.name != left.name || !is_expected {
-            log::info!(event = "backend.leave_late", name = left.name.as_str(), born_ms = left.started_at_ms, known_born_ms = known.incarnation.started_at_ms; "ignoring a leave that is not of the present incarnation");
-            return;
-        }
-        log::info!(event = "backend.left", name = left.name.as_str(), born_ms = known.incarnation.started_at_ms, runs = self.runs.len(); "backend server has left; keeping its runs until a listing or the end of their leases shows that they have ended");
-        self.left = Some(known.incarnation.clone());
-        self.update_readiness(now_ms);
-    }
-
-    /// Returns whether the known incarnation of the backend server has left.
-    fn has_left(&self) -> bool {
-        let known = self.backend.as_ref().map(|known| &known.incarnation);
-        known.is_some() && known == self.left.as_ref()
-    }
-
-    /// Ends the runs of the former incarnation of the backend server, after a later one has
-    /// announced itself.
-    ///
-    /// A backend server may restart with the same name and address within milliseconds, and then
-    /// executes starts that were meant for its former incarnation. Only runs that a listing of the
-    /// former incarnation has shown, and of which every start was answered, are known to have
-    /// ended. Any other run may be running in the later incarnation, or start there, and ending it
-    /// here would let its task start elsewhere at the same time; it is stopped at the later
-    /// incarnation instead.
-    ///
-    /// The later incarnation has not seen any fence. A greater one keeps it from executing starts of
-    /// runs that ended before, as soon as it has received a call with it.
-    fn supersede_incarnation(&mut self, now_ms: u64) {
-        let (unsure, known): (collections::BTreeMap<_, _>, _) = std::mem::take(&mut self.runs)
-            .into_iter()
-            .partition(|(_, run)| run.may_start_again());
-        self.runs = known;
-        self.end_incarnation(now_ms, "a later incarnation announced itself");
-        self.fence += 1;
-        for (id, mut run) in unsure {
-            log::info!(event = "run.unsure", run:% = id, owner:% = run.owner; "the run may have started in the later incarnation; stopping it there");
-            run.settled_at_ms = None;
-            run.stop = None;
-            run.must_stop = true;
-            self.runs.insert(id, run);
-        }
-    }
-
-    /// Ends all runs of the current incarnation of the backend server.
-    fn end_incarnation(&mut self, now_ms: u64, why: &'static str) {
-        log::warn!(event = "backend.life_over", runs = self.runs.len(), why = why; "none of the runs can still be running at the backend server; ending all of them");
-        let ids: Vec<_> = self.runs.keys().cloned().collect();
-        for id in ids {
-            self.end(now_ms, &id, messages::RunOutcome::Stopped);
-        }
-        self.backend_clock = backend_clock::BackendClock::default();
-        self.acked_end = 0;
-        self.expired_at_ms = None;
-        self.is_reconciled = false;
-        self.leftovers = leftovers::Leftovers::default();
-        self.listing_sent_at_ms = now_ms;
-    }
-
     /// Returns the latest notice of directives.
     pub const fn latest(&self) -> &directives::Notice {
         self.latest.get()
