Logs: say what shows the end of a run, and by whose word an incarnation is over

Change: capacity::evidence::Evidence, as dispatch has at the entry, in `run.end` and in `backend.life_over`; the latter also names the incarnation that is taken for over, the one whose message shows it, the number of its heartbeat or the age of the call, and the time since the last listing. `backend.found` and `backend.heartbeat_late` name the sender and the incarnation that is known. No decision changes.

--- a/src/leased/capacity/expiry.rs
+++ b/src/leased/capacity/expiry.rs
@@ -3,6 +3,7 @@
 use std::collections;
 
 use crate::leased::capacity;
+use crate::leased::capacity::evidence;
 use crate::leased::messages;
 
 /// Time after which a silent entry without runs is removed, in milliseconds.
@@ -53,7 +54,15 @@
             .into_iter()
             .partition(|(_, run)| run.must_stop && !run.is_stop_acknowledged());
         self.runs = expired;
-        self.end_incarnation(now_ms, "all leases have expired");
+        self.end_incarnation(
+            now_ms,
+            &capacity::Witness {
+                evidence: evidence::Evidence::LeasesExpired,
+                sender: None,
+                sequence: None,
+                age_ms: 0,
+            },
+        );
         self.runs.extend(unsure);
     }
 
--- a/src/leased/capacity/listings.rs
+++ b/src/leased/capacity/listings.rs
@@ -3,6 +3,7 @@
 use std::collections;
 
 use crate::leased::capacity;
+use crate::leased::capacity::evidence;
 use crate::leased::messages;
 use crate::leased::ports;
 
@@ -89,7 +90,15 @@
                 Vec::new()
             }
             ports::ListAnswer::OtherIncarnation => {
-                self.end_incarnation(now_ms, "another incarnation answered");
+                self.end_incarnation(
+                    now_ms,
+                    &capacity::Witness {
+                        evidence: evidence::Evidence::OtherAnswered,
+                        sender: None,
+                        sequence: None,
+                        age_ms: now_ms.saturating_sub(sent_at_ms),
+                    },
+                );
                 self.backend = None;
                 Vec::new()
             }
@@ -139,7 +148,7 @@
         self.backend_clock.record(listing.clock_ms, now_ms);
         for ended in &listing.ended {
             if ended.number > self.acked_end {
-                self.end(now_ms, &ended.id, ended.how);
+                self.end(now_ms, &ended.id, ended.how, evidence::Evidence::Listed);
             }
         }
         for running in &listing.running {
@@ -166,7 +175,8 @@
         let missing = self.runs.iter().filter(is_missing);
         let missing: Vec<_> = missing.map(|(id, _)| id.clone()).collect();
         for id in missing {
-            self.end(now_ms, &id, messages::RunOutcome::Stopped);
+            let how = messages::RunOutcome::Stopped;
+            self.end(now_ms, &id, how, evidence::Evidence::Missing);
         }
     }
 
--- a/src/leased/capacity/mod.rs
+++ b/src/leased/capacity/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod backend_clock;
 pub mod call_timeout;
+pub mod evidence;
 pub mod expiry;
 pub mod incarnations;
 pub mod leftovers;
@@ -123,6 +124,18 @@
     }
 }
 
+/// What shows that an incarnation of the backend server is over.
+#[derive(Clone, Copy, Debug)]
+struct Witness<'a> {
+    evidence: evidence::Evidence,
+    /// Incarnation whose message shows it, if the message names one.
+    sender: Option<&'a ports::BackendIncarnation>,
+    /// Number of that message within its incarnation.
+    sequence: Option<u64>,
+    /// Time since the call that it answers was sent, in milliseconds.
+    age_ms: u64,
+}
+
 /// The state of one runner: its backend server, the entries it serves and their runs.
 #[derive(Debug)]
 pub struct CapacityManager {
@@ -275,7 +288,7 @@
                     .is_later(&announcement.incarnation, &known.incarnation)
             };
             if !is_newer {
-                log::info!(event = "backend.heartbeat_late", born_ms = announcement.incarnation.started_at_ms, sequence = announcement.sequence; "ignoring a heartbeat older than the last one");
+                log::info!(event = "backend.heartbeat_late", name = announcement.incarnation.name.as_str(), born_ms = announcement.incarnation.started_at_ms, sequence = announcement.sequence, known = known.incarnation.name.as_str(), known_born_ms = known.incarnation.started_at_ms, known_sequence = known.sequence; "ignoring a heartbeat older than the last one");
                 if !is_same {
                     self.incarnations.record_ignored();
                 }
@@ -283,10 +296,10 @@
             }
             if !is_same {
                 self.incarnations.supersede(&known.incarnation);
-                self.supersede_incarnation(now_ms);
+                self.supersede_incarnation(now_ms, &announcement);
             }
         } else {
-            log::info!(event = "backend.found", name = announcement.incarnation.name.as_str(), born_ms = announcement.incarnation.started_at_ms, cpu_milli = announcement.size.cpu_milli; "received the first heartbeat of the backend server");
+            log::info!(event = "backend.found", name = announcement.incarnation.name.as_str(), born_ms = announcement.incarnation.started_at_ms, sequence = announcement.sequence, unseen_ms = self.unseen_ms(now_ms), cpu_milli = announcement.size.cpu_milli; "received a heartbeat while no backend server was known");
         }
         self.backend = Some(announcement);
         self.update_readiness(now_ms);
@@ -348,12 +361,20 @@
     ///
     /// The later incarnation has not seen any fence. A greater one keeps it from executing starts of
     /// runs that ended before, as soon as it has received a call with it.
-    fn supersede_incarnation(&mut self, now_ms: u64) {
+    fn supersede_incarnation(&mut self, now_ms: u64, later: &ports::Announcement) {
         let (unsure, known): (collections::BTreeMap<_, _>, _) = std::mem::take(&mut self.runs)
             .into_iter()
             .partition(|(_, run)| run.may_start_again());
         self.runs = known;
-        self.end_incarnation(now_ms, "a later incarnation announced itself");
+        self.end_incarnation(
+            now_ms,
+            &Witness {
+                evidence: evidence::Evidence::LaterAnnounced,
+                sender: Some(&later.incarnation),
+                sequence: Some(later.sequence),
+                age_ms: 0,
+            },
+        );
         self.fence += 1;
         for (id, mut run) in unsure {
             log::info!(event = "run.unsure", run:% = id, owner:% = run.owner; "the run may have started in the later incarnation; stopping it there");
@@ -365,11 +386,12 @@
     }
 
     /// Ends all runs of the current incarnation of the backend server.
-    fn end_incarnation(&mut self, now_ms: u64, why: &'static str) {
-        log::warn!(event = "backend.life_over", runs = self.runs.len(), why = why; "none of the runs can still be running at the backend server; ending all of them");
+    fn end_incarnation(&mut self, now_ms: u64, witness: &Witness<'_>) {
+        let known = self.backend.as_ref().map(|backend| &backend.incarnation);
+        log::warn!(event = "backend.life_over", runs = self.runs.len(), evidence:? = witness.evidence, name = known.map(|known| known.name.as_str()), born_ms = known.map(|known| known.started_at_ms), by = witness.sender.map(|sender| sender.name.as_str()), by_born_ms = witness.sender.map(|sender| sender.started_at_ms), sequence = witness.sequence, age_ms = witness.age_ms, unseen_ms = self.unseen_ms(now_ms); "none of the runs can still be running at the backend server; ending all of them");
         let ids: Vec<_> = self.runs.keys().cloned().collect();
         for id in ids {
-            self.end(now_ms, &id, messages::RunOutcome::Stopped);
+            self.end(now_ms, &id, messages::RunOutcome::Stopped, witness.evidence);
         }
         self.backend_clock = backend_clock::BackendClock::default();
         self.acked_end = 0;
@@ -379,6 +401,12 @@
         self.listing_sent_at_ms = now_ms;
     }
 
+    /// Returns the time since the last valid listing was received, in milliseconds; `None` if there
+    /// was none.
+    fn unseen_ms(&self, now_ms: u64) -> Option<u64> {
+        Some(now_ms.saturating_sub(self.last_seen_ms?))
+    }
+
     /// Returns the latest notice of directives.
     pub const fn latest(&self) -> &directives::Notice {
         self.latest.get()
@@ -528,7 +556,7 @@
         let incarnation = self.backend.as_ref()?.incarnation.clone();
         let run = self.runs.get_mut(id)?;
         if run.queued.is_some() {
-            self.end(now_ms, id, messages::RunOutcome::NotStarted);
+            self.end_unstarted(now_ms, id, evidence::Evidence::Withdrawn);
             return None;
         }
         if run
@@ -568,9 +596,20 @@
         }
     }
 
+    /// Ends a run that has not started and never will.
+    fn end_unstarted(&mut self, now_ms: u64, id: &messages::RunId, evidence: evidence::Evidence) {
+        self.end(now_ms, id, messages::RunOutcome::NotStarted, evidence);
+    }
+
     /// Ends a run: releases its capacity or its place in the wait queue, and schedules a report to
     /// its entry and to all entries that wait for capacity.
-    fn end(&mut self, now_ms: u64, id: &messages::RunId, how: messages::RunOutcome) {
+    fn end(
+        &mut self,
+        now_ms: u64,
+        id: &messages::RunId,
+        how: messages::RunOutcome,
+        evidence: evidence::Evidence,
+    ) {
         let Some(run) = self.runs.remove(id) else {
             return;
         };
@@ -583,7 +622,7 @@
         };
         let ran_ms = now_ms.saturating_sub(run.ordered_at_ms);
         results::record(&mut self.results, how, ran_ms, run.expected_ms);
-        log::info!(event = "run.end", run:% = id, owner:% = run.owner, how:? = how, ran_ms = ran_ms, used_milli = self.used.cpu_milli; "run ended");
+        log::info!(event = "run.end", run:% = id, owner:% = run.owner, how:? = how, evidence:? = evidence, ran_ms = ran_ms, used_milli = self.used.cpu_milli; "run ended");
         if let Some(owner) = self.owners.get_mut(&run.owner) {
             owner.push_end(id.clone(), how, ran_ms);
         }
--- a/src/leased/capacity/starting.rs
+++ b/src/leased/capacity/starting.rs
@@ -1,6 +1,7 @@
 //! How a runner starts runs at the backend server.
 
 use crate::leased::capacity;
+use crate::leased::capacity::evidence;
 use crate::leased::messages;
 use crate::leased::ports;
 
@@ -100,7 +101,7 @@
             }
             ports::StartAnswer::Refused(why) if !is_repeat => {
                 log::warn!(event = "run.refused", run:% = id, why:? = why; "backend server refused to start the run; returning it to its entry");
-                self.end(now_ms, id, messages::RunOutcome::NotStarted);
+                self.end_unstarted(now_ms, id, evidence::Evidence::StartRefused);
             }
             // The run may start at any time until its lease expires, unless the backend server
             // acknowledges a stop.
--- a/src/leased/capacity/wait_queue.rs
+++ b/src/leased/capacity/wait_queue.rs
@@ -12,6 +12,7 @@
 //! job would not be accepted anywhere until it is late.
 
 use crate::leased::capacity;
+use crate::leased::capacity::evidence;
 use crate::leased::messages;
 use crate::wire;
 
@@ -78,7 +79,7 @@
                 return;
             };
             log::info!(event = "run.displaced", run:% = id, line_milli = self.wait_queue.total_milli(), size_milli = size.cpu_milli; "returning the run to its entry: a more urgent run takes its place in the wait queue");
-            self.end(now_ms, &id, messages::RunOutcome::NotStarted);
+            self.end_unstarted(now_ms, &id, evidence::Evidence::Displaced);
         }
     }
 
@@ -117,8 +118,10 @@
         queue.sort_by(|one, other| (one.0, &one.3).cmp(&(other.0, &other.3)));
         let mut actions = Vec::new();
         for (_, until_ms, need, id) in queue {
-            if !may_start || now_ms > until_ms {
-                self.end(now_ms, &id, messages::RunOutcome::NotStarted);
+            if !may_start {
+                self.end_unstarted(now_ms, &id, evidence::Evidence::NotReady);
+            } else if now_ms > until_ms {
+                self.end_unstarted(now_ms, &id, evidence::Evidence::WaitedTooLong);
             } else if need.fits_in(&size.minus(&self.used)) {
                 actions.extend(self.start_run(now_ms, &id));
             }
