Runner: date a listing call no later than it was built

What happened: a listing call is built by the control thread and dated by the thread that sends it. If another incarnation of the backend server announces itself in between, the call for the former incarnation has a date after the announcement, its answer counts as one of the present, and a 421 (or a refused fence) makes the runner forget the backend server until its next heartbeat, up to 1.5 s, or raise its fence by a minute; `listed` passes over such answers only by their date. How long the threads lie apart was not measured.

--- a/src/leased/ports.rs
+++ b/src/leased/ports.rs
@@ -201,7 +201,8 @@
 #[derive(actix::Message)]
 #[rtype(result = "ListCall")]
 pub struct ListAnswered {
-    /// When the call was sent, on the runner's clock; 0 before the first call.
+    /// When the call was sent, on the runner's clock, and no later than it was built; 0 before the
+    /// first call.
     pub sent_at_ms: u64,
     /// The answer; absent before the first call.
     pub answer: Option<ListAnswer>,
