Tests: a late heartbeat of an incarnation that is over ends runs (fails now)

FAILS NOW: leased::former_incarnations::late_heartbeat_of_an_incarnation_that_is_over_ends_no_run, both cases.

Cause: a 421 to a listing call ends an incarnation without keeping it among the former ones (only an announcement does, `Incarnations::supersede`). A heartbeat of it that arrives after the next incarnation has announced itself, and that has a later start time because the clock was set back in between, is then taken for a later incarnation: all listed runs are reported as ended while the present one goes on with them, and the next listing call, for the former name, gets a 421, so that nothing is listed until the next heartbeat.

--- a/tests/unit/leased.rs
+++ b/tests/unit/leased.rs
@@ -11,6 +11,7 @@
 mod entry_list;
 mod expired_leases;
 mod fixtures;
+mod former_incarnations;
 mod handover;
 mod headroom;
 mod jobs;
