Tests: an outdated 421 of the same millisecond counts (fails now)

FAILS NOW: leased::former_incarnations::answer_to_a_listing_call_of_the_same_millisecond_changes_nothing.

Cause: `listed` passes over answers to calls with a date before the announcement, and a call that was built in the same millisecond has none. Its 421 forgets the incarnation that has just announced itself; nothing is listed and no work taken until the next heartbeat. By dates alone the two orders can't be told apart: the call itself should say which incarnation it was built for.

--- a/tests/unit/leased/former_incarnations.rs
+++ b/tests/unit/leased/former_incarnations.rs
@@ -71,3 +71,22 @@
     assert!(!is_latest);
     assert_eq!(manager.report(START_MS + 101, ENTRY).runs, [id]);
 }
+
+/// Guards against a backend server that is forgotten until its next heartbeat because of the answer
+/// to a listing call that was built in the millisecond in which it announced itself, but before.
+#[test]
+fn answer_to_a_listing_call_of_the_same_millisecond_changes_nothing() {
+    let mut manager = fixtures::ready_manager();
+    let present = fixtures::announcement(FORMER_MS, 1);
+    manager.next_list(START_MS + 50);
+    manager.announced(START_MS + 50, present.clone());
+
+    manager.listed(
+        START_MS + 52,
+        START_MS + 50,
+        ports::ListAnswer::OtherIncarnation,
+    );
+
+    let next = manager.next_list(START_MS + 53);
+    assert_eq!(next.incarnation, Some(present.incarnation));
+}
