--- a/src/leased/capacity/expiry.rs
+++ b/src/leased/capacity/expiry.rs
@@ -3,6 +3,8 @@
 use std::collections;
 
 use crate::leased::capacity;
+use crate::leased::capacity::evidence;
+use crate::leased::capacity::incarnations;
 use crate::leased::messages;
 
 /// Time after which a silent entry without runs is removed, in milliseconds.
@@ -53,7 +55,14 @@
             .into_iter()
             .partition(|(_, run)| run.must_stop && !run.is_stop_acknowledged());
         self.runs = expired;
-        self.end_incarnation(now_ms, "all leases have expired");
+        self.end_incarnation(
+            now_ms,
+            &incarnations::Witness {
+                evidence: evidence::Evidence::LeasesExpired,
+                next: None,
+                age_ms: 0,
+            },
+        );
         self.runs.extend(unsure);
     }
 
--- a/src/leased/capacity/incarnations.rs
+++ b/src/leased/capacity/incarnations.rs
@@ -9,6 +9,7 @@
 
 use crate::leased::capacity;
 use crate::leased::capacity::backend_clock;
+use crate::leased::capacity::evidence;
 use crate::leased::capacity::leftovers;
 use crate::leased::messages;
 use crate::leased::ports;
@@ -26,6 +27,26 @@
     is_postponed: bool,
 }
 
+/// What a listing call carried.
+#[derive(Clone, Debug)]
+pub struct LastCall {
+    /// The incarnation that it was meant for.
+    pub incarnation: ports::BackendIncarnation,
+    /// Its fencing token.
+    pub fence: u64,
+}
+
+/// What shows that an incarnation of the backend server is over.
+#[derive(Clone, Debug)]
+pub struct Witness {
+    /// Kind of the evidence.
+    pub evidence: evidence::Evidence,
+    /// The announcement of the incarnation that took its place, if one did.
+    pub next: Option<ports::Announcement>,
+    /// Time since the call that it answers was sent, in milliseconds.
+    pub age_ms: u64,
+}
+
 /// Whom a listing call was meant for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Asked {
@@ -59,7 +80,7 @@
     /// address which incarnation is there.
     pub fn announced(&mut self, now_ms: u64, announcement: ports::Announcement) -> bool {
         let Some(known) = &self.backend else {
-            log::info!(event = "backend.found", name = announcement.incarnation.name.as_str(), born_ms = announcement.incarnation.started_at_ms, cpu_milli = announcement.size.cpu_milli; "received the first heartbeat of the backend server");
+            log::info!(event = "backend.found", name = announcement.incarnation.name.as_str(), born_ms = announcement.incarnation.started_at_ms, sequence = announcement.sequence, cpu_milli = announcement.size.cpu_milli; "received the first heartbeat of the backend server");
             self.backend = Some(announcement);
             self.update_readiness(now_ms);
             return true;
@@ -70,7 +91,7 @@
             return false;
         }
         if announcement.sequence <= known.sequence {
-            log::info!(event = "backend.heartbeat_late", born_ms = announcement.incarnation.started_at_ms, sequence = announcement.sequence; "ignoring a heartbeat older than the last one");
+            log::info!(event = "backend.heartbeat_late", name = announcement.incarnation.name.as_str(), born_ms = announcement.incarnation.started_at_ms, sequence = announcement.sequence, known_sequence = known.sequence; "ignoring a heartbeat older than the last one");
             return false;
         }
         self.backend = Some(announcement);
@@ -120,17 +141,17 @@
         })
     }
 
-    /// Returns whom the listing call that was sent at `sent_at_ms` asked.
-    pub(super) fn asked(&self, sent_at_ms: u64) -> Asked {
-        let Some((incarnation, built_at_ms)) = &self.last_asked else {
+    /// Returns whom the last listing call asked.
+    pub(super) fn asked(&self) -> Asked {
+        let Some(call) = &self.last_asked else {
             return Asked::Known;
         };
         let candidate = self.candidate.as_ref().map(Candidate::incarnation);
-        if candidate == Some(incarnation) && sent_at_ms >= *built_at_ms {
+        if candidate == Some(&call.incarnation) {
             return Asked::Candidate;
         }
         let known = self.backend.as_ref().map(|known| &known.incarnation);
-        if known == Some(incarnation) && sent_at_ms >= self.listing_sent_at_ms {
+        if known == Some(&call.incarnation) {
             return Asked::Known;
         }
         Asked::Former
@@ -145,7 +166,7 @@
     ) -> Vec<capacity::Action> {
         match answer {
             ports::ListAnswer::Listed(listing) if self.is_listing_of_candidate(&listing) => {
-                self.replace_incarnation(now_ms);
+                self.replace_incarnation(now_ms, sent_at_ms);
                 return self.apply_listing(now_ms, sent_at_ms, &listing);
             }
             ports::ListAnswer::Listed(_) | ports::ListAnswer::OtherIncarnation => {
@@ -242,16 +263,22 @@
     /// ended. Any other run may be running in the later incarnation, or start there, and ending it
     /// here would let its task start elsewhere at the same time; it is stopped at the later
     /// incarnation instead.
-    pub(super) fn replace_incarnation(&mut self, now_ms: u64) {
+    pub(super) fn replace_incarnation(&mut self, now_ms: u64, sent_at_ms: u64) {
         let Some(candidate) = self.candidate.take() else {
             return;
         };
+        let next = candidate.announcement;
         let (unsure, known): (collections::BTreeMap<_, _>, _) = std::mem::take(&mut self.runs)
             .into_iter()
             .partition(|(_, run)| run.may_start_again());
         self.runs = known;
-        self.end_incarnation(now_ms, "another incarnation is at its address");
-        self.backend = Some(candidate.announcement);
+        let witness = Witness {
+            evidence: evidence::Evidence::Replaced,
+            next: Some(next.clone()),
+            age_ms: now_ms.saturating_sub(sent_at_ms),
+        };
+        self.end_incarnation(now_ms, &witness);
+        self.backend = Some(next);
         self.last_asked = None;
         for (id, mut run) in unsure {
             log::info!(event = "run.unsure", run:% = id, owner:% = run.owner; "the run may have started in the later incarnation; stopping it there");
@@ -263,17 +290,24 @@
     }
 
     /// Ends all runs of the known incarnation of the backend server.
-    pub(super) fn end_incarnation(&mut self, now_ms: u64, why: &'static str) {
-        log::warn!(event = "backend.life_over", runs = self.runs.len(), why = why; "none of the runs can still be running at the backend server; ending all of them");
+    pub(super) fn end_incarnation(&mut self, now_ms: u64, witness: &Witness) {
+        let known = self.backend.as_ref().map(|known| &known.incarnation);
+        let by = witness.next.as_ref().map(|next| &next.incarnation);
+        log::warn!(event = "backend.life_over", runs = self.runs.len(), evidence:? = witness.evidence, name = known.map(|known| known.name.as_str()), born_ms = known.map(|known| known.started_at_ms), by = by.map(|by| by.name.as_str()), by_born_ms = by.map(|by| by.started_at_ms), sequence = witness.next.as_ref().map(|next| next.sequence), age_ms = witness.age_ms, unseen_ms = self.unseen_ms(now_ms); "none of the runs can still be running at the backend server; ending all of them");
         let ids: Vec<_> = self.runs.keys().cloned().collect();
         for id in ids {
-            self.end(now_ms, &id, messages::RunOutcome::Stopped);
+            self.end(now_ms, &id, messages::RunOutcome::Stopped, witness.evidence);
         }
         self.backend_clock = backend_clock::BackendClock::default();
         self.acked_end = 0;
         self.expired_at_ms = None;
         self.is_reconciled = false;
         self.leftovers = leftovers::Leftovers::default();
-        self.listing_sent_at_ms = now_ms;
+    }
+
+    /// Returns the time since the last valid listing was received, in milliseconds; `None` if there
+    /// was none.
+    pub(super) fn unseen_ms(&self, now_ms: u64) -> Option<u64> {
+        Some(now_ms.saturating_sub(self.last_seen_ms?))
     }
 }
--- a/src/leased/capacity/listings.rs
+++ b/src/leased/capacity/listings.rs
@@ -3,6 +3,7 @@
 use std::collections;
 
 use crate::leased::capacity;
+use crate::leased::capacity::evidence;
 use crate::leased::capacity::incarnations;
 use crate::leased::messages;
 use crate::leased::ports;
@@ -39,7 +40,10 @@
         let call = candidate_call.unwrap_or_else(|| self.next_known_list(now_ms));
         self.list_wait_ms = call.wait_ms;
         let asked = call.incarnation.clone();
-        self.last_asked = asked.map(|incarnation| (incarnation, now_ms));
+        self.last_asked = asked.map(|incarnation| incarnations::LastCall {
+            incarnation,
+            fence: call.fence,
+        });
         call
     }
 
@@ -85,7 +89,7 @@
         sent_at_ms: u64,
         answer: ports::ListAnswer,
     ) -> Vec<capacity::Action> {
-        let mut actions = match self.asked(sent_at_ms) {
+        let mut actions = match self.asked() {
             incarnations::Asked::Candidate => self.candidate_listed(now_ms, sent_at_ms, answer),
             incarnations::Asked::Known => self.known_listed(now_ms, sent_at_ms, answer),
             incarnations::Asked::Former => Vec::new(),
@@ -117,7 +121,7 @@
             ports::ListAnswer::Listed(listing) => {
                 self.unanswered_listings = 0;
                 if self.is_replaced_by(&listing) {
-                    self.replace_incarnation(now_ms);
+                    self.replace_incarnation(now_ms, sent_at_ms);
                 }
                 return self.apply_listing(now_ms, sent_at_ms, &listing);
             }
@@ -133,8 +137,13 @@
         Vec::new()
     }
 
-    /// Raises the fence beyond the one that the backend server has accepted.
+    /// Raises the fence beyond the one that the backend server has accepted, unless it has been raised
+    /// since the call that was refused.
     pub(super) fn raise_fence(&mut self) {
+        let refused = self.last_asked.as_ref().map(|call| call.fence);
+        if refused.is_some_and(|refused| refused < self.fence) {
+            return;
+        }
         self.fence += FENCE_STEP_MS;
         log::warn!(event = "backend.fenced", fence = self.fence; "backend server has accepted a greater fence; raised the fence of this runner");
     }
@@ -152,12 +161,11 @@
         if listing.started_at_ms != backend.incarnation.started_at_ms {
             return Vec::new();
         }
-        self.listing_sent_at_ms = sent_at_ms;
         self.last_seen_ms = Some(now_ms);
         self.backend_clock.record(listing.clock_ms, now_ms);
         for ended in &listing.ended {
             if ended.number > self.acked_end {
-                self.end(now_ms, &ended.id, ended.how);
+                self.end(now_ms, &ended.id, ended.how, evidence::Evidence::Listed);
             }
         }
         for running in &listing.running {
@@ -184,7 +192,8 @@
         let missing = self.runs.iter().filter(is_missing);
         let missing: Vec<_> = missing.map(|(id, _)| id.clone()).collect();
         for id in missing {
-            self.end(now_ms, &id, messages::RunOutcome::Stopped);
+            let how = messages::RunOutcome::Stopped;
+            self.end(now_ms, &id, how, evidence::Evidence::Missing);
         }
     }
 
--- a/src/leased/capacity/mod.rs
+++ b/src/leased/capacity/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod backend_clock;
 pub mod call_timeout;
+pub mod evidence;
 pub mod expiry;
 pub mod incarnations;
 pub mod leftovers;
@@ -134,8 +135,9 @@
     /// Incarnation that announced itself beside the known one, until a listing call shows which one is
     /// at the backend server's address.
     candidate: Option<incarnations::Candidate>,
-    /// Incarnation that the last listing call was meant for, and when the call was built.
-    last_asked: Option<(ports::BackendIncarnation, u64)>,
+    /// The last listing call to any incarnation. Calls follow one another, so that each answer belongs
+    /// to it.
+    last_asked: Option<incarnations::LastCall>,
     backend_clock: backend_clock::BackendClock,
     owners: collections::BTreeMap<ids::Incarnation, owners::Owner>,
     runs: collections::BTreeMap<messages::RunId, Run>,
@@ -147,8 +149,6 @@
     configuration_holder: Option<SmolStr>,
     /// Number of the last end received from the backend server.
     acked_end: u64,
-    /// When the call was sent whose listing was applied last.
-    listing_sent_at_ms: u64,
     call_timeout: call_timeout::CallTimeout,
     /// Wait of the last listing call, in milliseconds.
     list_wait_ms: u64,
@@ -191,7 +191,6 @@
             latest: directives::LatestNotice::default(),
             configuration_holder: None,
             acked_end: 0,
-            listing_sent_at_ms: 0,
             call_timeout: call_timeout::CallTimeout::default(),
             list_wait_ms: 0,
             last_start_ms: 0,
@@ -415,7 +414,7 @@
         let incarnation = self.backend.as_ref()?.incarnation.clone();
         let run = self.runs.get_mut(id)?;
         if run.queued.is_some() {
-            self.end(now_ms, id, messages::RunOutcome::NotStarted);
+            self.end_unstarted(now_ms, id, evidence::Evidence::Withdrawn);
             return None;
         }
         if run
@@ -455,9 +454,20 @@
         }
     }
 
+    /// Ends a run that has not started and never will.
+    fn end_unstarted(&mut self, now_ms: u64, id: &messages::RunId, evidence: evidence::Evidence) {
+        self.end(now_ms, id, messages::RunOutcome::NotStarted, evidence);
+    }
+
     /// Ends a run: releases its capacity or its place in the wait queue, and schedules a report to
     /// its entry and to all entries that wait for capacity.
-    fn end(&mut self, now_ms: u64, id: &messages::RunId, how: messages::RunOutcome) {
+    fn end(
+        &mut self,
+        now_ms: u64,
+        id: &messages::RunId,
+        how: messages::RunOutcome,
+        evidence: evidence::Evidence,
+    ) {
         let Some(run) = self.runs.remove(id) else {
             return;
         };
@@ -470,7 +480,7 @@
         };
         let ran_ms = now_ms.saturating_sub(run.ordered_at_ms);
         results::record(&mut self.results, how, ran_ms, run.expected_ms);
-        log::info!(event = "run.end", run:% = id, owner:% = run.owner, how:? = how, ran_ms = ran_ms, used_milli = self.used.cpu_milli; "run ended");
+        log::info!(event = "run.end", run:% = id, owner:% = run.owner, how:? = how, evidence:? = evidence, ran_ms = ran_ms, used_milli = self.used.cpu_milli; "run ended");
         if let Some(owner) = self.owners.get_mut(&run.owner) {
             owner.push_end(id.clone(), how, ran_ms);
         }
