--- a/standins/src/platform/mod.rs
+++ b/standins/src/platform/mod.rs
@@ -3,5 +3,8 @@
 //! They follow the platform's published protocol.
 
 pub mod backend;
+mod calls;
+pub mod heartbeats;
 pub mod profile;
+mod runs;
 pub mod store;
--- a/standins/src/server.rs
+++ b/standins/src/server.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net;
+use std::time;
 
 use actix_web::dev;
 use actix_web::http;
@@ -10,6 +11,9 @@
 /// Maximum size of a request body, in bytes.
 pub const MAX_BODY_BYTES: usize = 1 << 20;
 
+/// Time after which idle connections are closed.
+const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(5);
+
 /// Time that calls in progress get when the server stops, in seconds.
 const SHUTDOWN_TIMEOUT_S: u64 = 1;
 
@@ -26,6 +30,18 @@
     ///
     /// Signal handlers are not installed, so SIGTERM ends a stand-in at once.
     pub fn start<C>(listen: net::SocketAddr, configure: C) -> io::Result<Self>
+    where
+        C: Fn(&mut web::ServiceConfig) + Clone + Send + 'static,
+    {
+        Self::start_with_idle_timeout(listen, IDLE_TIMEOUT, configure)
+    }
+
+    /// Like [`Server::start`], with the time after which idle connections are closed.
+    pub fn start_with_idle_timeout<C>(
+        listen: net::SocketAddr,
+        idle: time::Duration,
+        configure: C,
+    ) -> io::Result<Self>
     where
         C: Fn(&mut web::ServiceConfig) + Clone + Send + 'static,
     {
@@ -37,6 +53,7 @@
         };
         let bound = actix_web::HttpServer::new(app)
             .workers(1)
+            .keep_alive(idle)
             .disable_signals()
             .shutdown_timeout(SHUTDOWN_TIMEOUT_S)
             .bind(listen)?;
