Tests: a heartbeat of another backend server ends all runs of a runner

What the tests show: a heartbeat that isn't acknowledged within a second goes to the next daemon. If the runner of a backend server is killed, has stopped or is suspended, that next daemon may be another runner. It takes the sender for the next incarnation of its own backend server if the sender began later, and ends all listed runs as `Stopped`. Then it asks its own backend server for a listing in the other one's name, is answered 421, and lists nothing before its own next heartbeat.

Times of one run of three processes a role, in ms since the first start:

case other's heartbeat second starts first ends next listing killed 480 497 900 1,677 terminated 800 812 1,200 2,059 suspended 20 (+ 1,000) 1,035 1,400 2,251

On the record: second starts 489 and 596 ms after the first, the next listing 1.1 to 1.2 s after the last one. As on the record, the lease (700 ms) lapses between the ends and their acknowledgement.

--- a/tests/unit/leased.rs
+++ b/tests/unit/leased.rs
@@ -5,6 +5,7 @@
 mod call_timeout;
 mod cancels;
 mod capacity;
+mod capacity_incarnations;
 mod directives;
 mod disconnects;
 mod dispatch;
