--- a/standins/src/relay.rs
+++ b/standins/src/relay.rs
@@ -5,6 +5,8 @@
 //! `{"mode": "silent", "direction": "to_target", "new_too": true}`, and `GET /control`
 //! returns the [`Counts`].
 
+mod behaviour;
+
 use std::collections;
 use std::io;
 use std::net;
@@ -16,6 +18,7 @@
 use actix_web::HttpResponse;
 use actix_web::ResponseError as _;
 use actix_web::web;
+use rand::Rng as _;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::io::AsyncReadExt as _;
@@ -28,6 +31,9 @@
 use crate::lock;
 use crate::server;
 
+pub use behaviour::Behaviour;
+pub use behaviour::Direction;
+
 /// Maximum number of bytes per read.
 const CHUNK_BYTES: usize = 16 * 1024;
 
@@ -40,82 +46,6 @@
 /// Number of such intervals after which a target that still listens counts as running.
 const MAX_ENDING_INTERVALS: usize = 10;
 
-/// Direction of the bytes that a silent connection drops.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-#[derive(Deserialize, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Direction {
-    /// From the client to the target.
-    ToTarget,
-    /// From the target to the client.
-    FromTarget,
-    /// Both directions.
-    Both,
-}
-
-/// How the relay treats connections and their bytes.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-#[derive(Deserialize, Serialize)]
-#[serde(rename_all = "snake_case", tag = "mode")]
-pub enum Behaviour {
-    /// Bytes are forwarded at once.
-    #[default]
-    Pass,
-    /// Bytes are forwarded after a delay, in both directions.
-    Delay {
-        /// Delay in milliseconds.
-        ms: u64,
-    },
-    /// The throughput of each connection is limited in each direction.
-    Pace {
-        /// Bytes per second; 0 counts as 1.
-        bytes_per_s: u64,
-    },
-    /// Open connections are closed, and new ones are closed on accept.
-    Cut,
-    /// Open connections drop bytes and shutdowns, but stay open.
-    ///
-    /// A silent connection remains silent under every later behaviour.
-    Silent {
-        /// Direction in which bytes are dropped.
-        direction: Direction,
-        /// Whether new connections are silent too.
-        #[serde(default)]
-        new_too: bool,
-    },
-    /// Open connections become silent in both directions, for good; new connections work.
-    SilentExisting,
-}
-
-impl Behaviour {
-    /// Returns the silent direction and whether new connections are silent too.
-    const fn silence(self) -> Option<(Direction, bool)> {
-        match self {
-            Self::Silent { direction, new_too } => Some((direction, new_too)),
-            Self::SilentExisting => Some((Direction::Both, false)),
-            Self::Pass | Self::Delay { .. } | Self::Pace { .. } | Self::Cut => None,
-        }
-    }
-
-    const fn delay(self) -> time::Duration {
-        match self {
-            Self::Delay { ms } => time::Duration::from_millis(ms),
-            _ => time::Duration::ZERO,
-        }
-    }
-
-    /// Returns how long a connection takes to transmit the given number of bytes.
-    fn transmission_time(self, bytes: usize) -> time::Duration {
-        match self {
-            Self::Pace { bytes_per_s } => {
-                time::Duration::from_secs(bytes as u64)
-                    / u32::try_from(bytes_per_s.max(1)).unwrap_or(u32::MAX)
-            }
-            _ => time::Duration::ZERO,
-        }
-    }
-}
-
 /// Counters of the relay.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -162,6 +92,7 @@
 #[derive(Debug)]
 struct Connection {
     silence: sync::Arc<Silence>,
+    reset: sync::Arc<Notify>,
     task: task::AbortHandle,
 }
 
@@ -244,6 +175,16 @@
         lock(&self.shared).set(behaviour);
     }
 
+    /// Resets a share of the open connections at both ends.
+    pub fn reset(&self, share: f64) {
+        let mut rng = rand::rng();
+        for connection in lock(&self.shared).connections.values() {
+            if rng.random_bool(share) {
+                connection.reset.notify_one();
+            }
+        }
+    }
+
     /// Refuses new connections, as the target has been killed, until it listens again.
     pub fn refuse_until_target_listens(&self) {
         self.target_ends.notify_one();
@@ -350,9 +291,11 @@
         silence.begin(direction);
     }
     let id = state.counts.accepted;
+    let reset = sync::Arc::new(Notify::new());
     let relaying = relay_connection(
         client,
         to,
+        sync::Arc::clone(&reset),
         sync::Arc::clone(&silence),
         sync::Arc::clone(shared),
     );
@@ -366,21 +309,27 @@
     });
     let task = task.abort_handle();
     state.counts.accepted += 1;
-    state.connections.insert(id, Connection { silence, task });
+    let connection = Connection {
+        silence,
+        reset,
+        task,
+    };
+    state.connections.insert(id, connection);
     state.counts.open = state.connections.len() as u64;
 }
 
 async fn relay_connection(
     client: tokio::net::TcpStream,
     to: net::SocketAddr,
+    reset: sync::Arc<Notify>,
     silence: sync::Arc<Silence>,
     shared: Shared,
 ) -> io::Result<()> {
     let upstream = tokio::net::TcpStream::connect(to).await?;
     client.set_nodelay(true)?;
     upstream.set_nodelay(true)?;
-    let (client_read, client_write) = client.into_split();
-    let (upstream_read, upstream_write) = upstream.into_split();
+    let (mut client_read, mut client_write) = client.into_split();
+    let (mut upstream_read, mut upstream_write) = upstream.into_split();
     let forward = Pump {
         direction: Direction::ToTarget,
         silence: sync::Arc::clone(&silence),
@@ -391,10 +340,22 @@
         silence,
         shared,
     };
-    tokio::try_join!(
-        forward.run(client_read, upstream_write),
-        backward.run(upstream_read, client_write)
-    )?;
+    let forwarding = async {
+        tokio::try_join!(
+            forward.run(&mut client_read, &mut upstream_write),
+            backward.run(&mut upstream_read, &mut client_write)
+        )
+    };
+    let is_reset = tokio::select! {
+        result = forwarding => result.map(|_both| false)?,
+        () = reset.notified() => true,
+    };
+    if is_reset {
+        client_read.as_ref().set_zero_linger()?;
+        upstream_read.as_ref().set_zero_linger()?;
+        client_write.forget();
+        upstream_write.forget();
+    }
     Ok(())
 }
 
@@ -409,13 +370,17 @@
 type Chunk = (tokio::time::Instant, Vec<u8>);
 
 impl Pump {
-    async fn run(self, from: tcp::OwnedReadHalf, to: tcp::OwnedWriteHalf) -> io::Result<()> {
+    async fn run(
+        self,
+        from: &mut tcp::OwnedReadHalf,
+        to: &mut tcp::OwnedWriteHalf,
+    ) -> io::Result<()> {
         let (tx, rx) = mpsc::channel(CHUNKS_IN_FLIGHT);
         tokio::try_join!(self.read(from, tx), self.write(to, rx))?;
         Ok(())
     }
 
-    async fn read(&self, mut from: tcp::OwnedReadHalf, tx: mpsc::Sender<Chunk>) -> io::Result<()> {
+    async fn read(&self, from: &mut tcp::OwnedReadHalf, tx: mpsc::Sender<Chunk>) -> io::Result<()> {
         let mut buf = vec![0; CHUNK_BYTES];
         loop {
             // On a silent connection, a reset is dropped like the bytes.
@@ -434,7 +399,7 @@
 
     async fn write(
         &self,
-        mut to: tcp::OwnedWriteHalf,
+        to: &mut tcp::OwnedWriteHalf,
         mut rx: mpsc::Receiver<Chunk>,
     ) -> io::Result<()> {
         while let Some((due, bytes)) = rx.recv().await {
