Tests: a request that its peer has read does not count as unsent

Closed, reset and broken off within the answer, on a new and on a kept connection: all count as lost.

--- a/tests/unit/main.rs
+++ b/tests/unit/main.rs
@@ -27,6 +27,7 @@
 mod metrics;
 mod open_requests;
 mod order;
+mod outgoing;
 mod placement;
 mod queue;
 mod ramp;
