Let a stop end with the last connection

What operators saw: a process exits up to a second after its last connection has closed.

Change: the process ends when its own count of connections is 0, after every thread that serves a port has run what it had queued when it was told to stop. The library's own end still counts, too, so a stop takes no longer than before.

Why nothing is cut off: an earlier try ended at a count of 0 at once, and a connection that a thread has taken and not yet counted would have been missed. A thread counts a connection in a task that it queues on taking it, tasks run in turn, and a thread that was told to stop takes no more connections; so once a task queued after that has run, all are counted. Such a connection gets no answer either way: the library (actix-http 3.20) starts no request on a connection that it first looks at after the stop.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -8,13 +8,13 @@
 use std::sync;
 use std::time;
 
-use actix_web::dev;
 use actix_web::middleware;
 use actix_web::web;
 use rand::Rng as _;
 use smol_str::SmolStr;
 
 use crate::clock;
+use crate::closing;
 use crate::config;
 use crate::control;
 use crate::entry;
@@ -137,7 +137,7 @@
 
 /// The ports are open.
 struct Serving {
-    servers: Vec<dev::ServerHandle>,
+    servers: Vec<closing::Server>,
     shutdown: ShutdownHandles,
     open: OpenWork,
     signals: Signals,
@@ -145,7 +145,7 @@
 
 /// Open work is being completed; no new work is accepted.
 struct Draining {
-    servers: Vec<dev::ServerHandle>,
+    servers: Vec<closing::Server>,
     shutdown: ShutdownHandles,
     open: OpenWork,
     drain: time::Duration,
@@ -332,7 +332,7 @@
 }
 
 struct Opened {
-    servers: Vec<dev::ServerHandle>,
+    servers: Vec<closing::Server>,
     shutdown_handles: ShutdownHandles,
     open: OpenWork,
 }
@@ -411,14 +411,14 @@
     }
 }
 
-/// Serves a port until it is stopped through the returned handle.
+/// Serves a port until it is closed.
 pub(crate) fn serve<F>(
     listener: net::TcpListener,
     threads: usize,
     bounds: Bounds,
     open: &OpenWork,
     register_routes: F,
-) -> std::io::Result<dev::ServerHandle>
+) -> std::io::Result<closing::Server>
 where
     F: Fn(&mut web::ServiceConfig) + Clone + Send + 'static,
 {
@@ -426,7 +426,10 @@
         requests: open_requests,
         connections: open_connections,
     } = open.clone();
+    let serving_threads = closing::Threads::default();
+    let added_to = serving_threads.clone();
     let factory = move || {
+        added_to.add_current();
         let track = middleware::from_fn(open_requests::track);
         let app = actix_web::App::new().app_data(web::Data::new(open_requests.clone()));
         app.wrap(track).configure(register_routes.clone())
@@ -449,7 +452,7 @@
     let server = server.listen(listener)?.run();
     let handle = server.handle();
     actix_rt::spawn(server);
-    Ok(handle)
+    Ok(closing::Server::new(handle, serving_threads))
 }
 
 /// Prints the addresses of the ports to the standard output for the starting process.
@@ -463,7 +466,7 @@
 
 /// Serves until a stop signal, then until the process is drained.
 pub(crate) async fn serve_until_drained(
-    servers: Vec<dev::ServerHandle>,
+    servers: Vec<closing::Server>,
     shutdown: ShutdownHandles,
     open: OpenWork,
 ) -> Result<(), DaemonError> {
@@ -522,9 +525,7 @@
         }
         let drained_ms = began.elapsed().as_millis();
         let connections = self.open.connections.count();
-        // Stopped concurrently, since each server waits for its open connections.
-        let stopped = self.servers.iter().map(|server| server.stop(true));
-        futures_util::future::join_all(stopped).await;
+        closing::close(&self.servers, &self.open.connections).await;
         let took_ms = began.elapsed().as_millis();
         log::info!(event = "daemon.end", drained_ms = drained_ms, connections = connections, left = self.open.connections.count(), took_ms = took_ms; "daemon stopped: {ended}");
         log::logger().flush();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod cli;
 pub mod client;
 pub mod clock;
+pub mod closing;
 pub mod cmd;
 pub mod codes;
 pub mod config;
--- a/tests/unit/main.rs
+++ b/tests/unit/main.rs
@@ -6,6 +6,7 @@
 mod api;
 mod audit;
 mod claims;
+mod closing;
 mod codes;
 mod dispatching;
 mod due;
