Let every message show a runner that it was suspended

What callers saw: 503 beside an idle backend server, right after its runner had stood still.

Cause: heartbeats, ends of calls and other messages to a runner's control thread read the clock without noticing a suspension. A heartbeat that was read first updated the readiness, before the listing that had arrived meanwhile, and entries were told "unreachable".

Change: every handler reads the clock by read_clock. The entry was looked at as well: it decides by silence in its timer and for reports, replies and taken jobs, which read it so already.

--- a/src/leased/runner.rs
+++ b/src/leased/runner.rs
@@ -113,7 +113,7 @@
     }
 
     fn answer_watches(&mut self) {
-        let now_ms = self.clock.now_ms();
+        let now_ms = self.read_clock();
         let is_due = |entry: &ids::Incarnation, open: &OpenWatch| {
             open.until_ms <= now_ms || self.capacity.has_update(*entry)
         };
@@ -221,8 +221,9 @@
     type Result = ();
 
     fn handle(&mut self, answered: ports::StopAnswered, _cx: &mut Self::Context) {
+        let now_ms = self.read_clock();
         self.capacity
-            .stop_answered(self.clock.now_ms(), &answered.id, answered.is_acknowledged);
+            .stop_answered(now_ms, &answered.id, answered.is_acknowledged);
     }
 }
 
@@ -235,7 +236,8 @@
             let actions = self.capacity.listed(now_ms, answered.sent_at_ms, answer);
             self.act(cx, actions);
         }
-        actix::MessageResult(self.capacity.next_list(self.clock.now_ms()))
+        let now_ms = self.read_clock();
+        actix::MessageResult(self.capacity.next_list(now_ms))
     }
 }
 
@@ -243,7 +245,8 @@
     type Result = bool;
 
     fn handle(&mut self, heartbeat: ports::Announced, _cx: &mut Self::Context) -> bool {
-        let is_latest = self.capacity.announced(self.clock.now_ms(), heartbeat.0);
+        let now_ms = self.read_clock();
+        let is_latest = self.capacity.announced(now_ms, heartbeat.0);
         self.answer_watches();
         is_latest
     }
@@ -265,7 +268,8 @@
     type Result = ();
 
     fn handle(&mut self, left: ports::BackendLeft, _cx: &mut Self::Context) {
-        self.capacity.backend_left(self.clock.now_ms(), &left);
+        let now_ms = self.read_clock();
+        self.capacity.backend_left(now_ms, &left);
         self.answer_watches();
     }
 }
@@ -274,7 +278,8 @@
     type Result = actix::MessageResult<control::Leave>;
 
     fn handle(&mut self, _leave: control::Leave, _cx: &mut Self::Context) -> Self::Result {
-        self.capacity.leave(self.clock.now_ms());
+        let now_ms = self.read_clock();
+        self.capacity.leave(now_ms);
         self.answer_watches();
         actix::MessageResult(self.grace)
     }
@@ -284,7 +289,7 @@
     type Result = bool;
 
     fn handle(&mut self, _ask: control::IsDrained, _cx: &mut Self::Context) -> bool {
-        let now_ms = self.clock.now_ms();
+        let now_ms = self.read_clock();
         if self.capacity.runs() > 0 {
             self.idle_since_ms = None;
             return false;
@@ -306,7 +311,8 @@
     type Result = actix::MessageResult<control::GetMetrics>;
 
     fn handle(&mut self, _message: control::GetMetrics, _cx: &mut Self::Context) -> Self::Result {
-        let load = self.capacity.load(self.clock.now_ms());
+        let now_ms = self.read_clock();
+        let load = self.capacity.load(now_ms);
         let is_ready = u64::from(load.readiness == messages::Readiness::Ready);
         let runs = self.capacity.runs() as u64;
         let mut samples = self.traffic.runner_samples();
--- a/tests/unit/leased.rs
+++ b/tests/unit/leased.rs
@@ -21,6 +21,7 @@
 mod placement;
 mod prior_wait;
 mod queues;
+mod resumed_control;
 mod resumed_entry;
 mod resumed_runner;
 mod silences;
