--- a/src/leased/ports.rs
+++ b/src/leased/ports.rs
@@ -204,7 +204,7 @@
     /// When the call was sent, on the runner's clock, and no later than it was built; 0 before the
     /// first call.
     pub sent_at_ms: u64,
-    /// The answer; absent before the first call.
+    /// The answer; absent before the first call, and if no incarnation is known to call.
     pub answer: Option<ListAnswer>,
 }
 
