Tests: say what a process does that has not started in time

What was seen: peer_connections::connections_are_reused_across_tasks once ended with "a relay starts: TimedOut", which doesn't say whether the relay waited, was suspended or had no processor time.

Change: the error holds the kernel's state of the process, its memory and how often it was switched.

Tried: the relay stopped by a signal right after its start ends the test after 30 s with TimedOut and now "State: T (stopped) ... voluntary_ctxt_switches: 1"; so a relay that does not run for the 30 s of the rig fails the test in this way, without any part of the product. Whether that happened then is not known.

--- a/standins/src/processes.rs
+++ b/standins/src/processes.rs
@@ -25,6 +25,15 @@
 /// Maximum time until a process is suspended after SIGSTOP.
 const SUSPEND_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 
+/// Fields of the kernel's status of a process that tell why it has not started.
+const STATE_FIELDS: [&str; 5] = [
+    "State:",
+    "Threads:",
+    "VmRSS:",
+    "voluntary_ctxt_switches:",
+    "nonvoluntary_ctxt_switches:",
+];
+
 /// Label of the line with the address that a process serves.
 const LISTENING: &str = "listening";
 
@@ -43,8 +52,8 @@
             display("{name} closed its output before it printed '{label} IP:PORT'")
         }
         /// The process did not print the address in time.
-        TimedOut(name: String, label: String) {
-            display("{name} did not print '{label} IP:PORT' within the start timeout")
+        TimedOut(name: String, label: String, state: String) {
+            display("{name} did not print '{label} IP:PORT' within the start timeout: {state}")
         }
     }
 }
@@ -136,7 +145,7 @@
         }
         let (name, label) = (self.name.clone(), label.to_owned());
         if wait_result.timed_out() {
-            return Err(Error::TimedOut(name, label));
+            return Err(Error::TimedOut(name, label, describe(self.child.id())));
         }
         Err(Error::Exited(name, label))
     }
@@ -212,6 +221,22 @@
     }
 }
 
+/// Returns the kernel's state of a process: whether it runs, waits or is suspended, and how much it
+/// has run.
+fn describe(pid: u32) -> String {
+    let is_told = |line: &&str| {
+        let mut fields = STATE_FIELDS.iter();
+        fields.any(|field| line.starts_with(field))
+    };
+    match fs::read_to_string(format!("/proc/{pid}/status")) {
+        Ok(status) => {
+            let lines: Vec<_> = status.lines().filter(is_told).collect();
+            lines.join(", ").replace('\t', " ")
+        }
+        Err(err) => err.to_string(),
+    }
+}
+
 fn open_log_file(folder: &path::Path, name: &str, suffix: &str) -> io::Result<fs::File> {
     let path = folder.join(format!("{name}.{suffix}"));
     fs::OpenOptions::new().create(true).append(true).open(path)
