Take no work until a listing that was requested after the leases expired is answered

What callers saw: a task could run at two backend servers at once.

Cause: a runner that stood still for longer than its leases notes when they were found expired, and waits for a listing requested after that. A listing that was requested before, and whose answer had waited in the socket, made it take work again, while the note stayed.

Change: a listing makes the runner take work only once the note is gone, that is by a listing requested after the leases were found expired. A run that is ended with the note was then started before it. Ways tried: comparing each run's start with the note, which would leave a runner that takes work without renewing leases. Test: run_does_not_end_with_leases_that_expired_before_it_was_ordered failed before and passes.

--- a/src/leased/capacity/listings.rs
+++ b/src/leased/capacity/listings.rs
@@ -209,7 +209,7 @@
         let unknown = listing.running.iter().filter(is_unknown);
         let unknown = unknown.map(|running| running.id.clone()).collect();
         let due = self.leftovers.update(now_ms, unknown);
-        self.is_reconciled = self.leftovers.is_empty();
+        self.is_reconciled = self.leftovers.is_empty() && self.expired_at_ms.is_none();
         let calls = due.into_iter().map(|id| {
             log::info!(event = "run.stop", run:% = id, why = "started by a former incarnation of the runner"; "stopping the run");
             capacity::Action::Stop(ports::StopCall {
--- a/tests/unit/leased/expired_leases.rs
+++ b/tests/unit/leased/expired_leases.rs
@@ -89,3 +89,31 @@
         messages::Readiness::Starting
     );
 }
+
+/// Guards against a run that is ended with the leases of former ones: a listing that was requested
+/// before these expired made the runner take work again.
+#[test]
+fn run_does_not_end_with_leases_that_expired_before_it_was_ordered() {
+    let (mut manager, former) = resumed_manager();
+    let listed = fixtures::listing_with_end(7_003, 1, former, messages::RunOutcome::Done);
+    manager.listed(RESUMED_MS + 4, START_MS + 2, listed);
+    let before = manager.readiness(RESUMED_MS + 5);
+
+    let id = fixtures::run_id(2, 0, 1);
+    let order = fixtures::order(ENTRY, 2, RESUMED_MS + 5, &[(id.clone(), 1_600)]);
+    let (reply, _) = manager.order(RESUMED_MS + 5, order);
+    manager.start_answered(RESUMED_MS + 6, &id, ports::StartAnswer::Started);
+    manager.listed(RESUMED_MS + 20, RESUMED_MS + 7, ports::ListAnswer::Lost);
+    manager.listed(RESUMED_MS + 40, RESUMED_MS + 21, ports::ListAnswer::Lost);
+    let ends = reported(&mut manager);
+    let listed = fixtures::listing(7_050, &[]);
+    manager.listed(RESUMED_MS + 50, RESUMED_MS + 41, listed);
+
+    assert_eq!(before, messages::Readiness::Starting);
+    assert_eq!(reply.refused, [(id, messages::Refusal::NotReady)]);
+    assert_eq!(ends, [messages::RunOutcome::Done]);
+    assert_eq!(
+        manager.readiness(RESUMED_MS + 51),
+        messages::Readiness::Ready
+    );
+}
