--- a/src/leased/capacity/incarnations.rs
+++ b/src/leased/capacity/incarnations.rs
@@ -120,7 +120,7 @@
     }
 
     /// Returns the call that asks whether a candidate is at the backend server's address, unless it is
-    /// the turn of the known incarnation: strangers must not keep its leases from being renewed.
+    /// the turn of the known incarnation: foreign heartbeats must not keep its leases from being renewed.
     ///
     /// It neither renews a lease nor acknowledges an end.
     pub(super) fn next_candidate_list(&mut self, now_ms: u64) -> Option<ports::ListCall> {
--- a/tests/unit/leased/incarnation_ends.rs
+++ b/tests/unit/leased/incarnation_ends.rs
@@ -8,6 +8,7 @@
 use super::fixtures::ENTRY;
 use super::fixtures::START_MS;
 
+/// Returns a heartbeat of a backend server with this name that started later.
 fn stranger(name: &str) -> ports::Announcement {
     let announcement = fixtures::announcement(900, 1);
     ports::Announcement {
@@ -26,6 +27,7 @@
     let (mut manager, _id) = fixtures::manager_with_run();
     let own = fixtures::announcement(100, 1).incarnation;
     let mut asked = Vec::new();
+
     for at in 0..20_u64 {
         let now_ms = START_MS + 10 + at * 52;
         manager.announced(now_ms, stranger("backend-2"));
@@ -38,6 +40,7 @@
         asked.push(call.incarnation);
         manager.listed(now_ms + 51, now_ms, answer);
     }
+
     assert!(asked.contains(&Some(own)), "{asked:?}");
 }
 
@@ -48,6 +51,7 @@
     let (mut manager, _id) = fixtures::manager_with_run();
     let next = fixtures::announcement(900, 1);
     let mut asked = Vec::new();
+
     for at in 0..4_u64 {
         let now_ms = START_MS + 10 + at * 1_500;
         manager.next_list(now_ms);
@@ -71,6 +75,7 @@
             );
         }
     }
+
     assert!(asked.contains(&Some(next.incarnation)));
 }
 
@@ -90,6 +95,7 @@
         ports::ListAnswer::Listed(listing),
     );
     let next = manager.next_list(START_MS + 5);
+
     assert_eq!(next.lease_until_ms, None);
     assert_eq!(
         manager.readiness(START_MS + 6),
@@ -122,6 +128,7 @@
         ports::ListAnswer::Listed(listing),
     );
     let report = manager.report(START_MS + 54, ENTRY);
+
     assert_eq!(call.incarnation, Some(stranger("backend-2").incarnation));
     assert_eq!(report.ends.len(), 1);
     assert_eq!(report.load.readiness, messages::Readiness::Ready);
@@ -172,6 +179,7 @@
 fn runs_end_with_their_leases_as_listing_calls_go_on(#[case] answer: ports::ListAnswer) {
     let (mut manager, id) = fixtures::manager_with_run();
     let mut ended_ms = None;
+
     for at in 1..100_u64 {
         let now_ms = START_MS + at * 50;
         manager.watch(
@@ -184,5 +192,6 @@
             ended_ms.get_or_insert(now_ms - START_MS);
         }
     }
+
     assert!(ended_ms.is_some(), "held for 5 s");
 }
