--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -3,6 +3,7 @@
 mod cut_cancel;
 mod late_copy;
 mod suspended;
+mod thawed;
 mod world;
 
 use std::path::PathBuf;
@@ -24,6 +25,7 @@
     let (log, verdict) = match case.as_str() {
         "cut-cancel" => cut_cancel::play(has_trouble),
         "late-copy" => late_copy::play(has_trouble),
+        "thawed" => thawed::play(has_trouble),
         "suspended" => suspended::play(has_trouble),
         _ => {
             eprintln!("scenario CASE RECORD");
--- a/review/standins-2/world.rs
+++ b/review/standins-2/world.rs
@@ -5,6 +5,7 @@
 use std::fs;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd as _;
 use std::os::unix::process::CommandExt as _;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -512,9 +513,7 @@
 pub struct Run {
     pub task: String,
     pub run: u64,
-    pub cpu: u64,
     pub backend: usize,
-    pub born: u64,
     pub began: f64,
     pub ended: Option<(f64, &'static str)>,
     /// Reading of the steady clock at which the work is done, and at which a stop takes effect.
@@ -523,25 +522,22 @@
 }
 
 pub struct State {
-    pub born: u64,
+    born: u64,
     /// When the steady clock began, and how long it has stood still since.
     epoch: Instant,
     paused: Duration,
     paused_since: Option<Instant>,
-    pub runs: Vec<Run>,
+    runs: Vec<Run>,
     ends: Vec<(u64, usize)>,
     last_end: u64,
     barred: HashMap<String, u64>,
-    pub lease_until: f64,
+    lease_until: f64,
     fence: u64,
     sequence: u64,
-    pub draining: bool,
-    pub cpu: u64,
-    pub labels: Vec<String>,
+    cpu: u64,
+    labels: Vec<String>,
     /// Whether heartbeats are sent.
     pub beats: bool,
-    /// Share of the clock's proper rate.
-    rate: f64,
     random: u64,
 }
 
@@ -549,7 +545,7 @@
     /// The steady clock, which stands still while the machine is suspended.
     pub fn clock_ms(&self) -> f64 {
         let now = self.paused_since.unwrap_or_else(Instant::now);
-        (now - self.epoch - self.paused).as_secs_f64() * 1_000.0 * self.rate
+        (now - self.epoch - self.paused).as_secs_f64() * 1_000.0
     }
 
     fn random(&mut self) -> f64 {
@@ -639,27 +635,6 @@
         self.changed.notify_all();
     }
 
-    /// Crashes and starts again under the same name.
-    pub fn crash(&self) {
-        let mut state = self.lock();
-        state.advance(&self.log);
-        let now = self.log.ms();
-        for run in &mut state.runs {
-            run.ended.get_or_insert((now, "crashed"));
-        }
-        state.born = unix_ms();
-        state.epoch = Instant::now();
-        state.paused = Duration::ZERO;
-        state.ends.clear();
-        state.last_end = 0;
-        state.barred.clear();
-        state.lease_until = 0.0;
-        state.fence = 0;
-        state.sequence = 0;
-        self.log
-            .add(format!("backend {} crashed and started again", self.index));
-    }
-
     fn handle(&self, request: &Request) -> Response {
         let body = String::from_utf8_lossy(&request.body).into_owned();
         let expected = request.headers.get("expect-instance");
@@ -747,20 +722,19 @@
         if state.barred.get(&task).is_some_and(|barred| run <= *barred) {
             return Err("old");
         }
-        // The spec is "MILLISECONDS CPU".
+        // The first word of the spec is the work in milliseconds.
         let spec = field(body, "spec").unwrap_or_default();
-        let mut words = spec
+        let work: u64 = spec
             .split_whitespace()
-            .filter_map(|word| word.parse::<u64>().ok());
-        let (work, cpu) = (words.next().unwrap_or(0), words.next().unwrap_or(0));
+            .next()
+            .and_then(|word| word.parse().ok())
+            .unwrap_or(0);
         self.log
             .add(format!("start   backend {} {task}/{run}", self.index));
         state.runs.push(Run {
             task,
             run,
-            cpu,
             backend: self.index,
-            born: state.born,
             began: self.log.ms(),
             ended: None,
             due: state.clock_ms() + work as f64,
@@ -774,9 +748,8 @@
         state.sequence += 1;
         let labels: Vec<_> = state.labels.iter().map(|label| format!("\"{label}\"")).collect();
         format!(
-            "{{\"service\":\"{SERVICE}\",\"address\":\"127.0.0.1:1\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":8,\"state\":\"{}\",\"cold_left_ms\":0,\"capacity\":{{\"cpu\":{},\"mem_mb\":65536,\"gpu\":0}},\"labels\":[{}],\"clock_ms\":{},\"seq_no\":{},\"born\":{}}}",
+            "{{\"service\":\"{SERVICE}\",\"address\":\"127.0.0.1:1\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":8,\"state\":\"ready\",\"cold_left_ms\":0,\"capacity\":{{\"cpu\":{},\"mem_mb\":65536,\"gpu\":0}},\"labels\":[{}],\"clock_ms\":{},\"seq_no\":{},\"born\":{}}}",
             self.zone,
-            if state.draining { "draining" } else { "ready" },
             state.cpu,
             labels.join(","),
             state.clock_ms() as u64,
@@ -824,6 +797,7 @@
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
     fn prctl(option: i32, argument: usize) -> i32;
+    fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
 }
 
 /// Option of `prctl` that sets the signal that a process gets when its parent ends.
@@ -1031,11 +1005,9 @@
                 lease_until: 0.0,
                 fence: 0,
                 sequence: 0,
-                draining: false,
                 cpu: 16_000,
                 labels: vec!["a".to_owned(), format!("r1-{index}")],
                 beats: true,
-                rate: 1.0,
                 random: 0x9e37_79b9 + index as u64,
             }),
             changed: Condvar::new(),
@@ -1211,3 +1183,14 @@
     log.add(format!("cancel  job {id} at entry {index}: {reply:?}"));
     reply
 }
+
+/// Resets a connection: closes it so that the other side gets a reset.
+pub fn reset(stream: TcpStream) {
+    const SOL_SOCKET: i32 = 1;
+    const SO_LINGER: i32 = 13;
+    // A `struct linger` that is on, with no time to linger.
+    const AT_ONCE: [i32; 2] = [1, 0];
+    // SAFETY: the option takes two integers, which outlive the call.
+    unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, AT_ONCE.as_ptr(), 8) };
+    drop(stream);
+}
