--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -1,5 +1,6 @@
 //! Plays the scripts of this review: `scenario CASE RECORD`. With `TROUBLE=0` it does the same without the disruption.
 
+mod busy;
 mod cut_cancel;
 mod late_copy;
 mod suspended;
@@ -23,6 +24,7 @@
     let record = PathBuf::from(args.next().unwrap_or_else(|| "record.txt".to_owned()));
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let (log, verdict) = match case.as_str() {
+        "busy" => busy::play(has_trouble),
         "cut-cancel" => cut_cancel::play(has_trouble),
         "late-copy" => late_copy::play(has_trouble),
         "thawed" => thawed::play(has_trouble),
--- a/review/standins-2/thawed.rs
+++ b/review/standins-2/thawed.rs
@@ -42,12 +42,7 @@
         }
     }
     let overlaps = world.overlaps();
-    for (one, other, ms) in &overlaps {
-        log.add(format!(
-            "TWICE {} run {} at backend {} from {:.1} to {:?}, run {} at backend {} from {:.1} to {:?}: {ms:.1} ms at the same time",
-            one.task, one.run, one.backend, one.began, one.ended, other.run, other.backend, other.began, other.ended
-        ));
-    }
+    world.record_overlaps(&overlaps);
     (
         log,
         if overlaps.is_empty() {
--- a/review/standins-2/world.rs
+++ b/review/standins-2/world.rs
@@ -538,6 +538,8 @@
     labels: Vec<String>,
     /// Whether heartbeats are sent.
     pub beats: bool,
+    /// Share of the requests that fail with status 503, without any effect.
+    pub busy_share: f64,
     random: u64,
 }
 
@@ -640,6 +642,9 @@
         let expected = request.headers.get("expect-instance");
         let mut state = self.awake();
         state.advance(&self.log);
+        if state.busy_share > 0.0 && state.random() < state.busy_share {
+            return Some((503, Vec::new()));
+        }
         if expected.is_some_and(|name| *name != self.name) {
             return Some((421, Vec::new()));
         }
@@ -1008,6 +1013,7 @@
                 cpu: 16_000,
                 labels: vec!["a".to_owned(), format!("r1-{index}")],
                 beats: true,
+                busy_share: 0.0,
                 random: 0x9e37_79b9 + index as u64,
             }),
             changed: Condvar::new(),
@@ -1111,6 +1117,26 @@
     }
 }
 
+impl World {
+    /// Records pairs of runs that overlapped.
+    pub fn record_overlaps(&self, overlaps: &[(Run, Run, f64)]) {
+        for (one, other, ms) in overlaps {
+            let text = |run: &Run| {
+                format!(
+                    "run {} at backend {} from {:.1} to {:?}",
+                    run.run, run.backend, run.began, run.ended
+                )
+            };
+            self.log.add(format!(
+                "TWICE {} {}, {}: {ms:.1} ms at the same time",
+                one.task,
+                text(one),
+                text(other)
+            ));
+        }
+    }
+}
+
 fn send_heartbeats(backend: &Backend, to: SocketAddr) {
     loop {
         if lock(&backend.state).beats {
