--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,4 +3,4 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
 [ -x target/review-2/scenario ] && [ -x target/release/bulrushtiller-platform ] || exit 2
-exec target/review-2/scenario suspended "$folder/record.txt"
+exec target/review-2/scenario busy "$folder/record.txt"
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-rustc --edition 2024 -O -o target/review-2/scenario review/standins-2/main.rs
+rustc --edition 2024 -O -o target/review-2/scenario review/standins-2/main.rust
