End leases in time for runs that should end and cannot be stopped

What callers saw: after a 504 (or their own time-out) a caller sent its job again 1.3 s later, as it may, and the task ran at two backend servers at the same time for up to 0.8 s.

Cause: one lease covers all runs of a backend server, and the runner renewed it for a run that its entry had withdrawn. A watch renews all runs of its entry, also those that it no longer wants, so OWNER_LEASE_MS did not bound them; and a stop that was refused was repeated only after 50 ms, so that it often failed for over 1.3 s. The second start went to another runner. It was not let past by a refusal because the run is held; the runner now logs such a refusal as order.held, with the owner of the held run.

Change: a message renews only the runs that its entry still wants, so a withdrawn run is bounded by the last message that wanted it, and the lease of all ends in time for it. A run whose stop was acknowledged bounds no lease: it ends by itself. So that little work is lost that way, a refused stop is repeated after 4 ms for each run that waits for one (250 calls a second at most) instead of 50 ms, and a runner takes no work while the lease that it may grant is under 350 ms.

Ways weighed: to stop before the caller's deadline what cannot be done in time throws work away that may still be done, and needs the estimate of a task; to tell the other entries that a run is held helps only the one in N that picks the same runner.

The new tests: with the renewal as before 4 of 7 fail ("a lease ends 2170 ms after the start", 1,110 allowed).

--- a/measure/src/leased/runner.rs
+++ b/measure/src/leased/runner.rs
@@ -99,7 +99,8 @@
             .extract_if(.., |(at_ms, _)| *at_ms <= now_ms)
             .collect();
         for (_, id) in stopped {
-            self.capacity.stop_answered(now_ms, &id, true);
+            self.capacity
+                .stop_answered(now_ms, &id, ports::StopAnswer::Acknowledged);
         }
         actions
     }
--- a/src/leased/capacity/expiry.rs
+++ b/src/leased/capacity/expiry.rs
@@ -17,10 +17,11 @@
         self.remove_silent_owners(now_ms);
         self.check_leases(now_ms);
         let mut actions = Vec::new();
+        let unacknowledged = self.unacknowledged_stops();
         let due: Vec<_> = self
             .runs
             .iter()
-            .filter_map(|(id, run)| self.due_stop(now_ms, id, run))
+            .filter_map(|(id, run)| self.due_stop(now_ms, id, run, unacknowledged))
             .collect();
         for (id, why) in due {
             actions.extend(self.stop(now_ms, &id, why));
@@ -86,10 +87,11 @@
         now_ms: u64,
         id: &messages::RunId,
         run: &capacity::Run,
+        unacknowledged: u64,
     ) -> Option<(messages::RunId, &'static str)> {
         if let Some(stop) = run.stop {
             return stop
-                .is_due(now_ms)
+                .is_due(now_ms, unacknowledged)
                 .then(|| (id.clone(), "stop not acknowledged"));
         }
         if run.must_stop {
--- a/src/leased/capacity/leftovers.rs
+++ b/src/leased/capacity/leftovers.rs
@@ -2,8 +2,9 @@
 
 use std::collections;
 
-use crate::leased::capacity;
+use crate::leased::capacity::stops;
 use crate::leased::messages;
+use crate::leased::ports;
 
 /// Stops sent for runs that a former incarnation of the runner started.
 ///
@@ -11,7 +12,7 @@
 /// therefore repeated only after the retry interval.
 #[derive(Clone, Debug, Default)]
 pub struct Leftovers {
-    stops: collections::HashMap<messages::RunId, capacity::Stop>,
+    stops: collections::HashMap<messages::RunId, stops::Stop>,
 }
 
 impl Leftovers {
@@ -19,22 +20,26 @@
     /// to be sent now.
     pub fn update(&mut self, now_ms: u64, listed: Vec<messages::RunId>) -> Vec<messages::RunId> {
         let former = std::mem::take(&mut self.stops);
+        let unacknowledged = former.values().filter(|stop| !stop.is_acknowledged());
+        let unacknowledged = unacknowledged.count() as u64;
         let mut due = Vec::new();
         for id in listed {
-            let sent = former.get(&id).filter(|stop| !stop.is_due(now_ms));
+            let sent = former
+                .get(&id)
+                .filter(|stop| !stop.is_due(now_ms, unacknowledged));
             let stop = sent.copied().unwrap_or_else(|| {
                 due.push(id.clone());
-                capacity::Stop::new(now_ms)
+                stops::Stop::new(now_ms)
             });
             self.stops.insert(id, stop);
         }
         due
     }
 
-    /// Records that the backend server has acknowledged the stop of a run.
-    pub fn acknowledge(&mut self, id: &messages::RunId) {
+    /// Records the answer to the stop of a run.
+    pub fn record(&mut self, id: &messages::RunId, answer: ports::StopAnswer) {
         if let Some(stop) = self.stops.get_mut(id) {
-            stop.is_acknowledged = true;
+            stop.record(answer);
         }
     }
 
--- a/src/leased/capacity/listings.rs
+++ b/src/leased/capacity/listings.rs
@@ -5,6 +5,7 @@
 use crate::leased::capacity;
 use crate::leased::capacity::evidence;
 use crate::leased::capacity::incarnations;
+use crate::leased::capacity::stops;
 use crate::leased::messages;
 use crate::leased::ports;
 
@@ -77,8 +78,8 @@
         if !self.is_reconciled || self.expired_at_ms.is_some() {
             return 0;
         }
-        let mut stops = self.runs.values().filter_map(|run| run.stop);
-        if stops.any(|stop| stop.is_acknowledged) {
+        let mut sent = self.runs.values().filter_map(|run| run.stop);
+        if sent.any(stops::Stop::is_acknowledged) {
             SETTLE_WAIT_MS
         } else if self.runs.is_empty() && now_ms > self.last_start_ms + IDLE_AFTER_MS {
             LIST_WAIT_MS
--- a/src/leased/capacity/mod.rs
+++ b/src/leased/capacity/mod.rs
@@ -9,12 +9,14 @@
 pub mod evidence;
 pub mod expiry;
 pub mod incarnations;
+pub mod leases;
 pub mod leftovers;
 pub mod listings;
 pub mod orders;
 pub mod owners;
 pub mod results;
 pub mod starting;
+pub mod stops;
 pub mod wait_queue;
 
 use std::collections;
@@ -28,23 +30,13 @@
 use crate::leased::ports;
 use crate::wire;
 
+pub use leases::LEASE_MS;
+pub use leases::OWNER_LEASE_MS;
+
 /// Silence of an entry after which its runs are stopped, in milliseconds. Three watches of 150 ms
 /// may be lost.
 pub const OWNER_TIMEOUT_MS: u64 = 500;
 
-/// Duration of the lease on the backend server's runs, in milliseconds: three renewals may be
-/// lost.
-pub const LEASE_MS: u64 = 700;
-
-/// Longest time from when an entry with runs was last seen to the end of any lease, in
-/// milliseconds. A caller that lost its entry resends the job after 1,300 ms. Even with a clock
-/// that is 2 % slow, a stop of 50 ms and the network latency, 1,100 ms end before that.
-pub const OWNER_LEASE_MS: u64 = 1_100;
-
-/// Pause before a stop that was not acknowledged is sent again, in milliseconds; a backend server
-/// answers within a millisecond.
-const STOP_RETRY_MS: u64 = 50;
-
 /// Silence after which a backend server counts as unreachable, in milliseconds: twice a listing
 /// call with a wait of 200 ms and its answer.
 const UNREACHABLE_AFTER_MS: u64 = 450;
@@ -84,9 +76,10 @@
     was_listed: bool,
     /// Whether the run has to be stopped even if its entry still wants it.
     must_stop: bool,
+    demand: leases::Demand,
     /// A listing requested after this time that lacks the run proves that the run has ended.
     settled_at_ms: Option<u64>,
-    stop: Option<Stop>,
+    stop: Option<stops::Stop>,
 }
 
 impl Run {
@@ -98,29 +91,7 @@
 
     /// Returns whether the backend server has acknowledged the last stop.
     fn is_stop_acknowledged(&self) -> bool {
-        self.stop.is_some_and(|stop| stop.is_acknowledged)
-    }
-}
-
-/// The last stop sent for a run.
-#[derive(Clone, Copy, Debug)]
-struct Stop {
-    sent_at_ms: u64,
-    is_acknowledged: bool,
-}
-
-impl Stop {
-    /// Returns a stop that is sent now.
-    const fn new(now_ms: u64) -> Self {
-        Self {
-            sent_at_ms: now_ms,
-            is_acknowledged: false,
-        }
-    }
-
-    /// Returns whether the stop has to be sent again.
-    const fn is_due(&self, now_ms: u64) -> bool {
-        !self.is_acknowledged && now_ms >= self.sent_at_ms + STOP_RETRY_MS
+        self.stop.is_some_and(stops::Stop::is_acknowledged)
     }
 }
 
@@ -250,7 +221,8 @@
         }
         let last_seen_ms = self.last_seen_ms.unwrap_or(0);
         let is_settled = now_ms >= self.settles_at_ms;
-        if is_settled && now_ms.saturating_sub(last_seen_ms) > UNREACHABLE_AFTER_MS {
+        let is_unseen = now_ms.saturating_sub(last_seen_ms) > UNREACHABLE_AFTER_MS;
+        if is_settled && (is_unseen || self.is_lease_ending(now_ms)) {
             return messages::Readiness::Unreachable;
         }
         messages::Readiness::Ready
@@ -298,18 +270,12 @@
             return actions;
         }
         owner.apply_watch(now_ms, watch);
+        let withdrawn = self.withdraw_unwanted(watch.entry);
         let alive_at_ms = watch.alive_at_ms.unwrap_or(0);
         self.renew_runs(now_ms, watch.entry, watch.ordered, alive_at_ms);
         let owner = self.owners.entry(watch.entry).or_default();
         let has_runs = self.runs.values().any(|run| run.owner == watch.entry);
         owner.has_update |= has_runs && owner.is_renewal_urgent(now_ms, watch.wait_ms);
-        let is_withdrawn = |(id, run): &(&messages::RunId, &Run)| {
-            run.owner == watch.entry
-                && run.stop.is_none()
-                && owner.is_withdrawn(run.order_number, id)
-        };
-        let withdrawn = self.runs.iter().filter(is_withdrawn);
-        let withdrawn: Vec<_> = withdrawn.map(|(id, _)| id.clone()).collect();
         for id in withdrawn {
             actions.extend(self.stop(now_ms, &id, "unwanted"));
         }
@@ -384,80 +350,6 @@
         size.map_or(0, |size| size.minus(&self.used).cpu_milli)
     }
 
-    /// Renews the runs of an entry, up to those of the order with this number.
-    ///
-    /// A message that was sent before an order says nothing about its runs: the entry may have taken
-    /// their job in from another entry since then, which was last heard earlier.
-    fn renew_runs(
-        &mut self,
-        now_ms: u64,
-        entry: ids::Incarnation,
-        last_order: u64,
-        alive_at_ms: u64,
-    ) {
-        let alive_at_ms = alive_at_ms.min(now_ms);
-        let runs = self.runs.values_mut();
-        for run in runs.filter(|run| run.owner == entry && run.order_number <= last_order) {
-            run.alive_at_ms = run.alive_at_ms.max(alive_at_ms);
-        }
-    }
-
-    /// Returns the longest lease that may be granted now: no lease may end later than
-    /// [`OWNER_LEASE_MS`] after the entry of any started run was last known to be alive.
-    fn lease_ms(&self, now_ms: u64) -> u64 {
-        let started = self.runs.values().filter(|run| run.queued.is_none());
-        let oldest_ms = started.map(|run| run.alive_at_ms).min().unwrap_or(now_ms);
-        (oldest_ms + OWNER_LEASE_MS)
-            .saturating_sub(now_ms)
-            .min(LEASE_MS)
-    }
-
-    /// Returns a run in the wait queue to its entry, or returns the call that stops a started run,
-    /// unless the last such call was sent less than [`STOP_RETRY_MS`] ago.
-    fn stop(&mut self, now_ms: u64, id: &messages::RunId, why: &'static str) -> Option<Action> {
-        let incarnation = self.backend.as_ref()?.incarnation.clone();
-        let run = self.runs.get_mut(id)?;
-        if run.queued.is_some() {
-            self.end_unstarted(now_ms, id, evidence::Evidence::Withdrawn);
-            return None;
-        }
-        if run
-            .stop
-            .is_some_and(|stop| now_ms < stop.sent_at_ms + STOP_RETRY_MS)
-        {
-            return None;
-        }
-        if run.stop.is_none() {
-            let age_ms = now_ms.saturating_sub(run.ordered_at_ms);
-            log::info!(event = "run.stop", run:% = id, owner:% = run.owner, why = why, age_ms = age_ms; "stopping the run");
-        }
-        run.stop = Some(Stop::new(now_ms));
-        Some(Action::Stop(ports::StopCall {
-            id: id.clone(),
-            incarnation,
-            fence: self.fence,
-            timeout_ms: self.call_timeout.timeout_ms(),
-        }))
-    }
-
-    /// Handles the answer to a stop, or its absence.
-    pub fn stop_answered(&mut self, now_ms: u64, id: &messages::RunId, is_acknowledged: bool) {
-        let Some(run) = self.runs.get_mut(id) else {
-            if is_acknowledged {
-                self.leftovers.acknowledge(id);
-            }
-            return;
-        };
-        if let Some(stop) = &mut run.stop
-            && is_acknowledged
-        {
-            stop.is_acknowledged = true;
-            self.call_timeout
-                .record_response(now_ms.saturating_sub(stop.sent_at_ms));
-            run.settled_at_ms = Some(run.settled_at_ms.unwrap_or(now_ms).max(now_ms));
-        }
-    }
-
     /// Ends a run that has not started and never will.
     fn end_unstarted(&mut self, now_ms: u64, id: &messages::RunId, evidence: evidence::Evidence) {
         self.end(now_ms, id, messages::RunOutcome::NotStarted, evidence);
--- a/src/leased/capacity/orders.rs
+++ b/src/leased/capacity/orders.rs
@@ -2,6 +2,7 @@
 
 use crate::ids;
 use crate::leased::capacity;
+use crate::leased::capacity::leases;
 use crate::leased::capacity::wait_queue;
 use crate::leased::messages;
 use crate::wire;
@@ -33,7 +34,9 @@
             number: order.number,
             alive_at_ms: order.alive_at_ms.min(now_ms),
         };
+        let withdrawn = self.withdraw(order.entry, &order.stops);
         if !is_late {
+            let owner = self.owners.entry(order.entry).or_default();
             owner.renew(now_ms, order.alive_at_ms);
             self.renew_runs(now_ms, order.entry, order.number, order.alive_at_ms);
         }
@@ -54,14 +57,8 @@
                 None => actions.extend(self.accept(now_ms, &source, start)),
             }
         }
-        for id in &order.stops {
-            let is_owned = self
-                .runs
-                .get(id)
-                .is_some_and(|run| run.owner == order.entry);
-            if is_owned {
-                actions.extend(self.stop(now_ms, id, "withdrawn"));
-            }
+        for id in withdrawn {
+            actions.extend(self.stop(now_ms, &id, "withdrawn"));
         }
         self.sequence += 1;
         let reply = messages::OrderReply {
@@ -111,7 +108,9 @@
             return Some(messages::Refusal::Label);
         }
         // A task has one run at a time, even if the caller resends the job to another entry.
-        if self.runs.keys().any(|held| held.is_same_task(&start.id)) {
+        let mut runs = self.runs.iter();
+        if let Some((held, run)) = runs.find(|(held, _)| held.is_same_task(&start.id)) {
+            log::info!(event = "order.held", run:% = start.id, owner:% = entry, held:% = held, held_owner:% = run.owner, demand:? = run.demand, wanted_ms = now_ms.saturating_sub(run.alive_at_ms); "refusing the run: another run of its task is held");
             return Some(messages::Refusal::Unwanted);
         }
         let free = backend.size.minus(&self.used);
@@ -141,6 +140,7 @@
             has_lost_start: false,
             was_listed: false,
             must_stop: false,
+            demand: leases::Demand::Wanted,
             settled_at_ms: None,
             stop: None,
         };
--- a/src/leased/ports.rs
+++ b/src/leased/ports.rs
@@ -95,6 +95,17 @@
     pub timeout_ms: u64,
 }
 
+/// A backend server's answer to a [`StopCall`].
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StopAnswer {
+    /// The run ends within the time that a stop takes, and cannot start any more.
+    Acknowledged,
+    /// The backend server is unhealthy and has not stopped the run.
+    Refused,
+    /// No answer of this incarnation was received; the run may be stopping.
+    Lost,
+}
+
 /// Long poll for the runs of the backend server, which also renews the lease.
 #[derive(Clone, Debug)]
 pub struct ListCall {
@@ -166,7 +177,7 @@
     /// Starts a run and sends the answer to `reply_to`.
     fn start(&self, call: StartCall, reply_to: actix::Recipient<StartAnswered>);
 
-    /// Stops a run and sends to `reply_to` whether the stop was acknowledged.
+    /// Stops a run and sends the answer to `reply_to`.
     fn stop(&self, call: StopCall, reply_to: actix::Recipient<StopAnswered>);
 
     /// Polls listings until `reply_to` is gone; `reply_to` receives each answer and returns the
@@ -192,8 +203,8 @@
 pub struct StopAnswered {
     /// The run.
     pub id: messages::RunId,
-    /// Whether the backend server acknowledged the stop.
-    pub is_acknowledged: bool,
+    /// The answer.
+    pub answer: StopAnswer,
 }
 
 /// Result of a [`ListCall`]; the handler returns the next call.
--- a/src/leased/runner.rs
+++ b/src/leased/runner.rs
@@ -22,6 +22,9 @@
 /// twenty-fifth of the allowed silence.
 const TICK_INTERVAL: time::Duration = time::Duration::from_millis(20);
 
+/// Time after a refused stop at which the timer's work is done early: the stop may be due again.
+const REFUSED_STOP_TICK: time::Duration = time::Duration::from_millis(4);
+
 /// How long a stopping runner keeps serving after its last run, in milliseconds: two watches, so
 /// that every entry receives the last ends.
 const DRAIN_IDLE_MS: u64 = 300;
@@ -96,6 +99,12 @@
         now_ms
     }
 
+    fn tick(&mut self, cx: &mut actix::Context<Self>) {
+        let now_ms = self.read_clock();
+        let actions = self.capacity.tick(now_ms);
+        self.act(cx, actions);
+    }
+
     fn act(&mut self, cx: &actix::Context<Self>, actions: Vec<capacity::Action>) {
         for action in actions {
             match action {
@@ -139,11 +148,7 @@
 
     fn started(&mut self, cx: &mut Self::Context) {
         self.backend.poll_listings(cx.address().recipient());
-        cx.run_interval(TICK_INTERVAL, |actor, cx| {
-            let now_ms = actor.read_clock();
-            let actions = actor.capacity.tick(now_ms);
-            actor.act(cx, actions);
-        });
+        cx.run_interval(TICK_INTERVAL, Self::tick);
     }
 }
 
@@ -220,10 +225,13 @@
 impl actix::Handler<ports::StopAnswered> for Control {
     type Result = ();
 
-    fn handle(&mut self, answered: ports::StopAnswered, _cx: &mut Self::Context) {
+    fn handle(&mut self, answered: ports::StopAnswered, cx: &mut Self::Context) {
         let now_ms = self.read_clock();
         self.capacity
-            .stop_answered(now_ms, &answered.id, answered.is_acknowledged);
+            .stop_answered(now_ms, &answered.id, answered.answer);
+        if answered.answer == ports::StopAnswer::Refused {
+            cx.run_later(REFUSED_STOP_TICK, Self::tick);
+        }
     }
 }
 
--- a/tests/unit/leased.rs
+++ b/tests/unit/leased.rs
@@ -34,6 +34,7 @@
 mod starting;
 mod stopping_runner;
 mod suspension;
+mod unstopped_runs;
 mod urgency;
 mod wait_queue;
 mod watching;
--- a/tests/unit/leased/capacity.rs
+++ b/tests/unit/leased/capacity.rs
@@ -41,7 +41,7 @@
         START_MS + 10,
         &fixtures::watch(ENTRY, START_MS + 10, 1, &[]),
     );
-    manager.stop_answered(START_MS + 12, &id, true);
+    manager.stop_answered(START_MS + 12, &id, ports::StopAnswer::Acknowledged);
     let while_stopping = manager.load(START_MS + 12).used.cpu_milli;
     manager.listed(
         START_MS + 20,
@@ -119,9 +119,9 @@
     );
 
     let first = manager.start_answered(START_MS + 250, &id, ports::StartAnswer::Lost);
-    manager.stop_answered(START_MS + 340, &id, false);
+    manager.stop_answered(START_MS + 340, &id, ports::StopAnswer::Lost);
     let retry = manager.tick(START_MS + 351);
-    manager.stop_answered(START_MS + 360, &id, true);
+    manager.stop_answered(START_MS + 360, &id, ports::StopAnswer::Acknowledged);
     let used_milli = manager.load(START_MS + 361).used.cpu_milli;
     manager.listed(
         START_MS + 400,
@@ -367,7 +367,7 @@
     let usual_wait_ms = manager.next_list(START_MS + 2).wait_ms;
 
     manager.start_answered(START_MS + 50, &id, ports::StartAnswer::Lost);
-    manager.stop_answered(START_MS + 52, &id, true);
+    manager.stop_answered(START_MS + 52, &id, ports::StopAnswer::Acknowledged);
     let settling_wait_ms = manager.next_list(START_MS + 53).wait_ms;
     manager.listed(START_MS + 55, START_MS + 53, fixtures::listing(5_055, &[]));
     let report = manager.report(START_MS + 56, ENTRY);
@@ -383,10 +383,10 @@
 /// former incarnation: one for each run with every listing, and listings at once one after the
 /// other, were over a thousand in 40 ms.
 #[rstest]
-#[case::acknowledged(true, 2)]
-#[case::unacknowledged(false, 4)]
+#[case::acknowledged(ports::StopAnswer::Acknowledged, 2)]
+#[case::unacknowledged(ports::StopAnswer::Lost, 4)]
 fn runs_of_a_former_incarnation_are_not_stopped_with_every_listing(
-    #[case] is_acknowledged: bool,
+    #[case] answer: ports::StopAnswer,
     #[case] expected_stops: usize,
 ) {
     let mut manager = capacity::CapacityManager::new(fixtures::RUNNER, 10);
@@ -401,7 +401,7 @@
         let actions = manager.listed(now_ms, now_ms.saturating_sub(1), listed);
         stops.extend(fixtures::stopped(&actions));
         for id in &leftovers {
-            manager.stop_answered(now_ms + 1, id, is_acknowledged);
+            manager.stop_answered(now_ms + 1, id, answer);
         }
         waits_ms.push(manager.next_list(now_ms + 1).wait_ms);
     }
--- a/tests/unit/leased/incarnations.rs
+++ b/tests/unit/leased/incarnations.rs
@@ -73,7 +73,7 @@
     let listed = listing_of_next_incarnation(&[]);
     let actions = manager.listed(START_MS + 52, START_MS + 51, listed);
     let before_listing = manager.report(START_MS + 52, ENTRY);
-    manager.stop_answered(START_MS + 53, &id, true);
+    manager.stop_answered(START_MS + 53, &id, ports::StopAnswer::Acknowledged);
     let listed = listing_of_next_incarnation(&[]);
     manager.listed(START_MS + 60, START_MS + 55, listed);
     let after_listing = manager.report(START_MS + 61, ENTRY);
@@ -208,7 +208,7 @@
     let listed = listing_of_next_incarnation(&[]);
     let actions = manager.listed(START_MS + 52, START_MS + 51, listed);
     let before_listing = manager.report(START_MS + 52, ENTRY);
-    manager.stop_answered(START_MS + 53, &id, true);
+    manager.stop_answered(START_MS + 53, &id, ports::StopAnswer::Acknowledged);
     let listed = listing_of_next_incarnation(&[]);
     manager.listed(START_MS + 60, START_MS + 55, listed);
     let after_listing = manager.report(START_MS + 61, ENTRY);
@@ -335,7 +335,7 @@
     manager.listed(START_MS + 110, START_MS + 81, ports::ListAnswer::Lost);
     let repeated = manager.tick(START_MS + 2_000);
     let unanswered = manager.report(START_MS + 2_001, ENTRY);
-    manager.stop_answered(START_MS + 2_002, &id, true);
+    manager.stop_answered(START_MS + 2_002, &id, ports::StopAnswer::Acknowledged);
     let listed = listing_of_next_incarnation(&[]);
     manager.listed(START_MS + 2_010, START_MS + 2_005, listed);
     let stopped = manager.report(START_MS + 2_011, ENTRY);
