Start no task for a caller that has left before the entry heard so

What callers saw: an entry stood still, and connections of its callers were reset meanwhile. The callers sent their jobs to another entry after 1.3 s.

Cause: that a caller has left is noticed by the thread that serves it, and passed on as a message. The control thread reads the ends of the runs, which the runners stopped after 500 ms of silence, first, and starts the tasks at once. The log of one job: task.lost with evidence Reported, run.start (run 2) and job.end "caller disconnected" all at .543; the other entry's run had begun at .142. Nothing in the race needs a suspension: an entry that is short of processor time has the same two threads.

Change: the control thread has a handle to each caller's connection and asks the socket itself, at the moment when tasks of a job are to be ordered; there is no thread that may not answer. That covers every start, not only repeats: a job that waited for capacity, one whose message waited in the mailbox, one that a peer declined, and a refused order that is placed again. For a job that was handed over, the connection is that of its origin. The cost is one system call for each job that is placed.

--- a/src/hangup.rs
+++ b/src/hangup.rs
@@ -9,6 +9,7 @@
 use std::io;
 use std::os::fd::AsFd as _;
 use std::rc;
+use std::sync;
 
 use actix_web::dev;
 use actix_web::rt::net;
@@ -16,14 +17,32 @@
 
 use crate::clock;
 
-/// A duplicate handle to a caller's connection that only detects its closing.
+/// A duplicate handle to a caller's connection, which any thread may ask whether it is closed.
+#[derive(Clone, Debug)]
+pub struct Connection {
+    stream: sync::Arc<tokio::net::TcpStream>,
+}
+
+/// Detects the closing of a caller's connection, on the thread that serves it.
 #[derive(Clone, Debug)]
 pub struct Hangup {
-    stream: rc::Rc<tokio::net::TcpStream>,
+    connection: Connection,
     /// When the connection was accepted, or the last response on it was ready.
     last_used_ms: rc::Rc<cell::Cell<u64>>,
 }
 
+impl Connection {
+    /// Returns whether the connection is closed by the caller or broken at this moment.
+    pub fn is_closed(&self) -> bool {
+        let mut peeked = [0_u8; 1];
+        let flags = rustix::net::RecvFlags::PEEK | rustix::net::RecvFlags::DONTWAIT;
+        match rustix::net::recv(&*self.stream, &mut peeked, flags) {
+            Ok((_, received)) => received == 0,
+            Err(e) => e != rustix::io::Errno::WOULDBLOCK && e != rustix::io::Errno::INTR,
+        }
+    }
+}
+
 impl Hangup {
     /// Attaches a handle to the data of a new connection.
     pub fn attach(connection: &dyn any::Any, data: &mut dev::Extensions) {
@@ -33,7 +52,9 @@
         match duplicate(stream) {
             Ok(stream) => {
                 data.insert(Self {
-                    stream: rc::Rc::new(stream),
+                    connection: Connection {
+                        stream: sync::Arc::new(stream),
+                    },
                     last_used_ms: rc::Rc::new(cell::Cell::new(clock::boot_ms())),
                 });
             }
@@ -51,6 +72,11 @@
         clock::boot_ms().saturating_sub(self.last_used_ms.get())
     }
 
+    /// Returns a handle for other threads.
+    pub fn connection(&self) -> Connection {
+        self.connection.clone()
+    }
+
     /// Returns whether the connection is closed by the caller or broken at this moment.
     ///
     /// If a connection breaks while a request is in flight, the request and the reset arrive
@@ -58,27 +84,22 @@
     /// new connection, and tasks started for both would run at the same time. Such a request
     /// must not start anything, so this queries the socket instead of waiting for an event.
     pub fn is_closed(&self) -> bool {
-        let mut peeked = [0_u8; 1];
-        let flags = rustix::net::RecvFlags::PEEK | rustix::net::RecvFlags::DONTWAIT;
-        match rustix::net::recv(&*self.stream, &mut peeked, flags) {
-            Ok((_, received)) => received == 0,
-            Err(e) => e != rustix::io::Errno::WOULDBLOCK && e != rustix::io::Errno::INTR,
-        }
+        self.connection.is_closed()
     }
 
     /// Waits until the caller closes the connection or it breaks.
     pub async fn closed(&self) {
+        let stream = &self.connection.stream;
         loop {
-            let Ok(ready) = self.stream.ready(Interest::READABLE).await else {
+            let Ok(ready) = stream.ready(Interest::READABLE).await else {
                 return;
             };
             if ready.is_read_closed() || ready.is_error() {
                 return;
             }
             // The data is left for the HTTP library; this only clears the readiness.
-            let cleared: io::Result<()> = self
-                .stream
-                .try_io(Interest::READABLE, || Err(io::ErrorKind::WouldBlock.into()));
+            let cleared: io::Result<()> =
+                stream.try_io(Interest::READABLE, || Err(io::ErrorKind::WouldBlock.into()));
             debug_assert!(cleared.is_err(), "the readiness is cleared without reading");
         }
     }
--- a/src/leased/dispatch/mod.rs
+++ b/src/leased/dispatch/mod.rs
@@ -1,6 +1,7 @@
 //! Decides for an entry where runs under leases go, without access to network or clock.
 
 pub mod admission;
+pub mod callers;
 pub mod directives_fetch;
 pub mod ejection;
 pub mod expiry;
@@ -125,6 +126,7 @@
     watches: watching::Watches,
     jobs: SlotMap<jobs::JobKey, jobs::OpenJob>,
     by_id: collections::HashMap<SmolStr, jobs::JobKey>,
+    callers: callers::Callers,
     waiting: Vec<jobs::JobKey>,
     health: health::Health,
     prior_wait: prior_wait::PriorWait,
@@ -154,6 +156,7 @@
             watches: watching::Watches::default(),
             jobs: SlotMap::with_key(),
             by_id: collections::HashMap::new(),
+            callers: callers::Callers::default(),
             waiting: Vec::new(),
             health: health::Health::default(),
             prior_wait: prior_wait::PriorWait::default(),
@@ -200,6 +203,11 @@
             .map_or(now_ms, |oldest_ms| oldest_ms.min(now_ms))
     }
 
+    /// Returns the connections of the callers.
+    pub const fn callers(&mut self) -> &mut callers::Callers {
+        &mut self.callers
+    }
+
     /// Returns the counters for the metrics.
     pub const fn counts(&self) -> Counts {
         self.counts
--- a/src/leased/dispatch/scheduling.rs
+++ b/src/leased/dispatch/scheduling.rs
@@ -86,8 +86,14 @@
     Allowed,
 }
 
-/// Runs to order at each runner.
-type Starts = collections::BTreeMap<runners::RunnerKey, Vec<runs::PlannedRun>>;
+/// What follows from the placement of the waiting jobs.
+#[derive(Default)]
+struct Plan {
+    /// Runs to order at each runner.
+    starts: collections::BTreeMap<runners::RunnerKey, Vec<runs::PlannedRun>>,
+    /// Jobs whose callers have left.
+    abandoned: Vec<jobs::JobKey>,
+}
 
 impl dispatch::Dispatcher {
     /// Places the tasks of waiting jobs, the most urgent job first.
@@ -105,7 +111,7 @@
             urgency::rank(&dispatch::urgency_view(&self.jobs[*key]), now_ms)
         });
         let least = self.least_needs(now_ms, &ranked);
-        let mut starts = Starts::new();
+        let mut plan = Plan::default();
         let mut capacities: collections::BTreeMap<SmolStr, ServiceCapacity> =
             collections::BTreeMap::new();
         let mut refused = Vec::new();
@@ -115,10 +121,10 @@
                 let candidates = self.candidates(now_ms, &service, least[&service]);
                 ServiceCapacity::with_candidates(candidates)
             });
-            if self.place(now_ms, key, capacity, &mut starts, HeadroomUse::Forbidden) {
+            if self.place(now_ms, key, capacity, &mut plan, HeadroomUse::Forbidden) {
                 continue;
             }
-            match self.admit(now_ms, key, capacity, &mut starts) {
+            match self.admit(now_ms, key, capacity, &mut plan) {
                 Admitted::Placed => {}
                 Admitted::Waits => {
                     capacity.has_waiting = true;
@@ -137,7 +143,11 @@
         for (key, forecast) in refused {
             actions.extend(self.refuse_early(now_ms, key, &forecast));
         }
-        for (runner, starts) in starts {
+        for key in plan.abandoned {
+            self.counts.cancelled += 1;
+            actions.extend(self.end_job(now_ms, key, None, "caller found disconnected"));
+        }
+        for (runner, starts) in plan.starts {
             actions.extend(self.send_order(now_ms, runner, starts, Vec::new()));
         }
         for (service, capacity) in capacities {
@@ -251,7 +261,7 @@
         now_ms: u64,
         key: jobs::JobKey,
         capacity: &mut ServiceCapacity,
-        starts: &mut Starts,
+        plan: &mut Plan,
     ) -> Admitted {
         let open = &self.jobs[key];
         let may_refuse =
@@ -273,7 +283,7 @@
             && !urgency::uses_spare_capacity_only(class)
             && (refusal.is_some() || job.is_last_chance())
             && self.headroom.is_usable(&open.service);
-        if may_use_headroom && self.place(now_ms, key, capacity, starts, HeadroomUse::Allowed) {
+        if may_use_headroom && self.place(now_ms, key, capacity, plan, HeadroomUse::Allowed) {
             return Admitted::Placed;
         }
         let Some(forecast) = refusal else {
@@ -283,13 +293,14 @@
         Admitted::Refused(forecast)
     }
 
-    /// Places the tasks of a job that are ready; returns whether all of them were placed.
+    /// Places the tasks of a job that are ready, unless its callers have left; returns whether none of
+    /// them waits any longer.
     fn place(
         &mut self,
         now_ms: u64,
         key: jobs::JobKey,
         capacity: &mut ServiceCapacity,
-        starts: &mut Starts,
+        plan: &mut Plan,
         headroom_use: HeadroomUse,
     ) -> bool {
         let open = &mut self.jobs[key];
@@ -307,6 +318,10 @@
         } else {
             placement::place(&requests, &mut capacity.candidates, counts)
         };
+        if !placed.is_empty() && self.callers.have_all_left(&open.waiters) {
+            plan.abandoned.push(key);
+            return true;
+        }
         let all_placed = placed.len() == requests.len();
         if open.precedence == 0 && !placed.is_empty() {
             let waiting = placed.iter().filter(|target| target.waits).count();
@@ -339,7 +354,7 @@
                 kind: open.kind,
                 number: self.counts.ordered,
             };
-            starts.entry(runner).or_default().push(planned);
+            plan.starts.entry(runner).or_default().push(planned);
         }
         all_placed
     }
--- a/src/leased/entry.rs
+++ b/src/leased/entry.rs
@@ -18,6 +18,7 @@
 
 use crate::clock;
 use crate::control;
+use crate::hangup;
 use crate::ids;
 use crate::leased::cancels;
 use crate::leased::dispatch;
@@ -219,16 +220,32 @@
     }
 
     /// Creates a waiter and the channel for its answer.
-    fn add_waiter(&mut self) -> (jobs::Waiter, oneshot::Receiver<dispatch::Outcome>) {
+    fn add_waiter(
+        &mut self,
+        connection: Option<hangup::Connection>,
+    ) -> (jobs::Waiter, oneshot::Receiver<dispatch::Outcome>) {
         self.last_waiter += 1;
         let (tx, answer) = oneshot::channel();
         self.answer_txs.insert(self.last_waiter, tx);
+        if let Some(connection) = connection {
+            let callers = self.dispatcher.callers();
+            callers.insert(self.last_waiter, Box::new(connection));
+        }
         (self.last_waiter, answer)
     }
 
+    /// Removes a waiter; returns the channel for its answer.
+    fn remove_waiter(
+        &mut self,
+        waiter: jobs::Waiter,
+    ) -> Option<oneshot::Sender<dispatch::Outcome>> {
+        self.dispatcher.callers().remove(waiter);
+        self.answer_txs.remove(&waiter)
+    }
+
     fn answer(&mut self, waiter: jobs::Waiter, outcome: dispatch::Outcome) {
         self.remove_taken(waiter);
-        let Some(tx) = self.answer_txs.remove(&waiter) else {
+        let Some(tx) = self.remove_waiter(waiter) else {
             return;
         };
         if tx.send(outcome).is_err() {
@@ -271,6 +288,8 @@
     pub queue: queues::Queue,
     /// Longest time that the caller waits, in milliseconds, if it gives one.
     pub timeout_ms: Option<u64>,
+    /// The caller's connection, if it can be watched.
+    pub connection: Option<hangup::Connection>,
 }
 
 /// Handle of a submitted job.
@@ -287,8 +306,13 @@
 
     fn handle(&mut self, submit: Submit, cx: &mut Self::Context) -> Self::Result {
         let now_ms = self.now_ms();
-        let (waiter, answer) = self.add_waiter();
+        let (waiter, answer) = self.add_waiter(submit.connection.clone());
         let guard = Self::disconnect_guard(cx, &submit.job.id, waiter);
+        if self.dispatcher.callers().has_left(waiter) {
+            log::info!(event = "job.unheard", job = submit.job.id.as_str(), queue = submit.queue.name.as_str(); "caller disconnected before its job was accepted; nothing was run");
+            self.remove_waiter(waiter);
+            return actix::MessageResult(Submitted { guard, answer });
+        }
         if self.intercept_cancelled(cx, now_ms, &submit.job.id) {
             self.answer(waiter, dispatch::Outcome::Cancelled);
             return actix::MessageResult(Submitted { guard, answer });
@@ -298,6 +322,7 @@
                 job,
                 queue,
                 timeout_ms,
+                ..
             } = submit;
             let actions = self
                 .dispatcher
@@ -323,7 +348,7 @@
     type Result = ();
 
     fn handle(&mut self, gone: CallerGone, cx: &mut Self::Context) {
-        self.answer_txs.remove(&gone.waiter);
+        self.remove_waiter(gone.waiter);
         let now_ms = self.now_ms();
         self.remove_sent_waiter(cx, now_ms, &gone);
         let actions = self.dispatcher.remove_waiter(now_ms, &gone.id, gone.waiter);
--- a/src/leased/entry/handover_calls.rs
+++ b/src/leased/entry/handover_calls.rs
@@ -73,6 +73,7 @@
             job,
             queue,
             timeout_ms,
+            ..
         } = submit;
         let prior_ms = self.dispatcher.prior_wait_ms(&queue, timeout_ms);
         let new = sent::NewJob {
@@ -221,7 +222,7 @@
         self.end_call(sent);
         self.log_lost(now_ms, sent, why);
         for waiter in &sent.waiters {
-            self.answer_txs.remove(waiter);
+            self.remove_waiter(*waiter);
         }
     }
 
--- a/src/leased/entry/taken_jobs.rs
+++ b/src/leased/entry/taken_jobs.rs
@@ -6,6 +6,7 @@
 use tokio::sync::oneshot;
 
 use crate::clock;
+use crate::hangup;
 use crate::ids;
 use crate::leased::dispatch;
 use crate::leased::dispatch::jobs;
@@ -59,7 +60,12 @@
 #[derive(Debug)]
 #[derive(actix::Message)]
 #[rtype(result = "TakeInResult")]
-pub struct TakeIn(pub messages::Handover);
+pub struct TakeIn {
+    /// The job.
+    pub handover: messages::Handover,
+    /// Connection of the call, which the origin closes to withdraw the job.
+    pub connection: Option<hangup::Connection>,
+}
 
 /// What became of a handover.
 #[derive(Debug)]
@@ -84,9 +90,13 @@
 impl actix::Handler<TakeIn> for entry::Control {
     type Result = actix::MessageResult<TakeIn>;
 
-    fn handle(&mut self, TakeIn(handover): TakeIn, cx: &mut Self::Context) -> Self::Result {
+    fn handle(&mut self, message: TakeIn, cx: &mut Self::Context) -> Self::Result {
         let now_ms = self.read_clock();
-        actix::MessageResult(match self.take_in(cx, now_ms, &handover) {
+        let TakeIn {
+            handover,
+            connection,
+        } = message;
+        actix::MessageResult(match self.take_in(cx, now_ms, &handover, connection) {
             Ok(taken) => TakeInResult::Taken(taken),
             Err(why) => {
                 log::info!(event = "handover.not_taken", job = handover.job.as_str(), origin:% = handover.origin, why:? = why, lag_ms = self.handover.lag.ms(), taken = self.handover.taken.len(); "declined a job of another entry; nothing was run");
@@ -103,14 +113,21 @@
         cx: &actix::Context<Self>,
         now_ms: u64,
         handover: &messages::Handover,
+        connection: Option<hangup::Connection>,
     ) -> Result<Taken, messages::Decline> {
         self.check_handover(now_ms, handover)?;
+        if connection
+            .as_ref()
+            .is_some_and(hangup::Connection::is_closed)
+        {
+            return Err(messages::Decline::Unwanted);
+        }
         let directives = sync::Arc::clone(self.dispatcher.directives().get());
         let mut queues = directives.queues.iter();
         let queue = queues.find(|queue| queue.name == handover.queue);
         let queue = queue.ok_or(messages::Decline::Configuration)?;
         let job = job::Job::try_from(handover).map_err(|_invalid| messages::Decline::Unreadable)?;
-        let (waiter, answer) = self.add_waiter();
+        let (waiter, answer) = self.add_waiter(connection);
         let guard = Self::disconnect_guard(cx, &handover.job, waiter);
         if self.intercept_cancelled(cx, now_ms, &handover.job) {
             self.answer(waiter, dispatch::Outcome::Cancelled);
@@ -196,7 +213,7 @@
         for job in withdrawn {
             self.handover.counts.withdrawn += 1;
             log::info!(event = "handover.withdrawn", job = job.id.as_str(), origin:% = job.origin, why = why, silence_ms = job.silence_ms, lag_ms = self.handover.lag.ms(); "withdrew a job of another entry");
-            self.answer_txs.remove(&job.waiter);
+            self.remove_waiter(job.waiter);
             let actions = self.dispatcher.remove_waiter(now_ms, &job.id, job.waiter);
             self.act(cx, actions);
             self.remove_taken(job.waiter);
--- a/src/leased/peers.rs
+++ b/src/leased/peers.rs
@@ -83,7 +83,11 @@
     if hangup.is_some_and(hangup::Hangup::is_closed) {
         return incoming::refuse(codes::Code::BadBody);
     }
-    let mut taken = match control.send(taken_jobs::TakeIn(handover)).await {
+    let take_in = taken_jobs::TakeIn {
+        handover,
+        connection: hangup.map(hangup::Hangup::connection),
+    };
+    let mut taken = match control.send(take_in).await {
         Ok(taken_jobs::TakeInResult::Taken(taken)) => taken,
         Ok(taken_jobs::TakeInResult::Declined(reply)) => return incoming::message(&reply),
         Err(_stopped) => return incoming::refuse(codes::Code::Leaving),
--- a/tests/unit/leased.rs
+++ b/tests/unit/leased.rs
@@ -5,6 +5,7 @@
 mod call_timeout;
 mod cancels;
 mod capacity;
+mod departed_callers;
 mod directives;
 mod disconnects;
 mod dispatch;
--- a/tests/unit/leased/disconnects.rs
+++ b/tests/unit/leased/disconnects.rs
@@ -61,6 +61,7 @@
         job,
         queue: fixtures::queue(),
         timeout_ms: Some(600_000),
+        connection: None,
     };
 
     let submitted = control.send(submit).await.expect("control thread runs");
@@ -97,7 +98,12 @@
         waited_ms: 0,
     };
 
-    let taken = control.send(taken_jobs::TakeIn(handover)).await;
+    let taken = control
+        .send(taken_jobs::TakeIn {
+            handover,
+            connection: None,
+        })
+        .await;
     let taken = taken.expect("control thread runs");
     let before = state(&control, &id).await;
     drop(taken);
