Set the estimate of a clock back where a reading proves it ahead

What callers saw: a side instance was suspended for 4 s; seconds later its backend server refused connections and worked on.

Cause: the estimate of the backend server's clock is the last reading and the time since on a clock that counts a suspension, while the steady clock of the backend server does not. Every later reading was lower than the estimate and so ignored, for up to 200 s. Leases were granted seconds ahead, where only hold_max_ms limits them, and has_expired counted them as over after 714 ms.

Change: a reading that comes with an answer was taken between the sending of the call and the receipt. The clocks of runners and of peers at an entry are estimated in the same way; both count suspensions, so that no run could show them ahead. Two beliefs beside it: leases count as over only on the clock that the last reading proves, which after a suspension of the process starts from that reading again; and before the first reading after a suspension of the instance its time is taken off the estimate, as the difference of CLOCK_BOOTTIME and CLOCK_MONOTONIC tells it. So no lease is granted ahead in between, whatever hold_max_ms is (15 s in the largest deployment).

Ways tried: none of the two simple ones. To take every lower reading brings the shortened leases back; the monotonic clock alone misses a process that is stopped while only its backend server's clock stands still, as the case does. To grant nothing after a suspension until a reading is there failed the test late_listing_does_not_shorten_the_leases by reading, and was left.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -33,7 +33,18 @@
 
 /// Returns the milliseconds since the instance booted, including suspended time.
 pub fn boot_ms() -> u64 {
-    let now = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    read_ms(rustix::time::ClockId::Boottime)
+}
+
+/// Returns the milliseconds for which the instance was suspended since it booted, to about a
+/// millisecond.
+pub fn suspended_ms() -> u64 {
+    let running_ms = read_ms(rustix::time::ClockId::Monotonic);
+    boot_ms().saturating_sub(running_ms)
+}
+
+fn read_ms(clock: rustix::time::ClockId) -> u64 {
+    let now = rustix::time::clock_gettime(clock);
     let seconds = u64::try_from(now.tv_sec).unwrap_or(0);
     let nanos = u64::try_from(now.tv_nsec).unwrap_or(0);
     seconds * 1_000 + nanos / 1_000_000
--- a/src/leased/capacity/listings.rs
+++ b/src/leased/capacity/listings.rs
@@ -6,6 +6,7 @@
 use crate::leased::capacity::evidence;
 use crate::leased::capacity::incarnations;
 use crate::leased::capacity::stops;
+use crate::leased::clock_estimate;
 use crate::leased::messages;
 use crate::leased::ports;
 
@@ -175,7 +176,11 @@
         }
         self.is_renewal_paused = false;
         self.last_seen_ms = Some(now_ms);
-        self.backend_clock.record(listing.clock_ms, now_ms);
+        self.backend_clock.record(&clock_estimate::Reading {
+            clock_ms: listing.clock_ms,
+            sent_at_ms,
+            received_at_ms: now_ms,
+        });
         for ended in &listing.ended {
             if ended.number > self.acked_end {
                 self.end(now_ms, &ended.id, ended.how, evidence::Evidence::Listed);
--- a/src/leased/capacity/mod.rs
+++ b/src/leased/capacity/mod.rs
@@ -184,8 +184,14 @@
     /// Records that this process was suspended: until `settles_at_ms`, no run is stopped because its
     /// entry seems silent, and the backend server doesn't count as unreachable. The leases end in time
     /// nevertheless, see [`OWNER_LEASE_MS`].
-    pub const fn resume(&mut self, settles_at_ms: u64) {
+    pub const fn resume(&mut self, now_ms: u64, settles_at_ms: u64) {
         self.settles_at_ms = settles_at_ms;
+        self.backend_clock.resume(now_ms);
+    }
+
+    /// Records that the instance was suspended, and with it the steady clock of its backend server.
+    pub const fn instance_suspended(&mut self, now_ms: u64, suspended_ms: u64) {
+        self.backend_clock.instance_suspended(now_ms, suspended_ms);
     }
 
     /// Returns the number of queued and running runs.
--- a/src/leased/dispatch/runners.rs
+++ b/src/leased/dispatch/runners.rs
@@ -87,6 +87,8 @@
     former: collections::VecDeque<ids::Incarnation>,
     /// Estimate of the runner's clock; absent until a reading has been received.
     clock: Option<clock_estimate::ClockEstimate>,
+    /// When the last watch was built.
+    watch_built_ms: u64,
     /// Sequence number of the newest message.
     sequence: u64,
     /// Number of orders sent.
@@ -118,6 +120,7 @@
             watched: None,
             former: collections::VecDeque::new(),
             clock: None,
+            watch_built_ms: 0,
             sequence: 0,
             orders: 0,
             acked: 0,
@@ -290,6 +293,7 @@
     ) -> messages::Watch {
         let alive_at_ms = self.lease_renewal_ms(now_ms, alive_ms);
         self.watched = self.incarnation;
+        self.watch_built_ms = now_ms;
         let wanted = self.placed.iter().filter(|(_, placed)| wanted(placed));
         messages::Watch {
             version: wire::VERSION,
@@ -323,9 +327,8 @@
     /// Records a message from the runner; returns whether it is newer than all earlier ones.
     fn receive(
         &mut self,
-        now_ms: u64,
         incarnation: ids::Incarnation,
-        clock_ms: u64,
+        reading: &clock_estimate::Reading,
         sequence: u64,
     ) -> bool {
         let is_new_incarnation = self.incarnation != Some(incarnation);
@@ -336,14 +339,14 @@
             self.sequence = 0;
             self.acked = 0;
         }
-        self.last_seen_ms = Some(now_ms);
+        self.last_seen_ms = Some(reading.received_at_ms);
         if sequence <= self.sequence {
             return false;
         }
         self.sequence = sequence;
         self.clock
-            .get_or_insert(clock_estimate::ClockEstimate::new(clock_ms, now_ms))
-            .record(clock_ms, now_ms);
+            .get_or_insert(clock_estimate::ClockEstimate::new(reading))
+            .record(reading);
         true
     }
 
@@ -385,8 +388,13 @@
         order: &messages::Order,
         reply: messages::OrderReply,
     ) -> Vec<runs::EndedRun> {
+        let reading = clock_estimate::Reading {
+            clock_ms: reply.clock_ms,
+            sent_at_ms: 0,
+            received_at_ms: now_ms,
+        };
         if !self.is_replaced(reply.runner, Some(order.runner))
-            && self.receive(now_ms, reply.runner, reply.clock_ms, reply.sequence)
+            && self.receive(reply.runner, &reading, reply.sequence)
         {
             self.load = reply.load;
         }
@@ -427,7 +435,12 @@
         if self.is_replaced(report.runner, self.watched) {
             return Vec::new();
         }
-        let is_newer = self.receive(now_ms, report.runner, report.clock_ms, report.sequence);
+        let reading = clock_estimate::Reading {
+            clock_ms: report.clock_ms,
+            sent_at_ms: self.watch_built_ms,
+            received_at_ms: now_ms,
+        };
+        let is_newer = self.receive(report.runner, &reading, report.sequence);
         self.directives_position = report.directives_position;
         let mut ended = Vec::new();
         for end in report.ends {
--- a/src/leased/entry/handover_calls.rs
+++ b/src/leased/entry/handover_calls.rs
@@ -334,7 +334,7 @@
     ) {
         let address = &answered.address;
         let contacts = &mut self.handover.contacts;
-        let has_restarted = contacts.answered(now_ms, address, &reply.state);
+        let has_restarted = contacts.answered(now_ms, 0, address, &reply.state);
         match reply.result {
             messages::HandoverResult::Declined(why) => {
                 if needs_backoff(why) {
@@ -371,7 +371,7 @@
                 if self
                     .handover
                     .contacts
-                    .answered(now_ms, address, &reply.state)
+                    .answered(now_ms, answered.sent_ms, address, &reply.state)
                 {
                     self.lose_all_at(now_ms, address, "peer started again");
                 }
--- a/src/leased/handover/contacts.rs
+++ b/src/leased/handover/contacts.rs
@@ -207,10 +207,12 @@
         in_turn.copied().find(|address| is_open(address)).cloned()
     }
 
-    /// Processes an answer of a peer; returns whether the incarnation of the peer has changed.
+    /// Processes an answer of a peer to a call that was sent at `sent_at_ms`, or at 0 if that is not
+    /// known; returns whether the incarnation of the peer has changed.
     pub fn answered(
         &mut self,
         now_ms: u64,
+        sent_at_ms: u64,
         address: &SmolStr,
         state: &messages::PeerState,
     ) -> bool {
@@ -218,9 +220,14 @@
         let is_same = contact.incarnation == Some(state.peer);
         let has_changed = !is_same && contact.incarnation.is_some();
         contact.incarnation = Some(state.peer);
+        let reading = clock_estimate::Reading {
+            clock_ms: state.clock_ms,
+            sent_at_ms,
+            received_at_ms: now_ms,
+        };
         match &mut contact.clock {
-            Some(clock) if is_same => clock.record(state.clock_ms, now_ms),
-            clock => *clock = Some(clock_estimate::ClockEstimate::new(state.clock_ms, now_ms)),
+            Some(clock) if is_same => clock.record(&reading),
+            clock => *clock = Some(clock_estimate::ClockEstimate::new(&reading)),
         }
         contact.replied_ms = Some(now_ms);
         contact.unanswered_since_ms = None;
--- a/src/leased/runner.rs
+++ b/src/leased/runner.rs
@@ -71,6 +71,7 @@
     starts: u64,
     stops: u64,
     suspension: suspension::Detector,
+    instance: suspension::InstanceDetector,
 }
 
 impl Control {
@@ -87,14 +88,18 @@
             starts: 0,
             stops: 0,
             suspension: suspension::Detector::default(),
+            instance: suspension::InstanceDetector::default(),
         }
     }
 
     /// Returns the time, and notes if this process was suspended since the last call.
     fn read_clock(&mut self) -> u64 {
         let now_ms = self.clock.now_ms();
+        if let Some(suspended_ms) = self.instance.record(clock::suspended_ms()) {
+            self.capacity.instance_suspended(now_ms, suspended_ms);
+        }
         if let Some(settles_at_ms) = self.suspension.record(now_ms) {
-            self.capacity.resume(settles_at_ms);
+            self.capacity.resume(now_ms, settles_at_ms);
         }
         now_ms
     }
--- a/src/leased/suspension.rs
+++ b/src/leased/suspension.rs
@@ -1,4 +1,5 @@
-//! Detects that this process was suspended, or had no processor time, for a while.
+//! Detects that this process was suspended, or had no processor time, for a while, and whether the whole
+//! instance was.
 //!
 //! Right after a suspension every peer seems to have been silent, while its messages wait in the
 //! sockets of this process. Whatever is decided by silence has to wait until they are read.
@@ -30,3 +31,28 @@
         Some(now_ms + SETTLE_MS)
     }
 }
+
+/// Shortest growth of the suspended time that counts, in milliseconds: the two clocks from which it is
+/// taken are read one after the other.
+const MIN_SUSPENDED_MS: u64 = 10;
+
+/// Detects that the whole instance was suspended, by the time that only one of its clocks counts.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct InstanceDetector {
+    last_ms: Option<u64>,
+}
+
+impl InstanceDetector {
+    /// Records for how long the instance was suspended in all; returns for how long it was since the
+    /// last call, if it was.
+    pub fn record(&mut self, total_ms: u64) -> Option<u64> {
+        let last_ms = *self.last_ms.get_or_insert(total_ms);
+        let suspended_ms = total_ms.saturating_sub(last_ms);
+        if suspended_ms < MIN_SUSPENDED_MS {
+            return None;
+        }
+        self.last_ms = Some(total_ms);
+        log::warn!(event = "instance.resumed", suspended_ms = suspended_ms; "the instance was suspended for a while");
+        Some(suspended_ms)
+    }
+}
--- a/tests/unit/leased/handover/contacts.rs
+++ b/tests/unit/leased/handover/contacts.rs
@@ -43,7 +43,7 @@
     match contacts.choose(now_ms, list) {
         contacts::Choice::Send(target) => Some(target.address),
         contacts::Choice::Probe(address) => {
-            contacts.answered(now_ms, &address, &state(5_000, 0));
+            contacts.answered(now_ms, 0, &address, &state(5_000, 0));
             Some(address)
         }
         contacts::Choice::Keep => None,
@@ -80,7 +80,7 @@
     let first = contacts.choose(START_MS, &list);
     contacts.heartbeat(START_MS, &"a".into(), 0, Vec::new());
     let unanswered = contacts.choose(START_MS + 5, &list);
-    contacts.answered(START_MS + 10, &"a".into(), &state(5_000, 3));
+    contacts.answered(START_MS + 10, 0, &"a".into(), &state(5_000, 3));
     let answered = contacts.choose(START_MS + 110, &list);
     let late = contacts.choose(START_MS + 1_011, &list);
 
@@ -106,9 +106,9 @@
 
     let first = chosen(&mut contacts, START_MS, &list);
     let again = chosen(&mut contacts, START_MS + 20, &list);
-    contacts.answered(START_MS + 30, &"a".into(), &state(5_030, 20));
+    contacts.answered(START_MS + 30, 0, &"a".into(), &state(5_030, 20));
     let second = chosen(&mut contacts, START_MS + 40, &list);
-    contacts.answered(START_MS + 50, &"b".into(), &state(5_050, 35));
+    contacts.answered(START_MS + 50, 0, &"b".into(), &state(5_050, 35));
     let none = chosen(&mut contacts, START_MS + 60, &list);
 
     assert_eq!(first.as_deref(), Some("a"), "own zone first");
@@ -144,13 +144,14 @@
 fn estimate_of_the_clock_keeps_the_greatest_lower_bound() {
     let list = list(&[peer("a", "bento", 500)]);
     let mut contacts = contacts::Contacts::new(ENTRY);
-    contacts.answered(START_MS, &"a".into(), &state(5_000, 0));
+    contacts.answered(START_MS, 0, &"a".into(), &state(5_000, 0));
 
     // The peer wrote this answer at 5,050 on its clock; it was read 150 ms later.
-    contacts.answered(START_MS + 200, &"a".into(), &state(5_050, 0));
+    contacts.answered(START_MS + 200, 0, &"a".into(), &state(5_050, 0));
     let heartbeat = contacts.heartbeat(START_MS + 200, &"a".into(), 0, Vec::new());
     let is_other = contacts.answered(
         START_MS + 210,
+        0,
         &"a".into(),
         &messages::PeerState {
             peer: ids::Incarnation(3),
@@ -169,7 +170,7 @@
 fn peer_that_lost_a_call_has_to_answer_a_signal_first() {
     let list = list(&[peer("a", "bento", 500)]);
     let mut contacts = contacts::Contacts::new(ENTRY);
-    contacts.answered(START_MS, &"a".into(), &state(5_000, 0));
+    contacts.answered(START_MS, 0, &"a".into(), &state(5_000, 0));
 
     contacts.call_lost(START_MS + 10, &"a".into());
 
--- a/tests/unit/leased/resumed_runner.rs
+++ b/tests/unit/leased/resumed_runner.rs
@@ -34,7 +34,7 @@
 fn resumed_manager() -> (capacity::CapacityManager, messages::RunId) {
     let (mut manager, id) = manager_with_run();
     manager.report(START_MS + 3, ENTRY);
-    manager.resume(RESUMED_MS + SETTLE_MS);
+    manager.resume(RESUMED_MS, RESUMED_MS + SETTLE_MS);
     let listing = fixtures::listing(5_052, std::slice::from_ref(&id));
     manager.listed(RESUMED_MS, START_MS + 2, listing);
     (manager, id)
--- a/tests/unit/leased/suspension.rs
+++ b/tests/unit/leased/suspension.rs
@@ -129,7 +129,7 @@
 #[test]
 fn backend_server_is_not_unreachable_before_a_resumed_runner_has_settled() {
     let mut manager = fixtures::ready_manager();
-    manager.resume(SETTLED_MS);
+    manager.resume(RESUMED_MS, SETTLED_MS);
 
     let before = manager.readiness(SETTLED_MS - 1);
     let after = manager.readiness(SETTLED_MS);
@@ -146,7 +146,7 @@
     manager.order(START_MS, order);
     manager.start_answered(START_MS + 1, &id, ports::StartAnswer::Started);
     let resumed_ms = START_MS + 600;
-    manager.resume(resumed_ms + 150);
+    manager.resume(resumed_ms, resumed_ms + 150);
     (manager, id, resumed_ms)
 }
 
@@ -190,3 +190,20 @@
     assert_eq!((first, usual, next), (None, None, None));
     assert!(resumed.is_some_and(|settles_at_ms| settles_at_ms > START_MS + 399));
 }
+
+/// Guards against a suspension of the instance that is missed, or counted twice, and against clocks
+/// that are read one after the other.
+#[test]
+fn only_new_suspended_time_counts() {
+    let mut detector = suspension::InstanceDetector::default();
+
+    let first = detector.record(40_000);
+    let jitter = detector.record(40_001);
+    let suspended = detector.record(44_000);
+    let next = detector.record(44_001);
+
+    assert_eq!(
+        (first, jitter, suspended, next),
+        (None, None, Some(4_000), None)
+    );
+}
