--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -35,6 +35,8 @@
     reads: atomic::AtomicU64,
     newest_records: atomic::AtomicU64,
     aliases: Aliases,
+    /// Rows that are added to pages of newest records, with their topics.
+    further_rows: sync::Mutex<Vec<(String, Vec<u8>)>>,
 }
 
 /// Strings that the store replaces in records.
@@ -128,6 +130,12 @@
         records.push(record);
     }
 
+    /// Adds a row, as it is, to the first page of the newest records of a topic.
+    pub fn add_row(&self, topic: &str, row: &[u8]) {
+        let mut rows = crate::lock(&self.further_rows);
+        rows.push((topic.to_owned(), row.to_vec()));
+    }
+
     /// Replaces `from` by `to` in records appended by processes.
     ///
     /// A test replaces the address of a process by that of a relay in front of it.
@@ -273,6 +281,19 @@
     store
         .newest_records
         .fetch_add(page.len() as u64, atomic::Ordering::SeqCst);
-    let body = serde_json::json!({"items": page, "more": has_more, "end": records.len()});
-    actix_web::HttpResponse::Ok().json(body)
+    let mut rows: Vec<_> = page
+        .iter()
+        .map(|row| row.to_string().into_bytes())
+        .collect();
+    if query.depends_on.is_empty() {
+        let further = crate::lock(&store.further_rows);
+        let further = further.iter().filter(|(topic, _)| *topic == query.topic);
+        // The last row of a page tells where the next one begins.
+        rows.splice(0..0, further.map(|(_, row)| row.clone()));
+    }
+    let end = format!("],\"more\":{has_more},\"end\":{}}}", records.len());
+    let body = [&b"{\"items\":["[..], &rows.join(&b','), end.as_bytes()].concat();
+    actix_web::HttpResponse::Ok()
+        .content_type("application/json")
+        .body(body)
 }
