Use no record of a process without an IP address and a port

What an operator would see: connections, and look-ups of names, for entries of another writer that name no process: ports 0, 65536 and 99999, none, a host name, an address with a path or blanks. Each of them was a runner to every entry, with a watch that was repeated for ever.

Cause: the address of a record was used as text.

--- a/src/leased/entry/peer_state.rs
+++ b/src/leased/entry/peer_state.rs
@@ -32,8 +32,11 @@
         }
     };
     log::info!(event = "entry.learned", from = from.as_str(), runners = known.runners.len(), has_directives = known.directives.is_some(); "received the state of another entry");
-    control.do_send(ports::RunnersDiscovered(known.runners));
-    control.do_send(ports::EntriesDiscovered(known.entries));
+    let (mut runners, mut entries) = (known.runners, known.entries);
+    runners.retain(|address| ports::is_address(address));
+    entries.retain(|entry| ports::is_address(&entry.address));
+    control.do_send(ports::RunnersDiscovered(runners));
+    control.do_send(ports::EntriesDiscovered(entries));
     if let Some(directives) = known.directives {
         let directives = sync::Arc::unwrap_or_clone(directives);
         control.do_send(ports::DirectivesReceived { directives, from });
--- a/src/leased/ports.rs
+++ b/src/leased/ports.rs
@@ -1,6 +1,7 @@
 //! Interface between runs under leases and the platform adapter.
 
 use std::fmt;
+use std::net;
 use std::sync;
 
 use serde::Deserialize;
@@ -242,6 +243,12 @@
     pub started_at_ms: Option<u64>,
 }
 
+/// Returns whether a text is the address of a process: an IP address and a port.
+pub fn is_address(text: &str) -> bool {
+    let address: Result<net::SocketAddr, _> = text.parse();
+    address.is_ok_and(|address| address.port() != 0)
+}
+
 /// A runner as listed in the store.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Member {
