Limit how deep a message may be nested

What an operator would see: a process ends by itself ("has overflowed its stack", SIGABRT) as it gets one message whose unknown field is nested 1,000 deep.

Cause: the decoder of messages between processes calls itself for each level, also below fields that are ignored. Its own limit is 1,024 levels, which a thread of 2 MiB does not hold in a debug build.

Change: at most 64 levels, several times what the messages have.

--- a/src/wire.rs
+++ b/src/wire.rs
@@ -479,13 +479,26 @@
     version: u32,
 }
 
+/// Maximum depth of nested values in a message.
+const MAX_DEPTH: usize = 64;
+
 /// Decodes a message.
 ///
 /// The version is decoded first, to distinguish a message of a later version from garbage.
 pub fn decode<T: de::DeserializeOwned>(bytes: &[u8]) -> Result<T, WireError> {
-    let Versioned { version } = rmp_serde::from_slice(bytes)?;
+    let Versioned { version } = decode_any(bytes)?;
     if version != VERSION {
         return Err(WireError::Version(version));
     }
-    Ok(rmp_serde::from_slice(bytes)?)
+    Ok(decode_any(bytes)?)
+}
+
+/// Decodes a value of any version.
+///
+/// The decoder calls itself for each level, also below fields that are ignored, and its own limit is
+/// beyond the stack of a thread.
+fn decode_any<T: de::DeserializeOwned>(bytes: &[u8]) -> Result<T, rmp_serde::decode::Error> {
+    let mut decoder = rmp_serde::Deserializer::from_read_ref(bytes);
+    decoder.set_max_depth(MAX_DEPTH);
+    T::deserialize(&mut decoder)
 }
--- a/tests/unit/leased.rs
+++ b/tests/unit/leased.rs
@@ -5,6 +5,7 @@
 mod call_timeout;
 mod cancels;
 mod capacity;
+mod deep_messages;
 mod departed_callers;
 mod directives;
 mod disconnects;
