Read a page of the log although one record of it cannot be decoded

What an operator would see, on the product's own interface: one record of another writer on the settings, members or claims stream that is nested over 128 deep, or holds a number like 1e400, and no process reads the stream beyond it.

Cause: the records of a page are inline, and the page was decoded as a whole. The read was repeated and failed again.

Change: each record is decoded by itself, and one that can't be is read as null, as which each stream passes over it at its offset.

--- a/src/client/log.rs
+++ b/src/client/log.rs
@@ -4,6 +4,8 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use serde::de;
+use serde_json::value;
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
 
@@ -33,10 +35,24 @@
 pub struct Item {
     /// Offset of the record.
     pub offset: u64,
-    /// JSON document.
+    /// JSON document; null if it can't be decoded.
+    #[serde(deserialize_with = "decode_record")]
     pub record: serde_json::Value,
 }
 
+/// Decodes a record by itself: one of another writer that is nested too deep, or has a number too
+/// large, must not make the whole page unreadable.
+fn decode_record<'de, D>(deserializer: D) -> Result<serde_json::Value, D::Error>
+where
+    D: de::Deserializer<'de>,
+{
+    let record = Box::<value::RawValue>::deserialize(deserializer)?;
+    Ok(serde_json::from_str(record.get()).unwrap_or_else(|e| {
+        log::warn!(event = "log.unreadable_record", bytes = record.get().len(); "reading a record that can't be decoded as null: {e}");
+        serde_json::Value::Null
+    }))
+}
+
 /// Answer to a read.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize)]
--- a/tests/unit/main.rs
+++ b/tests/unit/main.rs
@@ -24,6 +24,7 @@
 mod leased;
 mod leaving_runners;
 mod log_events;
+mod log_pages;
 mod membership;
 mod metrics;
 mod open_requests;
