Let sums of numbers that others send saturate

What callers and operators would see: a caller's job with an estimate, or a Deadline-Ms, near 2^64 ended a debug build of the entry ("attempt to add with overflow", daemon.panic); a release build counted with the small number that was left. The same with a report whose sizes or waiting work are near 2^32.

Cause: times and capacities that were read were added as they were.

Evidence: numbers_beyond_any_sum_end_no_entry (real processes) and report_with_the_largest_numbers_ends_no_entry failed before; watch_and_order_with_the_largest_numbers_end_no_runner passed before, and guards what it plays.

--- a/src/leased/capacity/owners.rs
+++ b/src/leased/capacity/owners.rs
@@ -97,7 +97,10 @@
     /// A watch that arrived while this process was suspended shows that the entry was alive long
     /// ago, or nothing if the entry took this runner for silent. The next one renews the lease.
     pub const fn is_renewal_urgent(&self, now_ms: u64, wait_ms: u64) -> bool {
-        now_ms + wait_ms + RENEWAL_MARGIN_MS > self.alive_at_ms + capacity::OWNER_TIMEOUT_MS
+        now_ms
+            .saturating_add(wait_ms)
+            .saturating_add(RENEWAL_MARGIN_MS)
+            > self.alive_at_ms + capacity::OWNER_TIMEOUT_MS
     }
 
     /// Returns whether the entry has withdrawn a run of the order with this number.
--- a/src/leased/capacity/wait_queue.rs
+++ b/src/leased/capacity/wait_queue.rs
@@ -65,7 +65,8 @@
         let urgency = urgency(now_ms, start);
         let queued = self.runs.values().filter_map(|run| run.queued.as_ref());
         let ahead = queued.filter(|waiting| waiting.urgency <= urgency);
-        let ahead_milli: u32 = ahead.map(|waiting| waiting.start.need.cpu_milli).sum();
+        let ahead = ahead.map(|waiting| waiting.start.need.cpu_milli);
+        let ahead_milli = ahead.fold(0, u32::saturating_add);
         start.wait.most_ms > 0
             && start.need.fits_in(size)
             && ahead_milli.saturating_add(start.need.cpu_milli)
--- a/src/leased/dispatch/expiry.rs
+++ b/src/leased/dispatch/expiry.rs
@@ -135,7 +135,8 @@
             .map(|(_, runner)| u64::from(runner.load.size.cpu_milli))
             .sum();
         let waiting = self.waiting.iter().filter_map(|key| self.jobs.get(*key));
-        let work: u64 = waiting.map(|open| open.job.work()).sum();
+        let works = waiting.map(|open| open.job.work());
+        let work = works.fold(0, u64::saturating_add);
         work.checked_div(total_cpu_milli)
             .unwrap_or(MIN_RETRY_AFTER_MS)
     }
--- a/src/leased/dispatch/jobs.rs
+++ b/src/leased/dispatch/jobs.rs
@@ -92,6 +92,7 @@
         kind: health::Kind,
     ) -> Self {
         let objective_ms = objective_ms(job.critical_path_ms(), queue);
+        let timeout_ms = timeout_ms.unwrap_or(queue.timeout_ms);
         let steps = job.steps.iter().zip(0..);
         let tasks = steps
             .flat_map(|(step, number)| (0..step.tasks).map(move |index| new_task(number, index)));
@@ -105,7 +106,7 @@
             max_attempts: queue.max_attempts.max(1),
             arrived_ms: now_ms,
             // The caller knows the size of its job; the queue's limit is only the default.
-            deadline_ms: now_ms + timeout_ms.unwrap_or(queue.timeout_ms),
+            deadline_ms: now_ms + timeout_ms.min(job::MAX_TIME_MS),
             due_ms: now_ms + objective_ms,
             hold_until_ms: now_ms + objective_ms,
             objective_ms,
@@ -236,5 +237,6 @@
 )]
 fn objective_ms(critical_path_ms: u64, queue: &queues::Queue) -> u64 {
     let work_ms = critical_path_ms as f64 * queue.stretch.max(1.0);
-    (work_ms as u64).saturating_add(queue.target_ms)
+    let objective_ms = (work_ms as u64).saturating_add(queue.target_ms);
+    objective_ms.min(job::MAX_TIME_MS)
 }
--- a/src/leased/dispatch/placement.rs
+++ b/src/leased/dispatch/placement.rs
@@ -195,7 +195,7 @@
 impl Candidate {
     fn reserve(&mut self, need: &wire::Resources, waits: bool) {
         if waits {
-            self.queue_taken_milli += need.cpu_milli;
+            self.queue_taken_milli = self.queue_taken_milli.saturating_add(need.cpu_milli);
         } else {
             self.free = self.free.minus(need);
         }
@@ -204,7 +204,7 @@
 
     fn release(&mut self, need: &wire::Resources, waits: bool) {
         if waits {
-            self.queue_taken_milli -= need.cpu_milli;
+            self.queue_taken_milli = self.queue_taken_milli.saturating_sub(need.cpu_milli);
         } else {
             self.free = self.free.plus(need);
         }
--- a/src/leased/dispatch/refusal.rs
+++ b/src/leased/dispatch/refusal.rs
@@ -72,27 +72,31 @@
                 continue;
             }
             let free_milli = load.size.minus(&load.used).cpu_milli;
-            fits.known += free_milli / need_milli;
+            fits.known = fits.known.saturating_add(free_milli / need_milli);
             if runner.watch.opened_ms.is_none() {
                 continue;
             }
-            fits.watched += free_milli / need_milli;
+            fits.watched = fits.watched.saturating_add(free_milli / need_milli);
             if !runner.is_usable(now_ms) || directives.is_zone_out(&load.zone) {
                 continue;
             }
-            fits.usable += free_milli / need_milli;
+            fits.usable = fits.usable.saturating_add(free_milli / need_milli);
             let free_milli = runner.free().cpu_milli;
-            fits.uncommitted += free_milli / need_milli;
+            fits.uncommitted = fits.uncommitted.saturating_add(free_milli / need_milli);
             let allowance = self.task_allowance(now_ms, key, runner);
-            fits.allowed += (free_milli / need_milli).min(allowance);
+            fits.allowed = fits
+                .allowed
+                .saturating_add((free_milli / need_milli).min(allowance));
             let beside = |class| {
                 let size_milli = load.size.cpu_milli;
                 let spare_milli =
                     placement::spare_milli(class, headroom_share, size_milli, need_milli);
                 (free_milli.saturating_sub(spare_milli) / need_milli).min(allowance)
             };
-            fits.beside_headroom += beside(open.precedence.saturating_add(1));
-            fits.beside_spare += beside(u8::MAX);
+            fits.beside_headroom = fits
+                .beside_headroom
+                .saturating_add(beside(open.precedence.saturating_add(1)));
+            fits.beside_spare = fits.beside_spare.saturating_add(beside(u8::MAX));
         }
         fits
     }
--- a/src/leased/dispatch/runners.rs
+++ b/src/leased/dispatch/runners.rs
@@ -204,7 +204,8 @@
             .placed
             .values()
             .filter(|placed| placed.first_sequence.is_none() && placed.waits);
-        let in_flight: u32 = in_flight.map(|placed| placed.need.cpu_milli).sum();
+        let in_flight = in_flight.map(|placed| placed.need.cpu_milli);
+        let in_flight = in_flight.fold(0, u32::saturating_add);
         let limit_milli = self.load.size.cpu_milli / wait_queue::WAIT_QUEUE_CPU_DIVISOR;
         [0, 1, 2, 3, 4].map(|class| {
             limit_milli
@@ -253,7 +254,7 @@
         self.unconfirmed_stops
             .retain(|id| self.placed.contains_key(id));
         self.unconfirmed_stops.extend(stops);
-        let valid_until_ms = clock_ms + ORDER_VALID_MS;
+        let valid_until_ms = clock_ms.saturating_add(ORDER_VALID_MS);
         for planned in &starts {
             let placed = runs::PlacedRun {
                 job: planned.job,
--- a/src/leased/dispatch/scheduling.rs
+++ b/src/leased/dispatch/scheduling.rs
@@ -287,7 +287,8 @@
             return Admitted::Placed;
         }
         let Some(forecast) = refusal else {
-            capacity.waiting_work[usize::from(class)] += job.work;
+            let waiting_work = &mut capacity.waiting_work[usize::from(class)];
+            *waiting_work = waiting_work.saturating_add(job.work);
             return Admitted::Waits;
         };
         Admitted::Refused(forecast)
--- a/src/leased/handover/contacts.rs
+++ b/src/leased/handover/contacts.rs
@@ -182,7 +182,8 @@
             contact.is_none_or(|contact| contact.is_open(now_ms))
         };
         let me = entries.me();
-        let is_larger = |peer: &ports::Peer| peer.cpu_milli >= me.cpu_milli * MIN_CPU_RATIO;
+        let is_larger =
+            |peer: &ports::Peer| peer.cpu_milli >= me.cpu_milli.saturating_mul(MIN_CPU_RATIO);
         if let Some(current) = &self.current
             && is_open(current)
             && entries.get(current).is_some_and(is_larger)
--- a/src/leased/handover/sent.rs
+++ b/src/leased/handover/sent.rs
@@ -131,6 +131,7 @@
     ) -> messages::Handover {
         self.last_number += 1;
         let timeout_ms = new.timeout_ms.unwrap_or(new.queue.timeout_ms);
+        let timeout_ms = timeout_ms.min(job::MAX_TIME_MS);
         let handover = messages::Handover {
             version: wire::VERSION,
             origin: origin.incarnation,
--- a/src/leased/handover/taken.rs
+++ b/src/leased/handover/taken.rs
@@ -96,7 +96,7 @@
         if handover.peer != Some(self.me) {
             return Some(messages::Decline::Incarnation);
         }
-        if alive_at_ms + handover::MAX_HANDOVER_AGE_MS < now_ms {
+        if alive_at_ms.saturating_add(handover::MAX_HANDOVER_AGE_MS) < now_ms {
             return Some(messages::Decline::Late);
         }
         let origin = self.origins.get(&handover.origin);
--- a/src/leased/job.rs
+++ b/src/leased/job.rs
@@ -12,6 +12,10 @@
 /// Maximum length of the text that tells a backend server what to run, in bytes.
 pub const MAX_SPEC_BYTES: usize = 4_000;
 
+/// Longest time that a job may declare or its caller wait, in milliseconds: 30 days. A longer one
+/// counts as this.
+pub const MAX_TIME_MS: u64 = 30 * 24 * 3_600 * 1_000;
+
 /// Maximum number of steps of a job.
 pub const MAX_STEPS: usize = 64;
 
@@ -81,7 +85,7 @@
     pub tasks: u32,
     /// Resources of each task.
     pub need: wire::Resources,
-    /// Approximate run time of each task, in milliseconds; at least 1.
+    /// Approximate run time of each task, in milliseconds; 1 to [`MAX_TIME_MS`].
     pub estimate_ms: u64,
     /// Indices of the earlier steps that have to complete first.
     pub after: Vec<u16>,
@@ -115,11 +119,15 @@
         ends.into_iter().max().unwrap_or(0)
     }
 
-    /// Returns the declared work of all tasks, in thousandths of a core times milliseconds.
+    /// Returns the declared work of all tasks, in thousandths of a core times milliseconds; a sum that
+    /// is too large counts as the largest.
     pub fn work(&self) -> u64 {
-        let step_work =
-            |step: &Step| u64::from(step.tasks) * u64::from(step.need.cpu_milli) * step.estimate_ms;
-        self.steps.iter().map(step_work).sum()
+        let step_work = |step: &Step| {
+            let cpu_milli = u64::from(step.tasks) * u64::from(step.need.cpu_milli);
+            cpu_milli.saturating_mul(step.estimate_ms)
+        };
+        let works = self.steps.iter().map(step_work);
+        works.fold(0, u64::saturating_add)
     }
 }
 
@@ -167,7 +175,7 @@
     Ok(Step {
         tasks: raw.tasks,
         need: raw.need,
-        estimate_ms: raw.estimate_ms.max(1),
+        estimate_ms: raw.estimate_ms.clamp(1, MAX_TIME_MS),
         after: raw.after,
         label: raw.label,
         rack: raw.rack,
--- a/src/leased/messages.rs
+++ b/src/leased/messages.rs
@@ -137,7 +137,8 @@
 impl WaitQueue {
     /// Adds a run of `milli` thousandths of a core.
     pub fn add(&mut self, class: u8, milli: u32) {
-        self.milli[Self::slot(class)] += milli;
+        let class_milli = &mut self.milli[Self::slot(class)];
+        *class_milli = class_milli.saturating_add(milli);
     }
 
     /// Subtracts a run of `milli` thousandths of a core.
@@ -148,12 +149,13 @@
 
     /// Returns the thousandths of a core that wait in this class and in more urgent ones.
     pub fn milli_up_to(&self, class: u8) -> u32 {
-        self.milli[..=Self::slot(class)].iter().sum()
+        let classes = self.milli[..=Self::slot(class)].iter();
+        classes.copied().fold(0, u32::saturating_add)
     }
 
     /// Returns the thousandths of a core that wait in all classes.
     pub fn total_milli(&self) -> u32 {
-        self.milli.iter().sum()
+        self.milli.iter().copied().fold(0, u32::saturating_add)
     }
 
     /// Returns the index of a class; the class is set by another process, and an unknown one
--- a/src/leased/runner.rs
+++ b/src/leased/runner.rs
@@ -180,7 +180,7 @@
         } else {
             u64::MAX
         };
-        let until_ms = now_ms + watch.wait_ms.min(most_ms);
+        let until_ms = now_ms.saturating_add(watch.wait_ms.min(most_ms));
         self.open_watches
             .insert(watch.entry, OpenWatch { tx, until_ms });
         self.act(cx, actions);
--- a/tests/unit/leased.rs
+++ b/tests/unit/leased.rs
@@ -12,6 +12,7 @@
 mod dispatch;
 mod entry_list;
 mod expired_leases;
+mod extreme_numbers;
 mod fixtures;
 mod foreign_messages;
 mod former_incarnations;
