--- a/standins/src/platform/backend.rs
+++ b/standins/src/platform/backend.rs
@@ -93,6 +93,11 @@
         late.draw(late.hold_fraction)
     }
 
+    /// Suspends the instance, or resumes it: its steady clock does not count that time.
+    pub fn suspend(&self, is_suspended: bool) {
+        self.lock().suspend(is_suspended);
+    }
+
     /// Announces from the next heartbeat on that the backend server is going to leave.
     pub fn drain(&self) {
         self.lock().is_draining = true;
--- a/standins/src/platform/runs.rs
+++ b/standins/src/platform/runs.rs
@@ -129,6 +129,8 @@
     pub(super) late_answers: usize,
     pub(super) late_orders: Option<profile::LateOrders>,
     pub(super) is_draining: bool,
+    /// When the instance was suspended; absent while it runs.
+    suspended_at: Option<time::Instant>,
 }
 
 impl State {
@@ -153,6 +155,7 @@
             late_answers: 0,
             late_orders: None,
             is_draining: false,
+            suspended_at: None,
         }
     }
 
@@ -168,7 +171,8 @@
 
     /// Returns the reading of its monotonic clock, in milliseconds.
     pub(super) fn clock_ms(&self) -> u64 {
-        let elapsed = self.incarnation.began.elapsed();
+        let now = self.suspended_at.unwrap_or_else(time::Instant::now);
+        let elapsed = now.saturating_duration_since(self.incarnation.began);
         let reading = elapsed.mul_f64(self.profile.clock_rate);
         u64::try_from(reading.as_millis()).unwrap_or(u64::MAX)
     }
@@ -214,9 +218,28 @@
         (self.incarnation.began + offset).min(time::Instant::now() + MAX_LEASE.div_f64(rate))
     }
 
+    /// Suspends the instance, or resumes it: its clock, its runs and their lease stand still.
+    pub(super) fn suspend(&mut self, is_suspended: bool) {
+        if is_suspended {
+            self.advance();
+            self.suspended_at.get_or_insert_with(time::Instant::now);
+            return;
+        }
+        let Some(suspended_at) = self.suspended_at.take() else {
+            return;
+        };
+        let pause = suspended_at.elapsed();
+        self.incarnation.began += pause;
+        self.lease_until += pause;
+        for run in self.runs.iter_mut().filter(|run| run.ended.is_none()) {
+            run.due += pause;
+            run.stop_due = run.stop_due.map(|due| due + pause);
+        }
+    }
+
     /// Ends the runs whose work is done, whose stop is due or whose lease has expired.
     pub(super) fn advance(&mut self) {
-        let now = time::Instant::now();
+        let now = self.suspended_at.unwrap_or_else(time::Instant::now);
         for index in 0..self.runs.len() {
             let run = &self.runs[index];
             if run.ended.is_some() {
