Notify an entry of a cancel for as long as the cancel is kept

What callers saw: an entry was cut off from the others for 5 s.

Cause: a belief outlived its proof here as well: the entry that got the cancel gave its peers up after cancel_ms (3 s), as if none of them could still hold the job.

Change: a peer that does not answer is notified every 250 ms until the cancel limit, as before, and then every second until 10 limits are over; ids are kept for that long as well (2 limits before). A stopping entry waits only for peers that may still be notified in time, as before. Copies of a notice change nothing.

Tests: silent_peer_is_tried_until_the_cancel_limit asserted that nothing is sent after the limit, which is the fault; it is silent_peer_is_tried_as_long_as_the_cancel_is_kept now, and counts the calls before the limit, after it and after the end. Three others name the time for which ids are kept, instead of 2 limits.

--- a/src/leased/cancels.rs
+++ b/src/leased/cancels.rs
@@ -22,6 +22,14 @@
 /// also the time limit of one attempt.
 pub const RETRY_MS: u64 = 250;
 
+/// The same once the cancel limit is over, in milliseconds.
+pub const LATE_RETRY_MS: u64 = 1_000;
+
+/// Number of cancel limits for which ids are kept, and peers that do not answer are notified of them. A
+/// copy of a job's request may arrive seconds after its cancel, and an entry that was cut off may go
+/// on with the job.
+pub const KEPT_LIMITS: u64 = 10;
+
 /// Time limit of a call that asks a peer to relay, in milliseconds: the peer's own call to the
 /// recipient, [`RELAY_MS`], and one more exchange.
 pub const RELAYED_CALL_MS: u64 = 500;
@@ -113,7 +121,7 @@
         Self {
             zone,
             limit_ms,
-            kept: kept::KeptIds::new(2 * limit_ms),
+            kept: kept::KeptIds::new(KEPT_LIMITS * limit_ms),
             open: open::OpenCancels::default(),
             peers: collections::BTreeMap::new(),
             calls: collections::HashMap::new(),
@@ -166,15 +174,23 @@
     fn new_peer(&mut self, now_ms: u64, entry: &ports::Peer) -> peer::Peer {
         let mut peer = peer::Peer::new(entry.zone.clone());
         for (id, since_ms) in self.kept.cancelled_here() {
-            let until_ms = since_ms + self.limit_ms;
-            if until_ms > now_ms {
-                peer.add(now_ms, id.clone(), until_ms);
+            let times = self.times_since(since_ms);
+            if times.until_ms > now_ms {
+                peer.add(now_ms, id.clone(), times);
                 self.open.await_peer(id, &entry.address);
             }
         }
         peer
     }
 
+    /// Returns when a peer should know of a cancel, and until when it is notified.
+    const fn times_since(&self, since_ms: u64) -> peer::Times {
+        peer::Times {
+            limit_ms: since_ms + self.limit_ms,
+            until_ms: since_ms + KEPT_LIMITS * self.limit_ms,
+        }
+    }
+
     /// Processes a caller's cancel; `is_held` is whether this entry held the job and has
     /// cancelled it.
     pub fn cancel(
@@ -192,9 +208,7 @@
         let awaited = self.awaited_peers();
         log::info!(event = "cancel.forwarded", job = id.as_str(), peers = self.peers.len(), awaited = awaited.len(); "the job to cancel is not open here; notifying the other entries");
         self.keep(now_ms, id, kept::Origin::Here, false);
-        for peer in self.peers.values_mut() {
-            peer.add(now_ms, id.clone(), now_ms + self.limit_ms);
-        }
+        self.notify_all(now_ms, id);
         // The job was held once, but may have been submitted again at another entry since.
         if self.kept.was_held(id) {
             self.counts.held += 1;
@@ -204,6 +218,14 @@
         self.answer_unknown(now_ms, decided)
     }
 
+    /// Notifies all peers of a cancel.
+    fn notify_all(&mut self, now_ms: u64, id: &SmolStr) {
+        let times = self.times_since(now_ms);
+        for peer in self.peers.values_mut() {
+            peer.add(now_ms, id.clone(), times);
+        }
+    }
+
     fn awaited_peers(&self) -> collections::BTreeSet<SmolStr> {
         let awaited = self.peers.iter().filter(|(_, peer)| !peer.is_gone());
         awaited.map(|(address, _)| address.clone()).collect()
@@ -362,7 +384,7 @@
             let expired = peer.expire(now_ms);
             if let Some(first) = expired.first() {
                 self.counts.undelivered += expired.len() as u64;
-                log::warn!(event = "cancel.undelivered", peer = address.as_str(), ids = expired.len(), job = first.as_str(), tries = peer.tries(); "an entry did not answer within the cancel limit");
+                log::warn!(event = "cancel.undelivered", peer = address.as_str(), ids = expired.len(), job = first.as_str(), tries = peer.tries(); "an entry did not answer within the cancel limit; it goes on being notified");
             }
         }
     }
--- a/src/leased/cancels/peer.rs
+++ b/src/leased/cancels/peer.rs
@@ -9,13 +9,24 @@
 /// Time without any answer after which an entry counts as gone, in milliseconds.
 pub const GONE_MS: u64 = 30_000;
 
+/// Times by which an entry is notified of a cancel.
+#[derive(Clone, Copy, Debug)]
+pub struct Times {
+    /// When it should know of it.
+    pub limit_ms: u64,
+    /// Until when it is notified.
+    pub until_ms: u64,
+}
+
 /// Another entry, and the cancelled ids that it has not acknowledged.
 #[derive(Clone, Debug)]
 pub struct Peer {
     zone: SmolStr,
-    /// Ids with the times until which the entry is notified of them.
-    undelivered: collections::BTreeMap<SmolStr, u64>,
-    /// The earliest of these times, or an earlier one.
+    /// Ids of which the entry may still be notified in time.
+    undelivered: collections::BTreeMap<SmolStr, Times>,
+    /// Ids of which it was not notified in time.
+    late: collections::BTreeMap<SmolStr, Times>,
+    /// The earliest time at which one of them changes, or an earlier one.
     expires_ms: u64,
     /// When the next call is due; absent if there is nothing to tell.
     due_ms: Option<u64>,
@@ -33,6 +44,7 @@
         Self {
             zone,
             undelivered: collections::BTreeMap::new(),
+            late: collections::BTreeMap::new(),
             expires_ms: u64::MAX,
             due_ms: None,
             called_ms: None,
@@ -59,15 +71,20 @@
             .is_some_and(|(first_ms, last_ms)| last_ms - first_ms >= GONE_MS)
     }
 
-    /// Returns whether the peer still has to be notified of something.
+    /// Returns whether the peer may still be notified of something in time.
     pub fn has_undelivered(&self) -> bool {
         !self.undelivered.is_empty()
     }
 
-    /// Adds an id of which the peer is notified until `until_ms`.
-    pub fn add(&mut self, now_ms: u64, id: SmolStr, until_ms: u64) {
-        self.undelivered.insert(id, until_ms);
-        self.expires_ms = self.expires_ms.min(until_ms);
+    fn is_notified(&self) -> bool {
+        self.undelivered.is_empty() && self.late.is_empty()
+    }
+
+    /// Adds an id of which the peer is notified.
+    pub fn add(&mut self, now_ms: u64, id: SmolStr, times: Times) {
+        self.late.remove(&id);
+        self.undelivered.insert(id, times);
+        self.expires_ms = self.expires_ms.min(times.limit_ms);
         self.due_ms.get_or_insert(now_ms + cancels::COLLECT_MS);
     }
 
@@ -79,7 +96,8 @@
     /// Notes that a call is being made, and returns up to `max` ids for it.
     pub fn start_call(&mut self, now_ms: u64, max: usize) -> Vec<SmolStr> {
         self.called_ms = Some(now_ms);
-        self.undelivered.keys().take(max).cloned().collect()
+        let ids = self.undelivered.keys().chain(self.late.keys());
+        ids.take(max).cloned().collect()
     }
 
     /// Notes that the open call has been answered.
@@ -93,10 +111,9 @@
         self.lost_ms = None;
         for id in ids {
             self.undelivered.remove(id);
+            self.late.remove(id);
         }
-        self.due_ms = self
-            .has_undelivered()
-            .then_some(now_ms + cancels::COLLECT_MS);
+        self.due_ms = (!self.is_notified()).then_some(now_ms + cancels::COLLECT_MS);
     }
 
     /// Notes that the open call had no answer.
@@ -105,34 +122,45 @@
         self.tries += 1;
         let (first_ms, _) = self.lost_ms.unwrap_or((now_ms, now_ms));
         self.lost_ms = Some((first_ms, now_ms));
-        let retry_ms = now_ms.max(called_ms + cancels::RETRY_MS);
-        self.due_ms = self.has_undelivered().then_some(retry_ms);
+        let pause_ms = if self.has_undelivered() {
+            cancels::RETRY_MS
+        } else {
+            cancels::LATE_RETRY_MS
+        };
+        let retry_ms = now_ms.max(called_ms + pause_ms);
+        self.due_ms = (!self.is_notified()).then_some(retry_ms);
     }
 
     /// Stops notifying the peer of an id.
     pub fn forget(&mut self, id: &str) {
         self.undelivered.remove(id);
+        self.late.remove(id);
         self.clear_due();
     }
 
-    /// Removes and returns the ids of which the peer was not notified in time.
+    /// Returns the ids that the peer should know of by now, and forgets those of which it is no longer
+    /// notified.
     pub fn expire(&mut self, now_ms: u64) -> Vec<SmolStr> {
         if now_ms < self.expires_ms {
             return Vec::new();
         }
-        let expired = self.undelivered.iter();
-        let expired = expired.filter(|(_, until_ms)| **until_ms <= now_ms);
-        let expired: Vec<_> = expired.map(|(id, _)| id.clone()).collect();
-        for id in &expired {
-            self.undelivered.remove(id);
-        }
-        self.expires_ms = self.undelivered.values().copied().min().unwrap_or(u64::MAX);
+        let (expired, in_time): (collections::BTreeMap<_, _>, _) =
+            std::mem::take(&mut self.undelivered)
+                .into_iter()
+                .partition(|(_, times)| times.limit_ms <= now_ms);
+        self.undelivered = in_time;
+        self.late
+            .extend(expired.iter().map(|(id, times)| (id.clone(), *times)));
+        self.late.retain(|_, times| times.until_ms > now_ms);
+        let limits = self.undelivered.values().map(|times| times.limit_ms);
+        let ends = self.late.values().map(|times| times.until_ms);
+        self.expires_ms = limits.chain(ends).min().unwrap_or(u64::MAX);
         self.clear_due();
-        expired
+        expired.into_keys().collect()
     }
 
     fn clear_due(&mut self) {
-        if self.undelivered.is_empty() {
+        if self.is_notified() {
             self.due_ms = None;
         }
     }
--- a/tests/unit/leased/cancels.rs
+++ b/tests/unit/leased/cancels.rs
@@ -133,20 +133,27 @@
     assert!(entry.is_settled());
 }
 
-/// Guards against a caller that waits for a silent entry, and against one that is given up early
-/// or called without end.
+/// Guards against a caller that waits for a silent entry, and against one that is given up while it
+/// may go on with the job, or called without end.
 #[test]
-fn silent_peer_is_tried_until_the_cancel_limit() {
+fn silent_peer_is_tried_as_long_as_the_cancel_is_kept() {
     let mut entry = entry(&[("a", "caxias")]);
     entry.cancel(START_MS, &id(1), false, 1);
 
-    let (sent, answers) = run(&mut entry, START_MS..START_MS + 10_000, |_| true);
+    let kept_ms = cancels::KEPT_LIMITS * LIMIT_MS;
+    let (sent, answers) = run(&mut entry, START_MS..START_MS + 2 * kept_ms, |_| true);
 
     let accepted_ms = START_MS + open::ANSWER_LIMIT_MS;
     assert_eq!(answers, [(accepted_ms, cancels::Answer::Accepted)]);
-    assert_eq!(sent.len() as u64, LIMIT_MS / cancels::RETRY_MS);
-    assert!(sent.iter().all(|(at_ms, _)| *at_ms < START_MS + LIMIT_MS));
+    let (in_time, late): (Vec<_>, Vec<_>) = sent
+        .into_iter()
+        .partition(|(at_ms, _)| *at_ms < START_MS + LIMIT_MS);
+    assert_eq!(in_time.len() as u64, LIMIT_MS / cancels::RETRY_MS);
+    let late_calls = (kept_ms - LIMIT_MS) / cancels::LATE_RETRY_MS;
+    assert_eq!(late.len() as u64, late_calls);
+    assert!(late.iter().all(|(at_ms, _)| *at_ms < START_MS + kept_ms));
     assert_eq!(entry.counts().undelivered, 1);
+    assert!(entry.is_settled());
 }
 
 /// Guards against a cut link between two zones that keeps a cancel from its entry.
@@ -206,10 +213,11 @@
     let notice = messages::Notice::direct(vec![id(1)]);
     entry.receive(START_MS, &notice, &collections::HashSet::new());
 
+    let kept_ms = cancels::KEPT_LIMITS * LIMIT_MS;
     let other = entry.intercept(START_MS, &id(2));
-    let in_time = entry.intercept(START_MS + 2 * LIMIT_MS - 1, &id(1));
-    entry.tick(START_MS + 2 * LIMIT_MS);
-    let later = entry.intercept(START_MS + 2 * LIMIT_MS, &id(1));
+    let in_time = entry.intercept(START_MS + kept_ms - 1, &id(1));
+    entry.tick(START_MS + kept_ms);
+    let later = entry.intercept(START_MS + kept_ms, &id(1));
 
     assert!(other.is_none() && in_time.is_some() && later.is_none());
     assert_eq!(entry.kept(), 0);
@@ -236,14 +244,16 @@
     let notice = messages::Notice::direct(vec![id(1)]);
     entry.receive(START_MS, &notice, &collections::HashSet::new());
     entry.receive(
-        START_MS + 2 * LIMIT_MS - 100,
+        START_MS + cancels::KEPT_LIMITS * LIMIT_MS - 100,
         &notice,
         &collections::HashSet::new(),
     );
 
-    entry.tick(START_MS + 2 * LIMIT_MS);
+    let kept_ms = cancels::KEPT_LIMITS * LIMIT_MS;
+    entry.tick(START_MS + kept_ms);
 
-    assert!(entry.intercept(START_MS + 3 * LIMIT_MS, &id(1)).is_some());
+    let later_ms = START_MS + kept_ms + LIMIT_MS;
+    assert!(entry.intercept(later_ms, &id(1)).is_some());
 }
 
 /// Guards against a false 410 after the answer to a first copy of the message was lost.
@@ -287,8 +297,9 @@
     let mut answered = Vec::new();
     let mut is_notified = false;
     for round in 0..3 {
-        let start_ms = START_MS + round * peer::GONE_MS;
-        let end_ms = start_ms + LIMIT_MS + cancels::RELAYED_CALL_MS;
+        let period_ms = peer::GONE_MS + LIMIT_MS;
+        let start_ms = START_MS + round * period_ms;
+        let end_ms = start_ms + period_ms;
         entry.cancel(start_ms, &id(round), false, round);
         let (sent, answers) = run(&mut entry, start_ms..end_ms, |to| to == GONE);
         answered.extend(
