Tell the other entries of a cancel also where the job was open

Cause: an entry that held the job ended it, kept the id for itself and told nobody.

Change: the ids go into the notices to the other entries, and to those that are listed later. The caller is answered at once, as before.

Tests: job_that_was_held_here_and_submitted_elsewhere_is_cancelled_there asserted that the first cancel is told to nobody, which is the fault; it asserts the notice and its id now.

--- a/src/leased/cancels.rs
+++ b/src/leased/cancels.rs
@@ -202,6 +202,7 @@
     ) -> Vec<Action> {
         if is_held {
             self.keep(now_ms, id, kept::Origin::Here, true);
+            self.notify_all(now_ms, id);
             return vec![Action::Answer(waiter, Answer::Accepted)];
         }
         self.counts.forwarded += 1;
--- a/src/leased/cancels/kept.rs
+++ b/src/leased/cancels/kept.rs
@@ -72,7 +72,7 @@
         let here = self
             .by_id
             .iter()
-            .filter(|(_, kept)| kept.origin == Origin::Here && !kept.was_held);
+            .filter(|(_, kept)| kept.origin == Origin::Here);
         here.map(|(id, kept)| (id, kept.since_ms))
     }
 
--- a/tests/unit/leased/cancels.rs
+++ b/tests/unit/leased/cancels.rs
@@ -230,11 +230,13 @@
     entry.cancel(START_MS, &id(1), true, 1);
     let first = calls_at(&mut entry, SENT_MS);
 
+    answer(&mut entry, SENT_MS, &first[0], &[]);
     let answers = split(entry.cancel(SENT_MS, &id(1), false, 2)).1;
     let second = calls_at(&mut entry, SENT_MS + cancels::COLLECT_MS);
 
     assert_eq!(answers, [cancels::Answer::Accepted]);
-    assert_eq!((first.len(), second.len()), (0, 1));
+    assert_eq!((first.len(), second.len()), (1, 1));
+    assert_eq!(first[0].notice.ids, [id(1)]);
 }
 
 /// Guards against a second cancel that lapses with the first one of the same id.
