Start nothing on an old decision when a process goes on after a suspension

What callers would see: the instance of a runner was suspended in the millisecond in which it was starting a run. The entry started the task elsewhere after 1.2 s; when the instance went on, the call was sent, and both ran for 40 ms.

Cause: the same class as the start for a caller that has left. The call waited for the thread that sends it, and the deadline that it carries is on the clock of the backend server, which stood still as well. A runner that goes on may also start what it had queued for an entry that it has not heard yet.

What is left: bytes of the call that are in the socket when the instance is suspended go on with it, like a run; no process can take them back.

--- a/src/leased/capacity/expiry.rs
+++ b/src/leased/capacity/expiry.rs
@@ -100,8 +100,7 @@
         if self.expired_at_ms.is_some() {
             return None;
         }
-        let is_silent =
-            now_ms >= self.settles_at_ms && now_ms > run.alive_at_ms + capacity::OWNER_TIMEOUT_MS;
+        let is_silent = now_ms >= self.settles_at_ms && run.is_entry_silent(now_ms);
         is_silent.then(|| (id.clone(), "entry silent"))
     }
 
--- a/src/leased/capacity/leases.rs
+++ b/src/leased/capacity/leases.rs
@@ -31,6 +31,11 @@
 }
 
 impl capacity::Run {
+    /// Returns whether its entry has been silent for so long that its callers may be served by others.
+    pub(super) const fn is_entry_silent(&self, now_ms: u64) -> bool {
+        now_ms > self.alive_at_ms + capacity::OWNER_TIMEOUT_MS
+    }
+
     /// Returns whether the lease has to end in time for this run.
     ///
     /// A run whose stop was acknowledged ends by itself.
--- a/src/leased/capacity/starting.rs
+++ b/src/leased/capacity/starting.rs
@@ -10,6 +10,11 @@
 /// answer the second call in time.
 const MAX_RESEND_AGE_MS: u64 = 100;
 
+/// Longest time from the decision to start a run until the call is sent, in milliseconds. After a
+/// suspension of the instance the deadline on the backend server's clock proves nothing, as that clock
+/// stood still as well.
+const MAX_SEND_DELAY_MS: u64 = 200;
+
 /// A call to start a run that has not been answered yet.
 #[derive(Clone, Debug)]
 pub struct UnansweredStart {
@@ -63,6 +68,7 @@
             incarnation,
             fence: self.fence,
             lease_until_ms,
+            send_by_ms: now_ms + MAX_SEND_DELAY_MS,
             timeout_ms: self.call_timeout.timeout_ms(),
         }))
     }
--- a/src/leased/capacity/wait_queue.rs
+++ b/src/leased/capacity/wait_queue.rs
@@ -96,7 +96,8 @@
     /// long to their entries, and all runs if none may start.
     ///
     /// A run that does not fit yet is skipped, so that capacity is not reserved for it; its wait
-    /// is bounded in any case.
+    /// is bounded in any case. A run of a silent entry is skipped until the entry is heard: when this
+    /// process resumes, the callers may be served by others.
     pub(super) fn start_queued(&mut self, now_ms: u64) -> Vec<capacity::Action> {
         let Some(backend) = &self.backend else {
             return Vec::new();
@@ -106,24 +107,25 @@
         let mut queue: Vec<_> = self
             .runs
             .iter()
-            .filter_map(|(id, run)| Some((run.queued.as_ref()?, id)))
-            .map(|(queued, id)| {
+            .filter_map(|(id, run)| Some((run.queued.as_ref()?, run.is_entry_silent(now_ms), id)))
+            .map(|(queued, is_silent, id)| {
                 (
                     queued.urgency,
                     queued.until_ms,
                     queued.start.need,
                     id.clone(),
+                    is_silent,
                 )
             })
             .collect();
         queue.sort_by(|one, other| (one.0, &one.3).cmp(&(other.0, &other.3)));
         let mut actions = Vec::new();
-        for (_, until_ms, need, id) in queue {
+        for (_, until_ms, need, id, is_silent) in queue {
             if !may_start {
                 self.end_unstarted(now_ms, &id, evidence::Evidence::NotReady);
             } else if now_ms > until_ms {
                 self.end_unstarted(now_ms, &id, evidence::Evidence::WaitedTooLong);
-            } else if need.fits_in(&size.minus(&self.used)) {
+            } else if !is_silent && need.fits_in(&size.minus(&self.used)) {
                 actions.extend(self.start_run(now_ms, &id));
             }
         }
--- a/src/leased/ports.rs
+++ b/src/leased/ports.rs
@@ -51,6 +51,8 @@
     pub fence: u64,
     /// End of the lease on the backend server's clock; the start itself is void after it, too.
     pub lease_until_ms: u64,
+    /// Latest time on the runner's clock at which the call is sent.
+    pub send_by_ms: u64,
     /// Time-out of the answer, in milliseconds.
     pub timeout_ms: u64,
 }
@@ -60,7 +62,7 @@
 pub enum StartAnswer {
     /// The run has started.
     Started,
-    /// The run has not started, and this call will not start it.
+    /// The run has not started, and this call will not start it. It may not have been sent.
     Refused(StartRefusal),
     /// No answer was received; the run may be running or may start later.
     Lost,
--- a/tests/unit/leased/resumed_runner.rs
+++ b/tests/unit/leased/resumed_runner.rs
@@ -126,3 +126,35 @@
 
     assert_eq!(manager.has_update(ENTRY), is_answered);
 }
+
+/// Guards against two runs of a task at a time: a runner that was suspended starts what it had queued for
+/// an entry whose callers are served by others by now.
+#[rstest]
+#[case::entry_not_heard_yet(None, 0)]
+#[case::entry_heard(Some(RESUMED_MS - 2), 1)]
+fn queued_run_starts_only_once_its_entry_is_heard(
+    #[case] alive_at_ms: Option<u64>,
+    #[case] expected_starts: usize,
+) {
+    let mut manager = fixtures::ready_manager();
+    let (running, queued) = (fixtures::run_id(1, 0, 1), fixtures::run_id(2, 0, 1));
+    let runs = [(running.clone(), 16_000), (queued.clone(), 1_600)];
+    let mut order = fixtures::order(ENTRY, 1, START_MS, &runs);
+    order.starts[1].wait.most_ms = 5_000;
+    manager.order(START_MS, order);
+    manager.start_answered(START_MS + 1, &running, ports::StartAnswer::Started);
+    manager.next_list(START_MS + 2);
+    manager.resume(RESUMED_MS, RESUMED_MS + SETTLE_MS);
+
+    let done = messages::RunOutcome::Done;
+    let ends = fixtures::listing_with_end(5_052, 1, running.clone(), done);
+    let mut actions = manager.listed(RESUMED_MS, START_MS + 2, ends);
+    if let Some(alive_at_ms) = alive_at_ms {
+        let wanted = [running, queued];
+        let watch = fixtures::watch(ENTRY, alive_at_ms, 1, &wanted);
+        actions.extend(manager.watch(RESUMED_MS, &watch));
+        actions.extend(manager.tick(RESUMED_MS + 1));
+    }
+
+    assert_eq!(fixtures::started(&actions).len(), expected_starts);
+}
