--- a/tests/unit/leased/backend_clock.rs
+++ b/tests/unit/leased/backend_clock.rs
@@ -10,6 +10,9 @@
 /// Reading of the backend server's clock at [`START_MS`].
 const READING_MS: u64 = 5_000;
 
+/// Time in which the system recovers, as the platform bounds it, in milliseconds.
+const RECOVERY_MS: u64 = 12_000;
+
 /// Rate of the slowest clock that the platform allows, in percent.
 const SLOWEST_PERCENT: u64 = 98;
 
@@ -170,3 +173,17 @@
 
     assert_eq!(until_ms, READING_MS + 700);
 }
+
+/// Guards against runs that are held for ever: a runner that is short of processor time stands still
+/// again and again, and its backend server works on and cannot be reached.
+#[test]
+fn leases_are_over_in_time_at_a_runner_that_stands_still_again_and_again() {
+    let mut clock = known_clock();
+    clock.grant(START_MS, 700);
+
+    for at_ms in (300..RECOVERY_MS).step_by(300) {
+        clock.resume(START_MS + at_ms);
+    }
+
+    assert!(clock.has_expired(START_MS + RECOVERY_MS));
+}
